--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions, on seeded arrivals."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the backend servers, a process each."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools: the test runner and the demo."""
--- /dev/null
+++ b/wasabistage/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests: ranks, fairness, limits and deadlines."""
--- /dev/null
+++ b/wasabistage/cache/__init__.py
@@ -0,0 +1,1 @@
+"""KV cache pieces: keys, index, stores, transfers."""
--- /dev/null
+++ b/wasabistage/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in files, and their interpreter."""
--- /dev/null
+++ b/wasabistage/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: tasks, caller API, peer protocol."""
--- /dev/null
+++ b/wasabistage/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/wasabistage/once/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent calls, run at most once."""
--- /dev/null
+++ b/wasabistage/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform and of the backend servers."""
--- /dev/null
+++ b/wasabistage/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, backoff and circuit breakers."""
--- /dev/null
+++ b/wasabistage/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Fenced orders to backend servers: weights, adapters, roles."""
--- /dev/null
+++ b/wasabistage/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the backend server for a request."""
--- /dev/null
+++ b/wasabistage/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions, answers and streams."""
--- /dev/null
+++ b/wasabistage/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process, read from an INI file."""
