Read the settings of an entry process from INI

Cause: an entry process learns its addresses, bounds and intervals from its settings, and a fault must name its file, line and remedy. Ruled out: configparser alone, which keeps no lines and stops at the first duplicate or headerless key; a parser of our own, since the public hooks of configparser (SECTCRE, optionxform) tell the lines.

--- a/wasabistage/declarations/__init__.py
+++ b/wasabistage/declarations/__init__.py
@@ -1,5 +1,27 @@
 """Operators' declaration files: parse, check, publish and fold."""
 
+from wasabistage.declarations._border import (
+    SectionModel,
+    describe_model,
+    validate_section,
+)
+from wasabistage.declarations._fields import (
+    Address,
+    Addresses,
+    Count,
+    Duration,
+    Factor,
+    Flag,
+    Hashes,
+    Name,
+    Names,
+    Rate,
+    Size,
+    Text,
+    choice,
+    split_address,
+)
+from wasabistage.declarations._ini import Section, parse_ini, read_ini
 from wasabistage.declarations._model import (
     BackendServer,
     Call,
@@ -12,16 +34,40 @@
     Store,
     WeightStore,
 )
+from wasabistage.declarations._problem import Problem, ValueFault, suggest
 
 __all__ = [
+    "Address",
+    "Addresses",
     "BackendServer",
     "Call",
     "ClientAccount",
+    "Count",
     "Deployment",
+    "Duration",
+    "Factor",
+    "Flag",
+    "Hashes",
     "Model",
+    "Name",
+    "Names",
     "OutagePolicy",
+    "Problem",
+    "Rate",
+    "Section",
+    "SectionModel",
     "Service",
     "ServiceKind",
+    "Size",
     "Store",
+    "Text",
+    "ValueFault",
     "WeightStore",
+    "choice",
+    "describe_model",
+    "parse_ini",
+    "read_ini",
+    "split_address",
+    "suggest",
+    "validate_section",
 ]
