--- /dev/null
+++ b/wasabistage/observe/_metrics.py
@@ -0,0 +1,148 @@
+"""Metrics, sent to statsd over UDP."""
+
+from abc import ABC, abstractmethod
+
+from statsd import StatsClient
+
+#: Every metric: name to kind and meaning.
+METRICS = {
+    "request.received": ("counter", "requests received from callers"),
+    "request.answered": ("counter", "requests answered whole"),
+    "request.failed": ("counter", "requests answered with an error, by kind"),
+    "request.first_token": ("timer", "milliseconds to the first token, by rank"),
+    "request.refused": ("counter", "requests refused before they ran, by rank"),
+    "request.retried": ("counter", "attempts after the first"),
+    "prompt.tokens": ("counter", "prompt tokens received"),
+    "prompt.recomputed": ("counter", "prompt tokens that an engine computed"),
+    "answer.tokens": ("counter", "tokens relayed to callers"),
+    "answer.mismatch": ("counter", "frames that belong to another stream"),
+    "answer.resumed": ("counter", "streams resumed by callers"),
+    "answer.cancelled": ("counter", "streams cancelled as their caller left"),
+    "once.dispatched": ("counter", "non-idempotent calls sent to a backend server"),
+    "once.joined": ("counter", "attempts that joined an earlier dispatch"),
+    "once.unknown": ("counter", "non-idempotent calls whose outcome is not known"),
+    "cache.fetched": ("counter", "cache pieces imported from a store"),
+    "cache.exported": ("counter", "cache pieces exported to a store"),
+    "cache.rejected": ("counter", "cache pieces that failed verification"),
+    "config.version": ("gauge", "configuration version in force"),
+    "config.alarm": ("counter", "log records that were skipped as bad"),
+    "peer.calls": ("counter", "calls sent to other entries"),
+    "peer.failures": ("counter", "calls to other entries that failed"),
+    "order.sent": ("counter", "orders sent to backend servers"),
+    "log.appends": ("counter", "append calls to the log service"),
+    "log.failures": ("counter", "calls to the log service that failed"),
+    "task.failure": ("counter", "messages whose handling failed, by task"),
+}
+
+
+class Metrics(ABC):
+    """Sink of metrics."""
+
+    @abstractmethod
+    def count(self, name, value=1, label=""):
+        """Add to a counter.
+
+        :param name: a key of ``METRICS``.
+        :param value: how much to add.
+        :param label: last part of the metric's name, such as a rank.
+        """
+
+    @abstractmethod
+    def gauge(self, name, value):
+        """Set a gauge.
+
+        :param name: a key of ``METRICS``.
+        :param value: the new value.
+        """
+
+    @abstractmethod
+    def time(self, name, seconds, label=""):
+        """Record a duration.
+
+        :param name: a key of ``METRICS``.
+        :param seconds: the duration.
+        :param label: last part of the metric's name, such as a rank.
+        """
+
+
+class MemoryMetrics(Metrics):
+    """Metrics kept in this process, for ``status`` and for tests."""
+
+    def __init__(self):
+        self.values = {}
+
+    def count(self, name, value=1, label=""):
+        """Add to a counter; see :meth:`Metrics.count`."""
+        full = full_name(name, label)
+        self.values[full] = self.values.get(full, 0) + value
+
+    def gauge(self, name, value):
+        """Set a gauge; see :meth:`Metrics.gauge`."""
+        self.values[full_name(name, "")] = value
+
+    def time(self, name, seconds, label=""):
+        """Count a duration; see :meth:`Metrics.time`."""
+        self.count(name, 1, label)
+
+
+class StatsdMetrics(MemoryMetrics):
+    """Metrics that are kept here and sent to statsd as well.
+
+    :param address: ``IP:PORT`` of statsd.
+    :param prefix: start of every metric's name.
+    """
+
+    def __init__(self, address, prefix):
+        super().__init__()
+        host, _, port = address.rpartition(":")
+        self.client = StatsClient(host, int(port), prefix=prefix)
+
+    def count(self, name, value=1, label=""):
+        """Add to a counter; see :meth:`Metrics.count`."""
+        super().count(name, value, label)
+        self.client.incr(full_name(name, label), value)
+
+    def gauge(self, name, value):
+        """Set a gauge; see :meth:`Metrics.gauge`."""
+        super().gauge(name, value)
+        self.client.gauge(full_name(name, ""), value)
+
+    def time(self, name, seconds, label=""):
+        """Record a duration; see :meth:`Metrics.time`."""
+        super().time(name, seconds, label)
+        self.client.timing(full_name(name, label), seconds * 1000.0)
+
+
+def make_metrics(address, prefix):
+    """Build the metrics of one process.
+
+    :param address: ``IP:PORT`` of statsd; empty for none.
+    :param prefix: start of every metric's name.
+    :return: a :class:`Metrics`.
+    """
+    return StatsdMetrics(address, prefix) if address else MemoryMetrics()
+
+
+def full_name(name, label):
+    """Return the name of a metric with its label.
+
+    :param name: a key of ``METRICS``.
+    :param label: last part, or empty.
+    :return: a string.
+    :raises KeyError: if the metric is not declared.
+    """
+    if name not in METRICS:
+        raise KeyError(f"metric {name!r} is not declared; add it to METRICS")
+    return f"{name}.{label}" if label else name
+
+
+def describe_metrics():
+    """Generate the reference page of the metrics.
+
+    :return: Markdown.
+    """
+    lines = ["# Metrics", "", "Sent to statsd by each entry instance.", ""]
+    lines += ["| name | kind | meaning |", "|---|---|---|"]
+    for name, (kind, meaning) in sorted(METRICS.items()):
+        lines.append(f"| `{name}` | {kind} | {meaning} |")
+    return "\n".join(lines) + "\n"
