--- a/wasabistage/declarations/__init__.py
+++ b/wasabistage/declarations/__init__.py
@@ -5,6 +5,7 @@
     describe_model,
     validate_section,
 )
+from wasabistage.declarations._check import CheckResult, check_folder
 from wasabistage.declarations._fields import (
     Address,
     Addresses,
@@ -35,12 +36,15 @@
     WeightStore,
 )
 from wasabistage.declarations._problem import Problem, ValueFault, suggest
+from wasabistage.declarations._relations import find_faults
+from wasabistage.declarations._sections import describe_declarations
 
 __all__ = [
     "Address",
     "Addresses",
     "BackendServer",
     "Call",
+    "CheckResult",
     "ClientAccount",
     "Count",
     "Deployment",
@@ -63,8 +67,11 @@
     "Text",
     "ValueFault",
     "WeightStore",
+    "check_folder",
     "choice",
+    "describe_declarations",
     "describe_model",
+    "find_faults",
     "parse_ini",
     "read_ini",
     "split_address",
