--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -80,9 +80,7 @@
     async def start(self):
         """Begin to poll the load reports."""
         period = self.context.settings.heartbeat_interval
-        self.nursery.start_soon(
-            self.context.timers.run_subscription, period, self.poll
-        )
+        self.nursery.start_soon(self.context.timers.run_subscription, period, self.poll)
 
     async def poll(self, tick):
         """Ask every declared server for its load.
--- a/wasabistage/settings/_entry.py
+++ b/wasabistage/settings/_entry.py
@@ -25,6 +25,7 @@
 
 KIB = 1 << 10
 MIB = 1 << 20
+SHORTEST_PEER_KEY = 16  # characters
 LogLevel = choice(debug="debug", info="info", warning="warning", error="error")
 
 
@@ -44,6 +45,9 @@
     peers: Addresses = Field(
         (), description="peer addresses of other entries, to find the rest from"
     )
+    peer_key: Text = Field(
+        description="secret shared by the deployment's entries, 16 characters or more"
+    )
 
 
 class PlatformSection(SectionModel):
@@ -159,6 +163,7 @@
     failure_domain: str
     listen: str
     peer_listen: str
+    peer_key: str
     log: str
     live_list: str
     peers: tuple[str, ...] = ()
@@ -252,6 +257,13 @@
             what="listen and peer_listen are the same address",
             remedy="give each its own port",
         )
+    if len(settings.peer_key) < SHORTEST_PEER_KEY:
+        yield Problem(
+            file=file,
+            line=0,
+            what="peer_key is too short",
+            remedy=f"use {SHORTEST_PEER_KEY} random characters or more",
+        )
     if settings.suspect_after <= settings.heartbeat_interval:
         yield Problem(
             file=file,
--- a/wasabistage/settings/tests/test_settings.py
+++ b/wasabistage/settings/tests/test_settings.py
@@ -26,6 +26,7 @@
 listen = 127.0.0.1:20001
 peer_listen = 127.0.0.1:20101
 peers = 127.0.0.1:20102, [::1]:20103
+peer_key = 0123456789abcdef
 
 [platform]
 log = 127.0.0.1:20201
