--- a/wasabistage/settings/tests/test_settings.py
+++ b/wasabistage/settings/tests/test_settings.py
@@ -61,7 +61,7 @@
         found = "\n".join(self.problems(text))
         self.assertIn(":4: unknown key 'failure_domian'", found)
         self.assertIn("did you mean 'failure_domain'?", found)
-        self.assertIn(":12: log: 'log.example:20201' does not start with an IP", found)
+        self.assertIn(":13: log: 'log.example:20201' does not start with an IP", found)
         self.assertIn(":16: drain_timeout: '2 weeks' is not a duration", found)
         self.assertIn(":18: unknown section [timming]; did you mean 'timing'?", found)
 
