--- a/wasabistage/settings/tests/test_settings.py
+++ b/wasabistage/settings/tests/test_settings.py
@@ -62,8 +62,8 @@
         self.assertIn(":4: unknown key 'failure_domian'", found)
         self.assertIn("did you mean 'failure_domain'?", found)
         self.assertIn(":13: log: 'log.example:20201' does not start with an IP", found)
-        self.assertIn(":16: drain_timeout: '2 weeks' is not a duration", found)
-        self.assertIn(":18: unknown section [timming]; did you mean 'timing'?", found)
+        self.assertIn(":17: drain_timeout: '2 weeks' is not a duration", found)
+        self.assertIn(":19: unknown section [timming]; did you mean 'timing'?", found)
 
     def test_missing_section_and_equal_addresses(self):
         self.assertIn("[platform] is missing", self.problems("[entry]\nname=a\n")[1])
