--- a/wasabistage/once/__init__.py
+++ b/wasabistage/once/__init__.py
@@ -1,1 +1,137 @@
-"""Non-idempotent calls, run at most once."""
+"""Non-idempotent calls, run at most once.
+
+One trio task owns a :class:`OnceCoordinator`. It hands over what happened with
+``observe`` and then starts each action that ``tick`` returns, in order; also on a
+timer, at least every 20 milliseconds while an action or a caller is waiting. The
+task reports how each action ended by another event. Between ``tick`` and the start
+of an action it asks nothing again: a late :class:`Dispatch` is still the only one.
+
+Starting a call and carrying out its dispatch:
+
+>>> from wasabistage.once import (
+...     CallArrived, CallKey, Dispatch, IssueTickets, OnceCoordinator, Outcome,
+...     OutcomeArrived, Reply, digest_call,
+... )
+>>> once = OnceCoordinator(incarnation="a1", secret=bytes(32)).reset()
+>>> wall, now = 1_700_000_000.0, 50.0
+>>> query = IssueTickets(account="padavu", nonces=(bytes(16),), wall=wall)
+>>> (ticket,) = once.decide(query, now)
+>>> key = CallKey(account="padavu", key=ticket)
+>>> call = CallArrived(
+...     attempt="r1", key=key, digest=digest_call("shop", "buy", b"hint 7"),
+...     deadline=now + 5.0, wall=wall,
+... )
+>>> once.observe(call, now)
+>>> [type(action).__name__ for action in once.tick(now)]
+['AppendRecords', 'ReadLog', 'Dispatch']
+>>> outcome = Outcome(status=201, body=b"bought")
+>>> once.observe(OutcomeArrived(key=key, attempt="r1", outcome=outcome, wall=wall), now)
+>>> [action.outcome.body for action in once.tick(now) if isinstance(action, Reply)]
+[b'bought']
+
+A second attempt joins the first and gets the same outcome without a dispatch:
+
+>>> from dataclasses import replace
+>>> once.observe(replace(call, attempt="r2"), now)
+>>> [(action.attempt, action.outcome.status) for action in once.tick(now)]
+[('r2', 201)]
+
+Rules for the task:
+
+- ``RecordsRead.wall`` is taken after the log's answer arrived, never before.
+- An append that is not answered in time is reported as :class:`AppendUnknown`.
+- :class:`Dispatch`: another backend server may be tried while no byte was sent;
+  then :class:`DispatchUnsent`. After the first byte: :class:`OutcomeArrived` with
+  the whole answer, or :class:`DispatchLost`. Nothing is sent a second time.
+- :class:`ForwardToHome`: the peer observes a :class:`CallArrived` with
+  ``forwarded`` set, and its :class:`Reply` comes back in a :class:`HomeReplied`;
+  any failure is a :class:`HomeUnreachable`.
+- A process that restarts takes a new random incarnation and secret.
+"""
+
+from wasabistage.once._batcher import LogBatcher
+from wasabistage.once._coordinator import OnceCoordinator
+from wasabistage.once._fold import ClaimFold, Standing
+from wasabistage.once._home import Phase
+from wasabistage.once._keys import NOT_A_KEY, key_time, make_key
+from wasabistage.once._log_first import LogFirstPolicy
+from wasabistage.once._messages import (
+    AppendConfirmed,
+    AppendFailed,
+    AppendRecords,
+    AppendUnknown,
+    AttemptGone,
+    CallArrived,
+    CallKey,
+    Dispatch,
+    DispatchLost,
+    DispatchUnsent,
+    ForwardToHome,
+    HomeReplied,
+    HomeUnreachable,
+    IssueTickets,
+    LogEntry,
+    Outcome,
+    OutcomeArrived,
+    ReadFailed,
+    ReadLog,
+    Record,
+    RecordKind,
+    RecordsRead,
+    Reply,
+    Verdict,
+    decode_record,
+    digest_call,
+    encode_record,
+)
+from wasabistage.once._policy import OncePolicy, UncheckedPolicy, error_of
+from wasabistage.once._ticket_policy import NO_TICKETS, TicketPolicy
+from wasabistage.once._tickets import NOT_A_TICKET, Ticket, TicketMint, parse_ticket
+
+__all__ = [
+    "AppendConfirmed",
+    "AppendFailed",
+    "AppendRecords",
+    "AppendUnknown",
+    "AttemptGone",
+    "CallArrived",
+    "CallKey",
+    "ClaimFold",
+    "Dispatch",
+    "DispatchLost",
+    "DispatchUnsent",
+    "ForwardToHome",
+    "HomeReplied",
+    "HomeUnreachable",
+    "IssueTickets",
+    "LogBatcher",
+    "LogEntry",
+    "LogFirstPolicy",
+    "NOT_A_KEY",
+    "NOT_A_TICKET",
+    "NO_TICKETS",
+    "OnceCoordinator",
+    "OncePolicy",
+    "Outcome",
+    "OutcomeArrived",
+    "Phase",
+    "ReadFailed",
+    "ReadLog",
+    "Record",
+    "RecordKind",
+    "RecordsRead",
+    "Reply",
+    "Standing",
+    "Ticket",
+    "TicketMint",
+    "TicketPolicy",
+    "UncheckedPolicy",
+    "Verdict",
+    "decode_record",
+    "digest_call",
+    "encode_record",
+    "error_of",
+    "key_time",
+    "make_key",
+    "parse_ticket",
+]
--- /dev/null
+++ b/wasabistage/once/_messages.py
@@ -0,0 +1,390 @@
+"""Typed messages of the once-only decisions: records, events, queries, actions."""
+
+import hashlib
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+
+from wasabistage.base import Ran
+from wasabistage.declarations import OutagePolicy
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallKey:
+    """Key of one non-idempotent call; keys of two accounts are never equal.
+
+    :param account: name of the client account.
+    :param key: a ticket, or the caller's own UUIDv7.
+    """
+
+    account: str
+    key: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What the backend server answered.
+
+    :param status: HTTP status.
+    :param headers: response headers that are passed on.
+    :param body: response body; empty when it was too large to be kept.
+    :param digest: SHA-256 hex digest of the whole body.
+    :param body_omitted: whether the body was too large to be kept.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    digest: str = ""
+    body_omitted: bool = False
+
+
+class RecordKind(StrEnum):
+    """What a log record states about its key."""
+
+    INTENT = "intent"
+    CLAIM = "claim"
+    OUTCOME = "outcome"
+    ABANDON = "abandon"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Record:
+    """One record of the once-only log stream.
+
+    :param kind: what it states.
+    :param writer: incarnation that wrote it first.
+    :param number: sequence number within the writer.
+    :param key: the key it is about.
+    :param digest: digest of the call, see :func:`digest_call`.
+    :param written: wall time of writing, in seconds since the epoch.
+    :param outcome: the answer, for kind ``OUTCOME``.
+    :param carried_from: offset of the original when this is a carried copy.
+    """
+
+    kind: RecordKind
+    writer: str
+    number: int
+    key: CallKey
+    digest: str
+    written: float
+    outcome: Outcome | None = None
+    carried_from: int | None = None
+
+    @property
+    def identity(self):
+        """Identify the record; equal for every repeat of one append."""
+        return (self.writer, self.number, self.carried_from)
+
+
+@dataclass(frozen=True, kw_only=True)
+class LogEntry:
+    """A record at its place in the log.
+
+    :param offset: offset of the record.
+    :param record: the record.
+    """
+
+    offset: int
+    record: Record
+
+
+# Events
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallArrived:
+    """An attempt of a non-idempotent call.
+
+    :param attempt: identifier of the attempt, unique within the process.
+    :param key: key of the call.
+    :param digest: digest of the call, see :func:`digest_call`.
+    :param deadline: monotonic time after which nobody waits for it, in seconds.
+    :param wall: wall time, in seconds since the epoch.
+    :param outage: declared behaviour while the log is out of reach.
+    :param forwarded: whether a peer sent it here as to its home.
+    :param inquire: whether the caller only asks what became of the key; a key
+        that can still be stopped is then refused for ever.
+    """
+
+    attempt: str
+    key: CallKey
+    digest: str
+    deadline: float
+    wall: float
+    outage: OutagePolicy = OutagePolicy.SERVE
+    forwarded: bool = False
+    inquire: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class RecordsRead:
+    """The log answered a read.
+
+    :param start: offset that the read began at.
+    :param entries: the records, by rising offset.
+    :param next_offset: offset to read from next.
+    :param trimmed_to: first offset that the log still holds.
+    :param at_end: whether the read reached the end of the log.
+    :param wall: wall time taken after the answer arrived, never before.
+    """
+
+    start: int
+    entries: tuple[LogEntry, ...]
+    next_offset: int
+    trimmed_to: int
+    at_end: bool
+    wall: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReadFailed:
+    """A read of the log failed or timed out."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class AppendConfirmed:
+    """The log confirmed an append.
+
+    :param batch: number of the append.
+    """
+
+    batch: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class AppendFailed:
+    """An append certainly took no effect.
+
+    :param batch: number of the append.
+    """
+
+    batch: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class AppendUnknown:
+    """An append timed out or its answer was lost; it may take effect, also later.
+
+    :param batch: number of the append.
+    """
+
+    batch: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutcomeArrived:
+    """A backend server answered in full.
+
+    :param key: key of the call.
+    :param attempt: attempt named by the :class:`Dispatch`.
+    :param outcome: the answer.
+    :param wall: wall time, in seconds since the epoch.
+    """
+
+    key: CallKey
+    attempt: str
+    outcome: Outcome
+    wall: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class DispatchUnsent:
+    """No byte of the call reached any backend server.
+
+    :param key: key of the call.
+    :param attempt: attempt named by the :class:`Dispatch`.
+    :param wall: wall time, in seconds since the epoch.
+    """
+
+    key: CallKey
+    attempt: str
+    wall: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class DispatchLost:
+    """A byte was sent and no whole answer came.
+
+    :param key: key of the call.
+    :param attempt: attempt named by the :class:`Dispatch`.
+    """
+
+    key: CallKey
+    attempt: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class HomeReplied:
+    """The home answered a forwarded attempt.
+
+    :param attempt: the attempt here.
+    :param reply: the home's reply; its ``attempt`` is the home's own.
+    """
+
+    attempt: str
+    reply: "Reply"
+
+
+@dataclass(frozen=True, kw_only=True)
+class HomeUnreachable:
+    """The home could not be asked, or did not answer.
+
+    :param attempt: the attempt here.
+    :param bytes_sent: whether a byte of this attempt may have reached it. An
+        earlier attempt may have reached it in either case.
+    """
+
+    attempt: str
+    bytes_sent: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class AttemptGone:
+    """The caller of an attempt went away; no reply is wanted.
+
+    :param attempt: the attempt.
+    """
+
+    attempt: str
+
+
+# Queries
+
+
+@dataclass(frozen=True, kw_only=True)
+class IssueTickets:
+    """Ask for tickets; answered with a tuple of strings or a sentinel.
+
+    :param account: name of the client account.
+    :param nonces: one random nonce per ticket, 16 bytes each.
+    :param wall: wall time, in seconds since the epoch.
+    """
+
+    account: str
+    nonces: tuple[bytes, ...]
+    wall: float
+
+
+# Actions
+
+
+@dataclass(frozen=True, kw_only=True)
+class AppendRecords:
+    """Append records to the log in one append.
+
+    The task reports one of the ``Append…`` events; silence past its timeout is
+    :class:`AppendUnknown`.
+
+    :param batch: number of the append.
+    :param records: the records, in order.
+    """
+
+    batch: int
+    records: tuple[Record, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReadLog:
+    """Read the log; the task reports :class:`RecordsRead` or :class:`ReadFailed`.
+
+    :param start: offset to begin at.
+    """
+
+    start: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Dispatch:
+    """Send the call to a backend server, now and once.
+
+    The task may go on to another backend server only while no byte was sent.
+
+    :param key: key of the call.
+    :param attempt: attempt whose body is sent.
+    """
+
+    key: CallKey
+    attempt: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class ForwardToHome:
+    """Hand an attempt to the key's home.
+
+    :param home: incarnation of the home.
+    :param key: key of the call.
+    :param attempt: the attempt.
+    """
+
+    home: str
+    key: CallKey
+    attempt: str
+
+
+class Verdict(StrEnum):
+    """How an attempt ended."""
+
+    OUTCOME = "outcome"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    CONFLICT = "conflict"
+    EXPIRED = "expired"
+    FORGED = "forged"
+    OVERLOAD = "overload"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """Answer an attempt.
+
+    :param attempt: the attempt.
+    :param key: key of the call.
+    :param verdict: how the attempt ended.
+    :param ran: ``NO`` only when the key was never run and never will be; ``None``
+        with an outcome.
+    :param outcome: the backend server's answer, for verdict ``OUTCOME``.
+    :param reason: what happened, one clause.
+    """
+
+    attempt: str
+    key: CallKey
+    verdict: Verdict
+    ran: Ran | None = Ran.UNKNOWN
+    outcome: Outcome | None = None
+    reason: str = ""
+
+
+def digest_call(service, call, body):
+    """Digest what a key was first used for.
+
+    :param service: name of the service.
+    :param call: name of the declared call.
+    :param body: request body, in bytes.
+    :return: a hex digest.
+    """
+    digest = hashlib.sha256()
+    for part in (service.encode(), call.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def encode_record(record):
+    """Encode a record for the log.
+
+    :param record: a :class:`Record`.
+    :return: bytes.
+    """
+    return msgspec.msgpack.encode(record)
+
+
+def decode_record(data):
+    """Decode a record of the log.
+
+    :param data: bytes.
+    :return: a :class:`Record`.
+    :raises msgspec.MsgspecError: if the bytes are no such record.
+    """
+    return msgspec.msgpack.decode(data, type=Record)
