Decide who is alive, which addresses to answer and which servers are leaving

Cause: the platform's list lags by seconds, may be empty or gone, and there is no balancer; one source alone either keeps dead instances or removes all. BackendMembership merges stamped leaving words of each source, so that gossip may be lost, doubled or reordered. Ruled out: clearing a leaving word by any newer word of another source (a serving load report would lift the list's word).

--- a/wasabistage/membership/__init__.py
+++ b/wasabistage/membership/__init__.py
@@ -1,1 +1,101 @@
-"""Entry instances and backend servers: who is alive, who is leaving."""
+"""Entry instances and backend servers: who is alive, who is leaving.
+
+Wiring: one task owns a :class:`MembershipPolicy`. It observes each received
+:class:`Heartbeat`, each read list as an :class:`InstanceListing` and each ended call
+to a peer as a :class:`PeerCall`. On a timer it carries out ``tick``: for
+:class:`SendHeartbeats` it asks ``decide(HeartbeatQuery(...))`` once and sends the
+answer to every address. The caller API asks ``decide(ViewQuery())`` and hands the
+candidates, with this instance's own :class:`Member` if it isn't draining, to an
+:class:`AddressPolicy`.
+
+The routing task owns a :class:`BackendMembership`. Peers' :class:`LeavingSign` words
+go to ``observe``; :class:`GossipSigns` of ``tick`` go to every peer.
+
+The task that got ``SIGTERM`` drives a :class:`DrainPolicy`; see its module.
+"""
+
+from wasabistage.membership._addresses import (
+    NO_ADDRESS,
+    AddressAnswer,
+    AddressPolicy,
+    AddressQuery,
+    ListOrderAddresses,
+    RandomAddresses,
+    RankedAddress,
+)
+from wasabistage.membership._backends import (
+    NO_SERVER,
+    BackendMembership,
+    GossipSigns,
+    LeavingSign,
+    ListOnlyServers,
+    ServerCall,
+    ServerListing,
+    ServerReport,
+    ServerState,
+    SignSource,
+    UsableQuery,
+    UsableServers,
+)
+from wasabistage.membership._messages import (
+    Heartbeat,
+    HeartbeatQuery,
+    HomeQuery,
+    HomeState,
+    InstanceListing,
+    ListedInstance,
+    Member,
+    MemberChanged,
+    MemberState,
+    MemberView,
+    PeerCall,
+    Phase,
+    SendHeartbeats,
+    ViewQuery,
+    make_incarnation,
+)
+from wasabistage.membership._policy import (
+    HeartbeatOnlyMembership,
+    ListOnlyMembership,
+    MembershipPolicy,
+)
+
+__all__ = [
+    "NO_ADDRESS",
+    "NO_SERVER",
+    "AddressAnswer",
+    "AddressPolicy",
+    "AddressQuery",
+    "BackendMembership",
+    "GossipSigns",
+    "Heartbeat",
+    "HeartbeatOnlyMembership",
+    "HeartbeatQuery",
+    "HomeQuery",
+    "HomeState",
+    "InstanceListing",
+    "LeavingSign",
+    "ListOnlyMembership",
+    "ListOnlyServers",
+    "ListOrderAddresses",
+    "ListedInstance",
+    "Member",
+    "MemberChanged",
+    "MemberState",
+    "MemberView",
+    "MembershipPolicy",
+    "PeerCall",
+    "Phase",
+    "RandomAddresses",
+    "RankedAddress",
+    "SendHeartbeats",
+    "ServerCall",
+    "ServerListing",
+    "ServerReport",
+    "ServerState",
+    "SignSource",
+    "UsableQuery",
+    "UsableServers",
+    "ViewQuery",
+    "make_incarnation",
+]
--- /dev/null
+++ b/wasabistage/membership/_backends.py
@@ -0,0 +1,360 @@
+"""Which backend servers may be given new work, and the sign that one is leaving."""
+
+import math
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from wasabistage.base import Policy
+from wasabistage.exceptions import SettingError
+from wasabistage.utils import Sentinel
+
+NO_SERVER = Sentinel("NO_SERVER", "no declared backend server can take new work")
+
+
+class SignSource(StrEnum):
+    """Who says that a backend server is leaving."""
+
+    LIST = "list"
+    REPORT = "report"
+
+
+class ServerState(StrEnum):
+    """What this instance believes about a backend server."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+
+
+@dataclass(frozen=True, kw_only=True, order=True)
+class LeavingSign:
+    """Event, wire message: one source's newest word on whether a server leaves.
+
+    A source stamps its own words, so entries may pass them on in any order and any
+    number of times: the highest stamp of a source wins.
+
+    :param server: name of the backend server.
+    :param source: who said it.
+    :param stamp: (life, number) of the source; compares in order of time.
+    :param leaving: what it said.
+    """
+
+    server: str
+    source: SignSource
+    stamp: tuple[str, int]
+    leaving: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerListing:
+    """Event: the platform's list was read.
+
+    :param version: number of the list's state, counting up; its own time in
+        milliseconds does.
+    :param live: names of the backend servers that it shows as live.
+    :param leaving: names of those that it shows as leaving.
+    """
+
+    version: int
+    live: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerReport:
+    """Event: a backend server reported its load.
+
+    :param server: name of the backend server.
+    :param life: id of its process life; sorts by start time.
+    :param sequence: counts up with each report of a life.
+    :param draining: whether it says that it is leaving.
+    """
+
+    server: str
+    life: str
+    sequence: int
+    draining: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerCall:
+    """Event: a call to a backend server ended.
+
+    :param server: name of the backend server.
+    :param ok: whether the server answered.
+    """
+
+    server: str
+    ok: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class UsableQuery:
+    """Query: which of these servers may be given new work?
+
+    :param servers: names of the servers that could run the request.
+    """
+
+    servers: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class UsableServers:
+    """Decision: servers that may be given new work.
+
+    :param ready: those without any doubt.
+    :param suspect: doubtful ones kept so that the choice is never empty.
+    """
+
+    ready: tuple[str, ...]
+    suspect: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class GossipSigns:
+    """Action: tell every peer entry instance these words.
+
+    :param signs: the words, at most ``max_gossip`` of the policy.
+    """
+
+    signs: tuple[LeavingSign, ...]
+
+
+@dataclass
+class ServerRecord:
+    """What is known of one server; times are monotonic, in seconds."""
+
+    signs: dict[SignSource, LeavingSign] = field(default_factory=dict)
+    reported_at: float = -math.inf
+    listed: bool = False
+    failures: int = 0
+    failed_at: float = -math.inf
+
+
+class BackendMembership(Policy):
+    """Declared servers, less those leaving, with the doubtful ones last.
+
+    A *leaving* word of any source stops new work at once, also on the last server;
+    a failure, a silence or an absence from the list is only a doubt, and doubts
+    never empty the choice: below ``keep_share`` of the servers that aren't leaving,
+    the least doubtful are kept.
+
+    :param servers: names of the declared backend servers.
+    :param silent_after: silence of a server that has reported before, in seconds.
+    :param failures: failed calls in a row that make a server doubtful.
+    :param doubt_time: time until a failed server is tried again, in seconds.
+    :param regossip: time between repeats of the words that say leaving, in seconds.
+    :param max_gossip: words in one message; the rest goes with the next.
+    :param keep_share: share of the servers that doubts can't remove.
+    """
+
+    def __init__(
+        self,
+        servers=(),
+        *,
+        silent_after=8.0,
+        failures=3,
+        doubt_time=2.0,
+        regossip=1.0,
+        max_gossip=64,
+        keep_share=0.5,
+    ):
+        self.servers = servers
+        self.silent_after = silent_after
+        self.failures = failures
+        self.doubt_time = doubt_time
+        self.regossip = regossip
+        self.max_gossip = max_gossip
+        self.keep_share = keep_share
+
+    def reset(self):
+        """Check the arguments and forget everything learned.
+
+        :return: the policy itself.
+        :raises SettingError: if an argument is out of range.
+        """
+        if self.max_gossip < 1 or not 0 < self.keep_share <= 1:
+            raise SettingError(
+                "need max_gossip >= 1 and 0 < keep_share <= 1",
+                remedy="use max_gossip=64 and keep_share=0.5",
+            )
+        self.records_ = {name: ServerRecord() for name in self.servers}
+        self.pending_ = {}
+        self.next_gossip_ = -math.inf
+        self.listed_ = 0
+        self.unknown_ = 0
+        return self
+
+    def declare(self, servers):
+        """Take over the servers of a new configuration, keeping what is known.
+
+        :param servers: names of the declared backend servers.
+        """
+        self.records_ = {
+            name: self.records_.get(name) or ServerRecord() for name in servers
+        }
+        self.pending_ = {
+            key: sign for key, sign in self.pending_.items() if key[0] in self.records_
+        }
+
+    def observe(self, event, now):
+        """Learn from a listing, a report, a peer's word or an ended call.
+
+        :param event: :class:`ServerListing`, :class:`ServerReport`,
+            :class:`LeavingSign` or :class:`ServerCall`.
+        :param now: monotonic time, in seconds.
+        """
+        match event:
+            case ServerListing():
+                self._observe_listing(event)
+            case ServerReport():
+                self._observe_report(event, now)
+            case LeavingSign():
+                self._merge(event)
+            case ServerCall():
+                self._observe_call(event, now)
+
+    def decide(self, query, now):
+        """Name the servers that may be given new work.
+
+        :param query: a :class:`UsableQuery`.
+        :param now: monotonic time, in seconds.
+        :return: :class:`UsableServers`, or :data:`NO_SERVER` with a reason.
+        """
+        known = [name for name in query.servers if name in self.records_]
+        staying = [name for name in known if not self.is_leaving(name)]
+        if not staying:
+            reason = "every server is leaving" if known else "no server is declared"
+            return NO_SERVER.because(reason)
+        ready = [name for name in staying if not self._doubt(name, now)]
+        doubtful = [name for name in staying if name not in ready]
+        doubtful.sort(key=lambda name: self._doubt(name, now))
+        kept = max(1, math.ceil(self.keep_share * len(staying))) - len(ready)
+        return UsableServers(
+            ready=tuple(ready), suspect=tuple(doubtful[: max(0, kept)])
+        )
+
+    def tick(self, now):
+        """Pass words on: new ones at once, those that say leaving repeatedly.
+
+        :param now: monotonic time, in seconds.
+        :return: a list of :class:`GossipSigns`.
+        """
+        if now >= self.next_gossip_:
+            self.next_gossip_ = now + self.regossip
+            for record in self.records_.values():
+                for sign in record.signs.values():
+                    if sign.leaving:
+                        self.pending_[sign.server, sign.source] = sign
+        if not self.pending_:
+            return []
+        keys = list(self.pending_)[: self.max_gossip]
+        return [GossipSigns(signs=tuple(self.pending_.pop(key) for key in keys))]
+
+    def is_leaving(self, server):
+        """Tell whether any source's newest word says that the server leaves.
+
+        :param server: name of the backend server.
+        :return: ``True`` if it must not be given new work.
+        """
+        record = self.records_.get(server)
+        return record is not None and any(
+            sign.leaving for sign in record.signs.values()
+        )
+
+    def state(self, server, now):
+        """Return what is believed about a declared server.
+
+        :param server: name of the backend server.
+        :param now: monotonic time, in seconds.
+        :return: a :class:`ServerState`.
+        """
+        if self.is_leaving(server):
+            return ServerState.LEAVING
+        return ServerState.SUSPECT if self._doubt(server, now) else ServerState.READY
+
+    def _observe_listing(self, listing):
+        self.listed_ = len(listing.live) + len(listing.leaving)
+        for name, record in self.records_.items():
+            record.listed = name in listing.live or name in listing.leaving
+            if record.listed:
+                self._merge(
+                    LeavingSign(
+                        server=name,
+                        source=SignSource.LIST,
+                        stamp=("", listing.version),
+                        leaving=name in listing.leaving,
+                    )
+                )
+
+    def _observe_report(self, report, now):
+        record = self.records_.get(report.server)
+        if record is None:
+            self.unknown_ += 1
+            return
+        record.reported_at = now
+        sign = LeavingSign(
+            server=report.server,
+            source=SignSource.REPORT,
+            stamp=(report.life, report.sequence),
+            leaving=report.draining,
+        )
+        self._merge(sign)
+
+    def _merge(self, sign):
+        record = self.records_.get(sign.server)
+        if record is None:
+            self.unknown_ += 1
+            return
+        known = record.signs.get(sign.source)
+        if known is not None and known.stamp >= sign.stamp:
+            return
+        record.signs[sign.source] = sign
+        # A changed word is news to the others; a repeated one isn't.
+        if sign.leaving != (known is not None and known.leaving):
+            self.pending_[sign.server, sign.source] = sign
+
+    def _observe_call(self, call, now):
+        record = self.records_.get(call.server)
+        if record is None:
+            return
+        if call.ok:
+            record.failures = 0
+            return
+        record.failures += 1
+        record.failed_at = now
+
+    def _doubt(self, server, now):
+        record = self.records_[server]
+        doubt = 0
+        failing = record.failures >= self.failures
+        if failing and now - record.failed_at < self.doubt_time:
+            doubt += 2
+        has_reported = record.reported_at > -math.inf
+        if has_reported and now - record.reported_at > self.silent_after:
+            doubt += 2
+        # An empty list is no evidence; absence from a filled one is a weak doubt.
+        if self.listed_ and not record.listed and not has_reported:
+            doubt += 1
+        return doubt
+
+
+class ListOnlyServers(BackendMembership):
+    """Baseline that learns of leaving servers from the platform's list alone."""
+
+    def observe(self, event, now):
+        """Learn from a listing; other events are ignored.
+
+        :param event: any event of :class:`BackendMembership`.
+        :param now: monotonic time, in seconds.
+        """
+        if isinstance(event, ServerListing):
+            self._observe_listing(event)
+
+    def tick(self, now):
+        """Pass nothing on.
+
+        :param now: monotonic time, in seconds.
+        :return: an empty list.
+        """
+        return []
