--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -404,21 +404,28 @@
         :param leaving: names of the instances that are leaving.
         """
         listed = []
+        domains = self.deployment.failure_domains
         for index, name in enumerate(self.entry_names, start=1):
-            listed.append((name, "entry", self.peer_address(index)))
+            domain = domains[(index - 1) % len(domains)]
+            address = self.entry_address(index)
+            listed.append((name, "entry", address, self.peer_address(index), domain))
         for server in self.deployment.servers.values():
             kind = "engine" if server.kind is ServiceKind.MODEL else "service"
-            listed.append((server.name, kind, server.address))
+            place = server.failure_domain
+            listed.append((server.name, kind, server.address, "", place))
         for store in self.deployment.stores.values():
-            listed.append((store.name, "store", store.address))
+            place = store.failure_domain
+            listed.append((store.name, "store", store.address, "", place))
         body = [
             {
                 "name": name,
                 "kind": kind,
                 "address": address,
+                "peer_address": peer_address,
+                "failure_domain": domain,
                 "state": "leaving" if name in leaving else "live",
             }
-            for name, kind, address in listed
+            for name, kind, address, peer_address, domain in listed
         ]
         self.put("livelist", "/witness/instances", body)
 
--- /dev/null
+++ b/wasabistage/entry/_admission.py
@@ -0,0 +1,185 @@
+"""The task that admits requests."""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import trio
+
+from wasabistage.admission import (
+    AccountsChanged,
+    Arrive,
+    Cancelled,
+    CapacityChanged,
+    DemandReport,
+    EntriesChanged,
+    EntryAdmission,
+    Finished,
+    FirstByte,
+    FloorsChanged,
+    Grant,
+    RankedFairQueue,
+    Refuse,
+    SendReport,
+    ShareLimiter,
+)
+from wasabistage.entry._task import LATER, Task
+from wasabistage.membership import MemberState
+
+TICK_SECONDS = 0.1
+LIVE_STATES = (MemberState.SERVING, MemberState.DRAINING, MemberState.SUSPECT)
+
+
+@dataclass(frozen=True, kw_only=True)
+class SlotsOfService:
+    """Tells the slots of a service's backend servers together.
+
+    :param service: name of the service.
+    :param slots: requests that they run at a time.
+    """
+
+    service: str
+    slots: int
+
+
+class AdmissionTask(Task):
+    """Owns the queues and limits of this entry.
+
+    :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    """
+
+    name = "admission"
+
+    def __init__(self, context):
+        super().__init__(context.metrics)
+        self.context = context
+        deployment = context.config.value.deployment
+        self.policy = EntryAdmission(
+            limiter=ShareLimiter(
+                entry=context.settings.name,
+                accounts=deployment.accounts,
+                incarnation=int(context.incarnation[:12], 16),
+            ),
+            queue=RankedFairQueue(rank_floors=deployment.rank_floors),
+        ).reset()
+        self.waiting = {}
+        self.gossip = None
+        self.deployment = deployment
+        self.members = {}
+        self.slots = {}
+
+    async def start(self):
+        """Begin to tick."""
+        timers = self.context.timers
+        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
+
+    async def _on_tick(self, tick):
+        self.tell(tick)
+
+    async def handle(self, message, reply):
+        """Handle a message; see :meth:`Task.handle`."""
+        now = self.context.timers.now()
+        match message:
+            case Arrive():
+                self.waiting[message.request_id] = reply
+                self._carry_out(self.policy.observe(message, now))
+            case DemandReport() | FirstByte() | Finished() | Cancelled():
+                if isinstance(message, Cancelled):
+                    self.waiting.pop(message.request_id, None)
+                self._carry_out(self.policy.observe(message, now))
+            case SlotsOfService():
+                self._set_slots(message, now)
+            case _:
+                self._tick(now)
+        return LATER
+
+    def _tick(self, now):
+        self._follow_config(now)
+        self._follow_members(now)
+        self._carry_out(self.policy.tick(now))
+
+    def _set_slots(self, message, now):
+        if self.slots.get(message.service) == message.slots:
+            return
+        self.slots[message.service] = message.slots
+        event = CapacityChanged(service=message.service, slots=message.slots)
+        self._carry_out(self.policy.observe(event, now))
+
+    def _follow_config(self, now):
+        deployment = self.context.config.value.deployment
+        if deployment is self.deployment:
+            return
+        self.deployment = deployment
+        event = AccountsChanged(accounts=deployment.accounts)
+        self._carry_out(self.policy.observe(event, now))
+        floors = FloorsChanged(floors=deployment.rank_floors)
+        self._carry_out(self.policy.observe(floors, now))
+
+    def _follow_members(self, now):
+        view = self.gossip.view.value if self.gossip else None
+        if view is None:
+            return
+        members = {m.instance: 1 for m in view.members if m.state in LIVE_STATES}
+        members[self.context.settings.name] = 1
+        if members != self.members:
+            self.members = members
+            event = EntriesChanged(members=members)
+            self._carry_out(self.policy.observe(event, now))
+
+    def _carry_out(self, actions):
+        for action in actions or ():
+            match action:
+                case Grant():
+                    reply = self.waiting.pop(action.request_id, None)
+                    if reply is not None:
+                        reply.set(action)
+                case Refuse():
+                    reply = self.waiting.pop(action.request_id, None)
+                    if reply is not None:
+                        reply.fail(action.as_error())
+                case SendReport():
+                    if self.gossip is not None:
+                        self.gossip.tell(action.report)
+
+    @asynccontextmanager
+    async def slot(self, arrive):
+        """Wait for a slot and hold it.
+
+        :param arrive: a :class:`wasabistage.admission.Arrive`.
+        :return: a context manager of a :class:`Slot`.
+        :raises WasabistageError: if the request is refused; it was not run.
+        """
+        try:
+            await self.ask(arrive)
+        except trio.Cancelled:
+            self.tell(Cancelled(request_id=arrive.request_id))
+            raise
+        held = Slot(self, arrive.request_id)
+        try:
+            yield held
+        finally:
+            held.release()
+
+
+class Slot:
+    """A granted slot.
+
+    :param admission: the :class:`AdmissionTask`.
+    :param request_id: identifier of the request.
+    """
+
+    def __init__(self, admission, request_id):
+        self.admission = admission
+        self.request_id = request_id
+        self.cost = None
+        self.released = False
+
+    def first_byte(self):
+        """Tell that the first byte of the answer arrived."""
+        self.admission.tell(FirstByte(request_id=self.request_id))
+
+    def release(self):
+        """Give the slot back, once."""
+        if self.released:
+            return
+        self.released = True
+        self.admission.tell(Finished(request_id=self.request_id, cost=self.cost))
--- /dev/null
+++ b/wasabistage/entry/_once.py
@@ -0,0 +1,446 @@
+"""The task that runs non-idempotent calls at most once."""
+
+import secrets
+from dataclasses import dataclass, replace
+
+import msgspec
+import trio
+
+from wasabistage.entry._calls import resolve_plain
+from wasabistage.entry._gossip import FindIncarnation
+from wasabistage.entry._plain import PlainAnswer, PlainCall
+from wasabistage.entry._task import LATER, Reply, Task
+from wasabistage.entry._wire import ONCE, OnceAnswered, OnceForward
+from wasabistage.exceptions import (
+    ConflictError,
+    OutcomeUnknownError,
+    UnavailableError,
+    WasabistageError,
+)
+from wasabistage.observe import make_logger
+from wasabistage.once import (
+    AppendConfirmed,
+    AppendFailed,
+    AppendRecords,
+    AppendUnknown,
+    AttemptGone,
+    CallArrived,
+    CallKey,
+    ClaimFold,
+    Dispatch,
+    DispatchLost,
+    DispatchUnsent,
+    ForwardToHome,
+    HomeReplied,
+    HomeUnreachable,
+    IssueTickets,
+    LogBatcher,
+    LogEntry,
+    OnceCoordinator,
+    Outcome,
+    OutcomeArrived,
+    ReadFailed,
+    ReadLog,
+    RecordsRead,
+    Verdict,
+    decode_record,
+    digest_call,
+    encode_record,
+    error_of,
+)
+from wasabistage.once import Reply as OnceReply
+from wasabistage.platform import NewRecord
+
+STREAM = "once"
+TICK_SECONDS = 0.02
+NONCE_BYTES = 16
+SECRET_BYTES = 32
+ATTEMPT_BYTES = 12
+RECORD_ID_BYTES = 16
+MOST_TICKETS = 16
+MOST_SERVERS = 3
+SHORTEST_DISPATCH_SECONDS = 30.0
+FORWARD_SLACK_SECONDS = 0.5
+log = make_logger("once")
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunOnce:
+    """Asks to run a non-idempotent call.
+
+    :param call: the :class:`wasabistage.entry._plain.PlainCall`.
+    :param deadline: monotonic time after which nobody waits, in seconds.
+    :param inquire: whether the caller only asks what became of the key.
+    """
+
+    call: PlainCall
+    deadline: float
+    inquire: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class TakeTickets:
+    """Asks for tickets.
+
+    :param account: name of the client account.
+    :param count: how many.
+    """
+
+    account: str
+    count: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class CountUnsettled:
+    """Asks how many attempts and records are not settled yet."""
+
+
+@dataclass
+class Attempt:
+    """One attempt that waits for its reply.
+
+    :ivar call: what to dispatch.
+    :ivar reply: where the answer goes.
+    :ivar forwarded: whether a peer waits for it.
+    :ivar inquire: whether the caller only asks what became of the key.
+    :ivar deadline: monotonic time after which nobody waits, in seconds.
+    """
+
+    call: PlainCall
+    reply: Reply
+    forwarded: bool
+    inquire: bool
+    deadline: float
+
+
+class OnceTask(Task):
+    """Owns the once-only decisions and carries their actions out.
+
+    :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    :param plain: the :class:`wasabistage.entry._plain.PlainServer`.
+    :param gossip: task that finds the address of a process life.
+    :param policy: a :class:`wasabistage.once.OncePolicy`; ``None`` for the real one.
+    """
+
+    name = "once"
+
+    def __init__(self, context, plain, gossip, policy=None):
+        super().__init__(context.metrics)
+        self.context = context
+        self.plain = plain
+        self.gossip = gossip
+        self.policy = policy or self._make_policy()
+        self.attempts = {}
+
+    def _make_policy(self):
+        settings = self.context.settings
+        fold = ClaimFold(
+            incarnation=self.context.incarnation,
+            retention=settings.log_retention,
+            horizon=settings.key_horizon,
+            clock_skew=settings.clock_skew,
+        )
+        return OnceCoordinator(
+            incarnation=self.context.incarnation,
+            secret=secrets.token_bytes(SECRET_BYTES),
+            fold=fold,
+            batcher=LogBatcher(interval=settings.log_batch),
+        ).reset()
+
+    async def start(self):
+        """Begin to tick."""
+        timers = self.context.timers
+        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
+
+    async def _on_tick(self, tick):
+        self.tell(tick)
+
+    async def handle(self, message, reply):
+        """Handle a message; see :meth:`Task.handle`."""
+        now = self.context.timers.now()
+        match message:
+            case RunOnce():
+                self._take(message, reply, now)
+            case OnceForward():
+                if message.home != self.context.incarnation:
+                    return OnceAnswered(reply=None)
+                self._take_forwarded(message, reply, now)
+            case TakeTickets():
+                return self._issue(message, now)
+            case CountUnsettled():
+                return len(self.attempts) + self.policy.batcher_.decide(None, now)
+            case _:
+                self._observe(message, now)
+        self._carry_out(now)
+        return LATER
+
+    def _observe(self, message, now):
+        if hasattr(message, "period"):
+            return
+        self.policy.observe(message, now)
+
+    def _issue(self, message, now):
+        count = min(message.count, MOST_TICKETS)
+        nonces = tuple(secrets.token_bytes(NONCE_BYTES) for _ in range(count))
+        query = IssueTickets(
+            account=message.account, nonces=nonces, wall=self.context.timers.wall()
+        )
+        return self.policy.decide(query, now) or ()
+
+    def _take(self, message, reply, now):
+        attempt = Attempt(
+            message.call, reply, False, message.inquire, message.deadline
+        )
+        self._register(attempt, now)
+
+    def _take_forwarded(self, message, reply, now):
+        deployment = self.context.config.value.deployment
+        account = deployment.accounts.get(message.account)
+        if account is None:
+            raise UnavailableError(
+                "the client account is not declared at the key's home",
+                remedy="try again once the configuration is in force everywhere",
+            )
+        call = PlainCall(
+            request_id=message.request_id,
+            account=account,
+            resolved=resolve_plain(
+                deployment, message.service, message.method, message.path
+            ),
+            path=message.path,
+            query=message.query,
+            body=message.body,
+            headers=message.headers,
+            key=message.key,
+            parent=self.context.tracer.accept({"traceparent": message.traceparent}),
+        )
+        deadline = now + message.remaining
+        self._register(Attempt(call, reply, True, message.inquire, deadline), now)
+
+    def _register(self, attempt, now):
+        call = attempt.call
+        attempt_id = secrets.token_hex(ATTEMPT_BYTES)
+        self.attempts[attempt_id] = attempt
+        attempt.reply.attempt_id = attempt_id
+        content = b"\0".join((call.path.encode(), call.query, call.body))
+        declared = call.resolved.call
+        self.policy.observe(
+            CallArrived(
+                attempt=attempt_id,
+                key=CallKey(account=call.account.name, key=call.key),
+                digest=digest_call(call.resolved.service.name, declared.name, content),
+                deadline=attempt.deadline,
+                wall=self.context.timers.wall(),
+                outage=declared.outage,
+                forwarded=attempt.forwarded,
+                inquire=attempt.inquire,
+            ),
+            now,
+        )
+
+    def _carry_out(self, now):
+        for action in self.policy.tick(now):
+            match action:
+                case AppendRecords():
+                    self.nursery.start_soon(self._append, action)
+                case ReadLog():
+                    self.nursery.start_soon(self._read, action.start)
+                case Dispatch():
+                    self._start_dispatch(action)
+                case ForwardToHome():
+                    attempt = self.attempts[action.attempt]
+                    self.nursery.start_soon(self._forward, action, attempt)
+                case OnceReply():
+                    self._reply(action)
+
+    def _reply(self, action):
+        attempt = self.attempts.pop(action.attempt, None)
+        if attempt is None:
+            return
+        if action.verdict is Verdict.UNKNOWN:
+            self.metrics.count("once.unknown")
+        if attempt.forwarded:
+            attempt.reply.set(OnceAnswered(reply=action))
+        elif action.outcome is not None:
+            self._answer(attempt, action.outcome)
+        else:
+            attempt.reply.fail(error_of(action))
+
+    def _answer(self, attempt, outcome):
+        if outcome.body_omitted:
+            attempt.reply.fail(
+                ConflictError(
+                    "the call was run; its answer was too large to be kept",
+                    remedy="look the result up at the service",
+                    ran="unknown",
+                )
+            )
+            return
+        attempt.reply.set(
+            PlainAnswer(
+                status=outcome.status, headers=dict(outcome.headers), body=outcome.body
+            )
+        )
+
+    async def _append(self, action):
+        self.metrics.count("log.appends")
+        records = [
+            NewRecord(
+                record_id=secrets.token_hex(RECORD_ID_BYTES), data=encode_record(item)
+            )
+            for item in action.records
+        ]
+        try:
+            await self.context.log.append(STREAM, records)
+            event = AppendConfirmed(batch=action.batch)
+        except UnavailableError:
+            event = AppendFailed(batch=action.batch)
+        except WasabistageError:
+            event = AppendUnknown(batch=action.batch)
+        if not isinstance(event, AppendConfirmed):
+            self.metrics.count("log.failures")
+        self.tell(event)
+
+    async def _read(self, start):
+        try:
+            page = await self.context.log.read(STREAM, start)
+        except WasabistageError:
+            self.metrics.count("log.failures")
+            self.tell(ReadFailed())
+            return
+        wall = self.context.timers.wall()
+        self.tell(records_read(page, start, wall))
+
+    def _start_dispatch(self, action):
+        self.metrics.count("once.dispatched")
+        attempt = self.attempts[action.attempt]
+        self.nursery.start_soon(self._dispatch, action, attempt.call)
+
+    async def _dispatch(self, action, call):
+        facts = {"key_account": action.key.account}
+        hop = self.context.tracer.hop("once.dispatch", call.request_id, call.parent)
+        with hop as parent:
+            event = await self._send(action, replace(call, parent=parent))
+        facts["event"] = type(event).__name__
+        log.info("a non-idempotent call ended", extra={"facts": facts})
+        self.tell(event)
+
+    async def _send(self, action, call):
+        wall = self.context.timers.wall
+        patience = max(SHORTEST_DISPATCH_SECONDS, call.resolved.call.deadline)
+        tried = ()
+        for _ in range(MOST_SERVERS):
+            try:
+                server = await self.plain.choose(call, tried)
+                tried += (server.name,)
+                answer = await self.plain.dispatch(call, server, patience)
+            except UnavailableError:
+                # Nothing left this process, so another server may be tried.
+                continue
+            except OutcomeUnknownError:
+                return DispatchLost(key=action.key, attempt=action.attempt)
+            outcome = Outcome(
+                status=answer.status,
+                headers=tuple(answer.headers.items()),
+                body=answer.body,
+            )
+            return OutcomeArrived(
+                key=action.key, attempt=action.attempt, outcome=outcome, wall=wall()
+            )
+        return DispatchUnsent(key=action.key, attempt=action.attempt, wall=wall())
+
+    async def _forward(self, action, attempt):
+        address = await self.gossip.ask(FindIncarnation(incarnation=action.home))
+        if not address:
+            self.tell(HomeUnreachable(attempt=action.attempt, bytes_sent=False))
+            return
+        call = attempt.call
+        remaining = max(0.0, attempt.deadline - self.context.timers.now())
+        with self.context.tracer.hop(
+            "once.forward", call.request_id, call.parent, home=address
+        ) as parent:
+            message = OnceForward(
+                attempt=action.attempt,
+                home=action.home,
+                account=call.account.name,
+                key=call.key,
+                service=call.resolved.service.name,
+                method=call.resolved.call.method,
+                path=call.path,
+                query=call.query,
+                body=call.body,
+                headers=call.headers,
+                request_id=call.request_id,
+                remaining=remaining,
+                inquire=attempt.inquire,
+                traceparent=self.context.tracer.inject(parent).get("traceparent", ""),
+            )
+            timeout = remaining + FORWARD_SLACK_SECONDS
+            await self._send_forward(action, address, message, timeout)
+
+    async def _send_forward(self, action, address, message, timeout):
+        try:
+            told = await self.context.peers.call(address, ONCE, message, timeout)
+        except UnavailableError:
+            event = HomeUnreachable(attempt=action.attempt, bytes_sent=False)
+        except WasabistageError:
+            event = HomeUnreachable(attempt=action.attempt, bytes_sent=True)
+        else:
+            if told.reply is None:
+                event = HomeUnreachable(attempt=action.attempt, bytes_sent=False)
+            else:
+                event = HomeReplied(attempt=action.attempt, reply=told.reply)
+        self.tell(event)
+
+    async def run_call(self, message):
+        """Run a call and wait for its answer.
+
+        :param message: a :class:`RunOnce`.
+        :return: a :class:`wasabistage.entry._plain.PlainAnswer`.
+        :raises WasabistageError: saying whether the call was run.
+        """
+        reply = Reply()
+        self.post(message, reply)
+        try:
+            return await reply.wait()
+        except trio.Cancelled:
+            attempt_id = getattr(reply, "attempt_id", None)
+            if attempt_id is not None:
+                self.tell(AttemptGone(attempt=attempt_id))
+            raise
+
+    async def answer_peer(self, message):
+        """Take an attempt that a peer forwards.
+
+        :param message: a :class:`OnceForward`.
+        :return: a :class:`OnceAnswered`.
+        """
+        return await self.ask(message)
+
+
+def records_read(page, start, wall):
+    """Turn a page of the log into the event that the decisions take.
+
+    :param page: a :class:`wasabistage.platform.LogPage`.
+    :param start: the offset that was asked for.
+    :param wall: wall-clock time after the answer arrived, in seconds.
+    :return: a :class:`wasabistage.once.RecordsRead`.
+    """
+    entries = []
+    for item in page.records:
+        try:
+            record = decode_record(item.data)
+        except msgspec.MsgspecError:
+            # A foreign record states nothing about any key.
+            continue
+        entries.append(LogEntry(offset=item.offset, record=record))
+    begin = max(start, page.first)
+    end = page.records[-1].offset + 1 if page.records else begin
+    return RecordsRead(
+        start=start,
+        entries=tuple(entries),
+        next_offset=end,
+        trimmed_to=page.first,
+        at_end=end >= page.next_offset,
+        wall=wall,
+    )
--- a/wasabistage/platform/_livelist.py
+++ b/wasabistage/platform/_livelist.py
@@ -14,12 +14,16 @@
     :param kind: ``entry``, ``engine``, ``service`` or ``store``.
     :param address: ``IP:PORT``.
     :param leaving: whether it is about to go.
+    :param peer_address: ``IP:PORT`` for other entries, of an entry.
+    :param failure_domain: failure domain it stands in, if the list tells.
     """
 
     name: str
     kind: str
     address: str
     leaving: bool
+    peer_address: str = ""
+    failure_domain: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -69,6 +73,8 @@
                 kind=item["kind"],
                 address=item["address"],
                 leaving=item.get("state") == "leaving",
+                peer_address=item.get("peer_address", ""),
+                failure_domain=item.get("failure_domain", ""),
             )
             for item in answer["instances"]
         )
