Add routers, the first-token estimator and the health policies

Cause: a returning prompt needs a server and a plan (hold, fetch, recompute) by the predicted first-token time, and faulty servers must leave the choice. Change: FirstTokenEstimator (reports corrected by drain and own dispatches since), PredictiveRouter with four baselines, HealthPolicy (breaker, half-open, latency outlier, slow start, leaving) with NoEjection. Ruled out: excluding servers by latency against a fixed bound (a service that is slow as a whole would be ejected). Seen failing with the mechanism off: all-failing test without the ejection bound; explored majority test without the bound and without putting servers back (either alone still holds it); the leave-after-open test without putting servers back; gap tests without the doubt; eligibility without the version check.

--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -1,1 +1,88 @@
-"""Choice of the backend server for a request."""
+"""Choice of the backend server for a request.
+
+Wiring into tasks: one task owns one :class:`HealthPolicy` and one :class:`Router`
+and gets every message over a bounded channel.
+
+- Load reports, dispatches, first tokens, ends, transfers go to ``router.observe``.
+- Live list, refusals, call starts and ends go to ``health.observe``. A
+  :class:`CallStarted` must be observed in the same step as the decision that led to
+  it, so that a half-open server is not sent more than its probes.
+- For a request: ``health.decide(HealthQuery)`` gives usable servers and weights;
+  with each server's own reported version they become the :class:`Candidate` tuple.
+  ``PrefixIndex.decide`` and ``StoreIndex.decide`` give ``held`` and ``stored``. Then
+  ``router.decide(RouteQuery)``.
+- ``health.tick`` about once a second; its actions are logged and counted.
+"""
+
+from wasabistage.routing._estimate import (
+    UNKNOWN_SERVER,
+    Dispatched,
+    DispatchEnded,
+    Estimate,
+    EstimateQuery,
+    FetchDone,
+    FirstToken,
+    FirstTokenEstimator,
+    LinkQueue,
+    LoadReport,
+)
+from wasabistage.routing._health import (
+    BaseHealthPolicy,
+    CallEnded,
+    CallStarted,
+    Health,
+    HealthChanged,
+    HealthPolicy,
+    HealthQuery,
+    NoEjection,
+    ServerHealth,
+    ServerLeaving,
+    ServerRemoved,
+    ServerSeen,
+)
+from wasabistage.routing._messages import Candidate, Plan, RouteDecision, RouteQuery
+from wasabistage.routing._router import (
+    NO_SERVER,
+    LeastLoadedRouter,
+    PredictiveRouter,
+    RandomRouter,
+    RoundRobinRouter,
+    Router,
+    StickyRouter,
+)
+
+__all__ = [
+    "BaseHealthPolicy",
+    "CallEnded",
+    "CallStarted",
+    "Candidate",
+    "DispatchEnded",
+    "Dispatched",
+    "Estimate",
+    "EstimateQuery",
+    "FetchDone",
+    "FirstToken",
+    "FirstTokenEstimator",
+    "Health",
+    "HealthChanged",
+    "HealthPolicy",
+    "HealthQuery",
+    "LeastLoadedRouter",
+    "LinkQueue",
+    "LoadReport",
+    "NO_SERVER",
+    "NoEjection",
+    "Plan",
+    "PredictiveRouter",
+    "RandomRouter",
+    "RoundRobinRouter",
+    "RouteDecision",
+    "RouteQuery",
+    "Router",
+    "ServerHealth",
+    "ServerLeaving",
+    "ServerRemoved",
+    "ServerSeen",
+    "StickyRouter",
+    "UNKNOWN_SERVER",
+]
--- /dev/null
+++ b/wasabistage/routing/_estimate.py
@@ -0,0 +1,327 @@
+"""Learned estimates of the time to the first token on each backend server."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from wasabistage.base import Policy
+from wasabistage.exceptions import SettingError
+from wasabistage.utils import Sentinel
+
+MAX_SERVERS = 4096
+MAX_LINKS = 4096
+MAX_OPEN_DISPATCHES = 4096
+MIN_LEARN_TOKENS = 64
+MIN_LEARN_BYTES = 65536
+MIN_SECONDS = 1e-6
+
+UNKNOWN_SERVER = Sentinel("UNKNOWN_SERVER")
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """A backend server's own report of its load.
+
+    :param server: name of the backend server.
+    :param version: weight version that it serves.
+    :param queued_tokens: prompt tokens waiting or being computed.
+    :param running: requests running.
+    :param lag: seconds since the load was measured.
+    :param model: name of the model, or ``""``.
+    """
+
+    server: str
+    version: str = ""
+    queued_tokens: int = 0
+    running: int = 0
+    lag: float = 0.0
+    model: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Dispatched:
+    """A request was sent to a backend server.
+
+    :param request: id of the attempt.
+    :param server: name of the backend server.
+    :param tokens: prompt tokens that it has to compute.
+    """
+
+    request: str
+    server: str
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class FirstToken:
+    """The first token of an attempt arrived.
+
+    :param request: id of the attempt.
+    :param seconds: time since the dispatch, fetches not included.
+    :param computed: prompt tokens that were computed, if the engine says so.
+    """
+
+    request: str
+    seconds: float
+    computed: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class DispatchEnded:
+    """An attempt ended or failed, with or without a first token.
+
+    :param request: id of the attempt.
+    """
+
+    request: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class FetchDone:
+    """Pieces were moved from a store to a backend server.
+
+    :param store: name of the store, whose link bounds the rate.
+    :param size: bytes moved.
+    :param seconds: time taken on the wire, queueing not included.
+    """
+
+    store: str
+    size: int
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class LinkQueue:
+    """What waits on a store's link ahead of a new fetch.
+
+    :param store: name of the store.
+    :param size: bytes ahead of a new urgent fetch.
+    """
+
+    store: str
+    size: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class EstimateQuery:
+    """Asks for the first-token time of one way to serve a prompt.
+
+    :param server: name of the backend server.
+    :param tokens: prompt tokens to compute.
+    :param store: store to fetch from, or ``""``.
+    :param size: bytes to fetch.
+    """
+
+    server: str
+    tokens: int
+    store: str = ""
+    size: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Estimate:
+    """A predicted first-token time.
+
+    :param seconds: time from now to the first token.
+    :param queue: part spent waiting for earlier work.
+    :param fetch: part spent on the link, overlapped with the queue.
+    """
+
+    seconds: float
+    queue: float
+    fetch: float
+
+
+@dataclass
+class _OpenDispatch:
+    server: str
+    tokens: int
+    at: float
+    ahead: float
+
+
+@dataclass
+class _ServerLoad:
+    rate: float
+    version: str = ""
+    queued: float = 0.0
+    measured: float = float("-inf")
+    heard: float = float("-inf")
+    recent: OrderedDict = field(default_factory=OrderedDict)
+
+
+class FirstTokenEstimator(Policy):
+    """Estimates from load reports, own dispatches since, and what happened.
+
+    The backlog of a server is its last report, drained at the learned rate since it
+    was measured, plus own dispatches that the report can't have seen. At a bound,
+    the oldest open dispatch, and news of further servers and links, are left out.
+
+    :param prefill_rate: first guess of prompt tokens computed a second.
+    :param link_rate: first guess of a store link's rate, in bytes a second.
+    :param overhead: fixed time to the first token, in seconds.
+    :param gain: weight of the newest outcome, 0 to 1.
+    """
+
+    def __init__(
+        self, *, prefill_rate=8000.0, link_rate=1.25e9, overhead=0.02, gain=0.15
+    ):
+        self.prefill_rate = prefill_rate
+        self.link_rate = link_rate
+        self.overhead = overhead
+        self.gain = gain
+
+    def reset(self):
+        """Check the arguments and forget what was learned."""
+        for name in ("prefill_rate", "link_rate"):
+            if getattr(self, name) <= 0:
+                raise SettingError(
+                    f"{name} is not positive", remedy=f"set {name} above 0"
+                )
+        if self.overhead < 0 or not 0 < self.gain <= 1:
+            raise SettingError(
+                "overhead or gain is out of range",
+                remedy="set overhead to 0 or more, and gain above 0, up to 1",
+            )
+        self.servers_ = {}
+        self.open_ = OrderedDict()
+        self.links_ = {}
+        self.queues_ = {}
+        return self
+
+    def observe(self, event, now):
+        """Learn from a report, a dispatch, an outcome or a transfer.
+
+        :param event: :class:`LoadReport`, :class:`Dispatched`, :class:`FirstToken`,
+            :class:`DispatchEnded`, :class:`FetchDone` or :class:`LinkQueue`.
+        :param now: monotonic time, in seconds.
+        """
+        if isinstance(event, LoadReport):
+            self._take_report(event, now)
+        elif isinstance(event, Dispatched):
+            self._take_dispatch(event, now)
+        elif isinstance(event, FirstToken):
+            self._take_first_token(event, now)
+        elif isinstance(event, DispatchEnded):
+            self._close(event.request)
+        elif isinstance(event, FetchDone):
+            self._take_fetch(event)
+        elif isinstance(event, LinkQueue):
+            self._take_queue(event, now)
+
+    def _server(self, name):
+        load = self.servers_.get(name)
+        if load is None:
+            load = _ServerLoad(self.prefill_rate)
+            if len(self.servers_) < MAX_SERVERS:
+                self.servers_[name] = load
+        return load
+
+    def _take_report(self, report, now):
+        load = self._server(report.server)
+        measured = now - report.lag
+        if measured < load.measured:
+            return
+        load.version = report.version
+        load.queued = float(report.queued_tokens)
+        load.measured = measured
+        load.heard = now
+        for request, dispatch in list(load.recent.items()):
+            if dispatch.at <= measured:
+                del load.recent[request]
+
+    def _take_dispatch(self, event, now):
+        load = self._server(event.server)
+        ahead = self.backlog(event.server, now)
+        dispatch = _OpenDispatch(event.server, event.tokens, now, ahead)
+        self.open_[event.request] = dispatch
+        load.recent[event.request] = dispatch
+        if len(self.open_) > MAX_OPEN_DISPATCHES:
+            self._close(next(iter(self.open_)))
+
+    def _take_first_token(self, event, now):
+        dispatch = self._close(event.request)
+        if dispatch is None:
+            return
+        computed = dispatch.tokens if event.computed is None else event.computed
+        work = dispatch.ahead + computed
+        if work < MIN_LEARN_TOKENS:
+            return
+        seconds = max(MIN_SECONDS, event.seconds - self.overhead)
+        load = self._server(dispatch.server)
+        load.rate = _blend(load.rate, work / seconds, self.gain)
+
+    def _close(self, request):
+        dispatch = self.open_.pop(request, None)
+        if dispatch is not None:
+            self._server(dispatch.server).recent.pop(request, None)
+        return dispatch
+
+    def _take_fetch(self, event):
+        if event.size < MIN_LEARN_BYTES or event.seconds <= 0:
+            return
+        if event.store not in self.links_ and len(self.links_) >= MAX_LINKS:
+            return
+        rate = self.links_.get(event.store, self.link_rate)
+        self.links_[event.store] = _blend(rate, event.size / event.seconds, self.gain)
+
+    def _take_queue(self, event, now):
+        if event.store in self.queues_ or len(self.queues_) < MAX_LINKS:
+            self.queues_[event.store] = (event.size, now)
+
+    def backlog(self, server, now):
+        """Return the prompt tokens that stand before a new request.
+
+        :param server: name of the backend server.
+        :param now: monotonic time, in seconds.
+        :return: tokens, 0 or more.
+        """
+        load = self._server(server)
+        own = sum(dispatch.tokens for dispatch in load.recent.values())
+        if load.measured == float("-inf"):
+            return float(own)
+        drained = load.rate * max(0.0, now - load.measured)
+        return max(0.0, load.queued + own - drained)
+
+    def prefill_seconds(self, server, tokens):
+        """Return the time that a server needs for some prompt tokens.
+
+        :param server: name of the backend server.
+        :param tokens: prompt tokens.
+        :return: seconds.
+        """
+        return tokens / self._server(server).rate
+
+    def fetch_seconds(self, store, size, now):
+        """Return the time for a fetch, waiting for the link included.
+
+        :param store: name of the store.
+        :param size: bytes to fetch.
+        :param now: monotonic time, in seconds.
+        :return: seconds.
+        """
+        rate = self.links_.get(store, self.link_rate)
+        queued, heard = self.queues_.get(store, (0, now))
+        waiting = max(0.0, queued - rate * (now - heard))
+        return (waiting + size) / rate
+
+    def decide(self, query, now):
+        """Answer an :class:`EstimateQuery`.
+
+        :param query: :class:`EstimateQuery`.
+        :param now: monotonic time, in seconds.
+        :return: an :class:`Estimate`, or ``UNKNOWN_SERVER`` without a report.
+        """
+        if query.server not in self.servers_:
+            return UNKNOWN_SERVER.because(f"no report of {query.server} yet")
+        rate = self._server(query.server).rate
+        queue = self.backlog(query.server, now) / rate
+        fetch = 0.0
+        if query.size:
+            fetch = self.fetch_seconds(query.store, query.size, now)
+        seconds = self.overhead + max(queue, fetch) + query.tokens / rate
+        return Estimate(seconds=seconds, queue=queue, fetch=fetch)
+
+
+def _blend(old, new, gain):
+    """Move a rate towards a new sample, by the time per unit that they stand for."""
+    return 1.0 / ((1.0 - gain) / old + gain / new)
--- /dev/null
+++ b/wasabistage/routing/tests/test_router.py
@@ -0,0 +1,174 @@
+"""Routers and the estimator under lagging reports and wrong versions."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wasabistage.cache import Holding, StoreHolding, Tier
+from wasabistage.routing import (
+    NO_SERVER,
+    Candidate,
+    Dispatched,
+    EstimateQuery,
+    FetchDone,
+    FirstToken,
+    FirstTokenEstimator,
+    LeastLoadedRouter,
+    LinkQueue,
+    LoadReport,
+    Plan,
+    PredictiveRouter,
+    RandomRouter,
+    RoundRobinRouter,
+    RouteQuery,
+    StickyRouter,
+)
+
+ROUTERS = (
+    PredictiveRouter,
+    RandomRouter,
+    LeastLoadedRouter,
+    StickyRouter,
+    RoundRobinRouter,
+)
+
+
+def make_query(servers="abc", **changes):
+    fields = {
+        "account": "x",
+        "model": "m",
+        "version": "v1",
+        "prompt_tokens": 20_500,
+        "piece_bytes": 1 << 20,
+        "candidates": tuple(Candidate(server=name, version="v1") for name in servers),
+    }
+    return RouteQuery(**{**fields, **changes})
+
+
+def make_router(queued):
+    router = PredictiveRouter().reset()
+    for server, tokens in queued.items():
+        router.observe(LoadReport(server=server, queued_tokens=tokens), 0.0)
+    return router
+
+
+def stored(pieces, trust=1.0):
+    return StoreHolding(
+        store="s", tail="t", pieces=pieces, tier=Tier.MEMORY, trust=trust
+    )
+
+
+class TestEligibility(unittest.TestCase):
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    @given(
+        st.lists(st.tuples(st.booleans(), st.sampled_from(["v1", "v2", ""]))),
+        st.floats(0, 1),
+    )
+    def test_no_router_takes_an_unusable_or_wrong_version_server(self, items, draw):
+        candidates = tuple(
+            Candidate(server=str(place), version=version, usable=usable)
+            for place, (usable, version) in enumerate(items)
+        )
+        good = {
+            item.server for item in candidates if item.usable and item.version == "v1"
+        }
+        for router in ROUTERS:
+            query = make_query(candidates=candidates, draw=draw)
+            decision = router().reset().decide(query, 0.0)
+            if not good:
+                self.assertTrue(NO_SERVER.is_(decision))
+                self.assertTrue(decision.reason)
+                continue
+            self.assertEqual({decision.server, *decision.alternatives}, good)
+
+
+class TestPredictiveRouter(unittest.TestCase):
+    def decide(self, router, **changes):
+        return router.decide(make_query(**changes), 0.0)
+
+    def test_holder_wins_until_its_queue_costs_more_than_a_fetch(self):
+        held = (Holding(server="a", pieces=10, trust=1.0),)
+        idle = make_router({"a": 0, "b": 0, "c": 0})
+        decision = self.decide(idle, held=held, stored=(stored(10),))
+        self.assertEqual((decision.server, decision.plan), ("a", Plan.HOLD))
+        self.assertEqual(decision.tokens, 20)
+        busy = make_router({"a": 40_000, "b": 0, "c": 9000})
+        decision = self.decide(busy, held=held, stored=(stored(10),))
+        self.assertEqual((decision.server, decision.plan), ("b", Plan.FETCH))
+        self.assertEqual((decision.store, decision.fetched), ("s", 10))
+
+    def test_slow_or_busy_link_leads_to_recompute(self):
+        router = make_router({"a": 0, "b": 0, "c": 0})
+        for _ in range(40):
+            router.observe(FetchDone(store="s", size=1 << 20, seconds=1.0), 0.0)
+        self.assertEqual(self.decide(router, stored=(stored(10),)).plan, Plan.RECOMPUTE)
+        router = make_router({"a": 0, "b": 0, "c": 0})
+        router.observe(LinkQueue(store="s", size=1 << 33), 0.0)
+        self.assertEqual(self.decide(router, stored=(stored(10),)).plan, Plan.RECOMPUTE)
+
+    def test_doubted_promises_are_discounted(self):
+        router = make_router({"a": 0, "b": 0, "c": 0})
+        held = (
+            Holding(server="a", pieces=10, trust=0.1),
+            Holding(server="b", pieces=8, trust=1.0),
+        )
+        self.assertEqual(self.decide(router, held=held).server, "b")
+
+    def test_only_the_missing_pieces_are_fetched(self):
+        router = make_router({"a": 0, "b": 0, "c": 0})
+        held = (Holding(server="a", pieces=6, trust=1.0),)
+        decision = self.decide(router, held=held, stored=(stored(10),))
+        self.assertEqual((decision.server, decision.fetched), ("a", 4))
+
+    def test_ties_are_spread_by_the_draw(self):
+        router = make_router({"a": 0, "b": 0, "c": 0})
+        chosen = {self.decide(router, draw=draw / 10).server for draw in range(10)}
+        self.assertEqual(chosen, {"a", "b", "c"})
+
+    def test_whole_prompt_held_still_computes_a_token(self):
+        router = make_router({"a": 0})
+        held = (Holding(server="a", pieces=10, trust=1.0),)
+        decision = self.decide(router, servers="a", held=held, prompt_tokens=20_480)
+        self.assertEqual(decision.tokens, 1)
+
+
+class TestFirstTokenEstimator(unittest.TestCase):
+    def setUp(self):
+        self.estimator = FirstTokenEstimator(prefill_rate=1000.0).reset()
+
+    def dispatch(self, request, tokens, now):
+        event = Dispatched(request=request, server="a", tokens=tokens)
+        self.estimator.observe(event, now)
+
+    def test_own_dispatches_since_the_measurement_are_added(self):
+        self.dispatch("old", 500, 0.0)
+        self.dispatch("new", 700, 2.0)
+        report = LoadReport(server="a", queued_tokens=3000, lag=1.0)
+        self.estimator.observe(report, 2.0)
+        self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 3000 + 700 - 1000)
+        self.assertEqual(self.estimator.backlog("a", 99.0), 0.0)
+
+    def test_report_that_arrives_late_does_not_replace_a_newer_one(self):
+        self.estimator.observe(LoadReport(server="a", queued_tokens=10), 5.0)
+        late = LoadReport(server="a", queued_tokens=9000, lag=4.0)
+        self.estimator.observe(late, 5.1)
+        self.assertLess(self.estimator.backlog("a", 5.1), 10)
+
+    def test_slow_server_is_learned(self):
+        for number in range(40):
+            now = 10.0 * number
+            self.estimator.observe(LoadReport(server="a"), now)
+            self.dispatch(str(number), 1000, now)
+            self.estimator.observe(
+                FirstToken(request=str(number), seconds=5.0), now + 5.0
+            )
+        self.assertAlmostEqual(
+            self.estimator.prefill_seconds("a", 1000), 5.0, delta=0.2
+        )
+        self.assertEqual(len(self.estimator.open_), 0)
+
+    def test_unknown_server_has_no_estimate(self):
+        self.assertFalse(
+            self.estimator.decide(EstimateQuery(server="z", tokens=1), 0.0)
+        )
