Add link scheduling, export before eviction and staging ahead

Cause: stores stand behind limited links; exports must not delay fetches, and the caller's question for an entry is an early sign of a return. Change: LinkScheduler (kind, rank, then the account that moved least; short chunks; background within a budget) with FifoLinkScheduler; ExportPolicy (return odds by silence times saved work by link second, price rising with the backlog) with NoExport, ExportAll and CutoffExportPolicy; StagingPolicy with NoStaging. One test was wrong while written (it could stage only two sessions, and asked for a share that two uses can't reach); it now stages again until imports return.

--- a/wasabistage/cache/__init__.py
+++ b/wasabistage/cache/__init__.py
@@ -1,4 +1,25 @@
-"""KV cache pieces: keys, index, stores, transfers."""
+"""KV cache pieces: keys, index, stores, transfers.
+
+Wiring into tasks: one task owns each policy and gets its messages over a bounded
+channel; every ``tick`` is called about once a second, and its actions carried out.
+
+- ``piece_keys`` of the prompt's text (``piece_tokens * BYTES_PER_TOKEN`` bytes to a
+  piece), once per request, with the account and the version in force.
+- Engines' events and listings go to ``PrefixIndex.observe``; ``RequestListing``
+  actions go back to the engines. Reused pieces reported with an answer go in as
+  :class:`PrefixOutcome`.
+- Export: after a turn ask ``ExportPolicy.decide``; offer the transfer to
+  ``LinkScheduler``; write the pieces, then the commit record under its ``tail`` key;
+  then observe :class:`Committed` and tell the peers.
+- Fetch: read the record under the decision's ``tail``; ``decode_record``,
+  ``verify_record``; read the pieces in chunks by ``NextChunk``; ask the store for
+  each piece's generation after the read; ``verify_piece``; import. Any falsy result:
+  observe :class:`Dropped`, and recompute the rest.
+- A caller's question for an entry that names a session: ``SessionPrefix``, then
+  ``StagingPolicy.decide``; :class:`Lift` goes to the store, :class:`Import` is
+  offered to ``LinkScheduler`` with kind ``STAGE`` and promoted by
+  :class:`TransferPromoted` when the prompt comes before it is through.
+"""
 
 from wasabistage.cache._commit import (
     FREED,
@@ -18,6 +39,22 @@
     verify_piece,
     verify_record,
 )
+from wasabistage.cache._export import (
+    BACKLOG_FULL,
+    NOT_WORTH,
+    BacklogChanged,
+    BaseExportPolicy,
+    CopyWhole,
+    CutoffExportPolicy,
+    Export,
+    ExportAll,
+    ExportPolicy,
+    ExportQuery,
+    GivenUp,
+    NoExport,
+    Returned,
+    SessionEvicted,
+)
 from wasabistage.cache._index import (
     CacheEvent,
     CacheListing,
@@ -35,6 +72,14 @@
     session_key,
     short_key,
 )
+from wasabistage.cache._staging import (
+    Import,
+    Lift,
+    NoStaging,
+    StageQuery,
+    StageUsed,
+    StagingPolicy,
+)
 from wasabistage.cache._store_index import (
     Committed,
     CommittedPrefix,
@@ -51,29 +96,74 @@
     Tier,
 )
 from wasabistage.cache._table import CompactTable
+from wasabistage.cache._transfers import (
+    LINK_IDLE,
+    QUEUE_FULL,
+    Accepted,
+    BaseLinkScheduler,
+    Chunk,
+    ChunkMoved,
+    FifoLinkScheduler,
+    LinkScheduler,
+    NextChunk,
+    OfferTransfer,
+    TransferCancelled,
+    TransferKind,
+    TransferPromoted,
+)
 
 __all__ = [
+    "Accepted",
+    "BACKLOG_FULL",
     "BYTES_PER_TOKEN",
+    "BacklogChanged",
+    "BaseExportPolicy",
+    "BaseLinkScheduler",
     "CacheEvent",
     "CacheListing",
+    "Chunk",
+    "ChunkMoved",
     "CommitRecord",
     "Committed",
     "CommittedPiece",
     "CommittedPrefix",
     "CompactTable",
+    "CopyWhole",
+    "CutoffExportPolicy",
     "Dropped",
+    "Export",
+    "ExportAll",
+    "ExportPolicy",
+    "ExportQuery",
     "FREED",
+    "FifoLinkScheduler",
+    "GivenUp",
     "HALF_WRITTEN",
     "Holding",
+    "Import",
+    "LINK_IDLE",
+    "Lift",
+    "LinkScheduler",
     "LongestPrefix",
     "NOT_IN_RECORD",
+    "NOT_WORTH",
+    "NextChunk",
+    "NoExport",
+    "NoStaging",
     "OVERWRITTEN",
+    "OfferTransfer",
     "PrefixIndex",
     "PrefixOutcome",
+    "QUEUE_FULL",
     "RequestListing",
     "RequestRecords",
+    "Returned",
     "ServerGone",
+    "SessionEvicted",
     "SessionPrefix",
+    "StageQuery",
+    "StageUsed",
+    "StagingPolicy",
     "StoreChoice",
     "StoreEmptied",
     "StoreFailed",
@@ -82,6 +172,9 @@
     "StoreIndex",
     "StoreReplied",
     "Tier",
+    "TransferCancelled",
+    "TransferKind",
+    "TransferPromoted",
     "WRONG_ACCOUNT",
     "WRONG_FORMAT",
     "WRONG_MODEL",
--- /dev/null
+++ b/wasabistage/cache/tests/test_moves.py
@@ -0,0 +1,239 @@
+"""Link scheduling, export and staging: order, bounds and learning."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wasabistage.base import Rank
+from wasabistage.cache import (
+    BACKLOG_FULL,
+    LINK_IDLE,
+    NOT_WORTH,
+    QUEUE_FULL,
+    BacklogChanged,
+    ChunkMoved,
+    CopyWhole,
+    CutoffExportPolicy,
+    ExportAll,
+    ExportPolicy,
+    ExportQuery,
+    FifoLinkScheduler,
+    GivenUp,
+    Holding,
+    Import,
+    Lift,
+    LinkScheduler,
+    NextChunk,
+    NoExport,
+    OfferTransfer,
+    Returned,
+    StageQuery,
+    StageUsed,
+    StagingPolicy,
+    StoreHolding,
+    Tier,
+    TransferCancelled,
+    TransferKind,
+    TransferPromoted,
+)
+
+FETCH, STAGE, EXPORT = TransferKind
+RATE = 1e6
+
+
+def offer(name, kind, size=100_000, **fields):
+    return OfferTransfer(transfer=name, link="s", kind=kind, size=size, **fields)
+
+
+def run(scheduler, now=0.0, steps=10_000):
+    """Move everything over a serial link; return transfers in order of their end."""
+    ended = []
+    for _ in range(steps):
+        chunk = scheduler.decide(NextChunk(link="s"), now)
+        if not chunk:
+            if not scheduler.transfers_:
+                return ended
+            now += 0.001
+            continue
+        seconds = chunk.size / RATE
+        now += seconds
+        moved = ChunkMoved(transfer=chunk.transfer, size=chunk.size, seconds=seconds)
+        scheduler.observe(moved, now)
+        if chunk.last:
+            ended.append(chunk.transfer)
+    raise AssertionError("transfers were left over")
+
+
+class TestLinkScheduler(unittest.TestCase):
+    def setUp(self):
+        self.scheduler = LinkScheduler(link_rate=RATE).reset()
+
+    def offer(self, *arguments, **fields):
+        return self.scheduler.decide(offer(*arguments, **fields), 0.0)
+
+    def test_fetches_by_rank_then_staging_then_export(self):
+        self.offer("export", EXPORT)
+        self.offer("stage", STAGE)
+        self.offer("tag", FETCH, rank=Rank.BACKGROUND)
+        self.offer("chat", FETCH, rank=Rank.INTERACTIVE)
+        self.offer("buy", FETCH, rank=Rank.URGENT)
+        self.assertEqual(run(self.scheduler), ["buy", "chat", "tag", "stage", "export"])
+
+    def test_fetch_starts_though_an_export_chunk_is_on_the_wire(self):
+        self.offer("export", EXPORT)
+        chunk = self.scheduler.decide(NextChunk(link="s"), 1.0)
+        self.assertLessEqual(chunk.size, RATE * 0.005)
+        self.offer("fetch", FETCH)
+        chunk = self.scheduler.decide(NextChunk(link="s"), 1.0)
+        self.assertEqual(chunk.transfer, "fetch")
+        idle = self.scheduler.decide(NextChunk(link="s"), 1.0)
+        self.assertTrue(LINK_IDLE.is_(idle))
+
+    def test_baseline_lets_a_fetch_wait_for_the_whole_export(self):
+        scheduler = FifoLinkScheduler(link_rate=RATE).reset()
+        scheduler.decide(offer("export", EXPORT), 0.0)
+        scheduler.decide(offer("fetch", FETCH), 0.0)
+        self.assertEqual(run(scheduler), ["export", "fetch"])
+
+    def test_accounts_share_within_a_rank(self):
+        for number in range(20):
+            self.offer(f"big{number}", FETCH, account="big")
+        self.offer("small", FETCH, account="small")
+        self.assertLess(run(self.scheduler).index("small"), 3)
+
+    def test_bound_refuses_one_kind_only_and_cancel_makes_room(self):
+        self.scheduler = LinkScheduler(max_queue=2).reset()
+        for name in "ab":
+            self.assertTrue(self.offer(name, EXPORT))
+        self.assertTrue(QUEUE_FULL.is_(self.offer("c", EXPORT)))
+        self.assertTrue(self.offer("d", FETCH))
+        self.scheduler.observe(TransferCancelled(transfer="a"), 0.0)
+        self.assertTrue(self.offer("c", EXPORT))
+
+    def test_promoted_staging_goes_before_waiting_fetches(self):
+        self.offer("stage", STAGE)
+        self.offer("chat", FETCH)
+        promoted = TransferPromoted(transfer="stage", rank=Rank.URGENT)
+        self.scheduler.observe(promoted, 0.0)
+        self.assertEqual(run(self.scheduler), ["stage", "chat"])
+
+    def test_failed_chunk_ends_the_transfer(self):
+        self.offer("a", FETCH)
+        self.scheduler.decide(NextChunk(link="s"), 0.0)
+        self.scheduler.observe(ChunkMoved(transfer="a", size=0, seconds=0.1), 0.1)
+        self.assertEqual(run(self.scheduler), [])
+
+    @settings(max_examples=50, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(TransferKind), st.integers(1, 60_000)),
+            max_size=20,
+        )
+    )
+    def test_every_byte_moves_once(self, items):
+        scheduler = LinkScheduler(link_rate=RATE).reset()
+        for place, (kind, size) in enumerate(items):
+            scheduler.decide(offer(str(place), kind, size), 0.0)
+        self.assertEqual(sorted(map(int, run(scheduler))), list(range(len(items))))
+
+
+def export_query(**changes):
+    fields = {
+        "session": "s",
+        "history_tokens": 4096,
+        "size": 1 << 20,
+        "silence": 0.0,
+        "link_rate": 1e6,
+        "prefill_rate": 4096.0,
+    }
+    return ExportQuery(**{**fields, **changes})
+
+
+class TestExport(unittest.TestCase):
+    def test_odds_follow_the_silences_seen(self):
+        policy = ExportPolicy().reset()
+        for _ in range(50):
+            policy.observe(Returned(silence=60.0), 0.0)
+            policy.observe(GivenUp(silence=90_000.0), 0.0)
+        self.assertAlmostEqual(policy.odds(0.0), 0.5, delta=0.02)
+        self.assertLess(policy.odds(1000.0), 0.1)
+
+    def test_dear_export_is_left_out_but_for_a_long_history(self):
+        policy = ExportPolicy().reset()
+        self.assertTrue(policy.decide(export_query(size=1 << 10), 0.0))
+        dear = policy.decide(export_query(size=1 << 24), 0.0)
+        self.assertTrue(NOT_WORTH.is_(dear))
+        long = export_query(size=1 << 24, history_tokens=40_000)
+        self.assertTrue(policy.decide(long, 0.0))
+
+    def test_price_rises_with_the_backlog_and_the_bound_holds_for_all(self):
+        for kind in (ExportPolicy, ExportAll, CutoffExportPolicy):
+            policy = kind(max_backlog=1 << 21).reset()
+            policy.observe(BacklogChanged(size=1 << 21), 0.0)
+            found = policy.decide(export_query(history_tokens=40_000), 0.0)
+            self.assertTrue(BACKLOG_FULL.is_(found))
+        policy = ExportPolicy(max_backlog=1 << 22).reset()
+        query = export_query(size=1 << 18)
+        self.assertTrue(policy.decide(query, 0.0))
+        policy.observe(BacklogChanged(size=3 << 20), 0.0)
+        self.assertFalse(policy.decide(query, 0.0))
+        self.assertFalse(NoExport().reset().decide(query, 0.0))
+
+    def test_cutoff_copies_whole_after_the_restart(self):
+        policy = CutoffExportPolicy(max_backlog=1 << 22).reset()
+        policy.observe(BacklogChanged(size=1 << 21), 0.0)
+        self.assertFalse(policy.decide(export_query(size=1), 0.0))
+        self.assertEqual(policy.tick(0.0), [])
+        policy.observe(BacklogChanged(size=1 << 20), 0.0)
+        self.assertEqual(policy.tick(0.0), [])
+        policy.observe(BacklogChanged(size=0), 0.0)
+        self.assertEqual(policy.tick(0.0), [CopyWhole(session="s")])
+        self.assertEqual(policy.tick(0.0), [])
+
+
+class TestStaging(unittest.TestCase):
+    def query(self, number=0, tier=Tier.DISK, **changes):
+        stored = StoreHolding(store="x", tail="t", pieces=8, tier=tier, trust=1.0)
+        fields = {"session": str(number), "server": "a", "piece_bytes": 1}
+        return StageQuery(**{**fields, "stored": (stored,), **changes})
+
+    def test_lifts_and_imports_what_the_server_lacks(self):
+        held = (Holding(server="a", pieces=3, trust=1.0),)
+        found = StagingPolicy().reset().decide(self.query(held=held), 0.0)
+        self.assertEqual(found[0], Lift(session="0", store="x", tail="t"))
+        self.assertIsInstance(found[1], Import)
+        self.assertEqual((found[1].first, found[1].pieces), (3, 8))
+
+    def test_nothing_twice_nothing_held_and_only_a_lift_on_a_busy_link(self):
+        policy = StagingPolicy().reset()
+        busy = policy.decide(self.query(link_seconds=9.0), 0.0)
+        self.assertEqual([type(action) for action in busy], [Lift])
+        self.assertTrue(policy.decide(self.query(), 0.0))
+        self.assertEqual(policy.decide(self.query(), 0.0), ())
+        held = (Holding(server="b", pieces=8, trust=1.0),)
+        self.assertEqual(policy.decide(self.query(1, held=held), 0.0), ())
+
+    def test_imports_stop_when_unused_and_come_back_when_used(self):
+        policy = StagingPolicy(expiry=1.0).reset()
+        for number in range(200):
+            policy.decide(self.query(number, Tier.MEMORY), float(number))
+            policy.tick(float(number))
+        found = [
+            len(policy.decide(self.query(number, Tier.MEMORY), 300.0))
+            for number in range(300, 340)
+        ]
+        self.assertEqual(sum(found), 2)
+        for number in range(300, 600):
+            policy.decide(self.query(number, Tier.MEMORY), 300.0)
+            policy.observe(StageUsed(session=str(number)), 300.0)
+        found = [
+            len(policy.decide(self.query(number, Tier.MEMORY), 300.0))
+            for number in range(600, 620)
+        ]
+        self.assertEqual(sum(found), 20)
+
+    def test_bound_of_open_stagings(self):
+        policy = StagingPolicy(max_open=3).reset()
+        found = [policy.decide(self.query(number), 0.0) for number in range(5)]
+        self.assertEqual([bool(item) for item in found], [True] * 3 + [False] * 2)
