--- a/wasabistage/routing/tests/test_health.py
+++ b/wasabistage/routing/tests/test_health.py
@@ -130,6 +130,16 @@
         policy = make_policy()
         self.fail(policy, SERVERS)
         self.assertEqual(len(usable(policy, 0.0)), 4)
+        found = policy.decide(HealthQuery(service="m"), 0.0)
+        self.assertEqual(sum(item.state is Health.OPEN for item in found), 2)
+
+    def test_open_servers_return_where_the_others_leave(self):
+        policy = make_policy()
+        self.fail(policy, "ab")
+        self.assertEqual(usable(policy, 0.0), set("cdef"))
+        for server in "cde":
+            policy.observe(ServerLeaving(server=server), 0.0)
+        self.assertEqual(len(usable(policy, 0.0)), 2)
 
     def test_leaving_ends_new_work_at_once_and_nothing_revives_that_life(self):
         for kind in (HealthPolicy, NoEjection):
