--- a/wasabistage/declarations/_fold.py
+++ b/wasabistage/declarations/_fold.py
@@ -69,6 +69,7 @@
         self.put_version_ = NO_VERSION
         self.unread_ = []
         self.unreadable_version_ = NO_VERSION
+        self.jumps_ = 0
         return self
 
     @abstractmethod
@@ -168,6 +169,7 @@
         if state.head and state.version != self.state_.version:
             self.stated_ = HeadStated(version=state.version, age=age)
         self.state_ = replace(state, readable=None)
+        self.jumps_ += 1
 
     def _fold_all(self, records, end):
         for record in records:
@@ -265,6 +267,7 @@
             if item.base_version == ANY_BASE and known and last < item.seen:
                 before = ConfigState(next=record.offset, last_proposal=last)
                 self.state_ = before
+                self.jumps_ += 1
                 return
             last = record.offset
 
--- a/wasabistage/declarations/_publish.py
+++ b/wasabistage/declarations/_publish.py
@@ -96,6 +96,7 @@
         self.base_deployment_ = None
         self.record_ = None
         self.appends_ = 0
+        self.jumps_ = 0
         self.unsure_ = False
         self.busy_ = False
         self.next_at_ = 0.0
@@ -183,6 +184,7 @@
             self._tell_overtaken()
             return
         self.base_deployment_ = fold.deployment_
+        self.jumps_ = fold.jumps_
         self.record_ = encode_record(
             ConfigProposed(
                 id=self.id,
@@ -206,14 +208,22 @@
     def _read_back(self, now):
         """Look for the own record in what was read."""
         outcome = self.fold_.decide(OutcomeQuery(id=self.id), now)
+        head = self.fold_.state_.head
+        moved_on = self.fold_.state_.version != self.base_ and self.base_ != ANY_BASE
         if outcome and outcome.accepted:
             self.outcome_ = Accepted(version=outcome.version)
-            return
-        moved_on = self.fold_.state_.version != self.base_
-        if outcome or (moved_on and self.base_ != ANY_BASE):
+        elif head and head.id == self.id:
+            self.outcome_ = Accepted(version=head.version)
+        elif (outcome or moved_on) and self.fold_.jumps_ != self.jumps_:
+            # The own record may have been accepted in what was not read.
+            self._give_up("the log was trimmed before the record was read back")
+        elif outcome or moved_on:
             # The head has left the base, so a late append loses as well.
             self._tell_overtaken()
-            return
+        else:
+            self._append_again(now)
+
+    def _append_again(self, now):
         if self.appends_ >= self.max_appends:
             self.next_at_ = now + self.retry_delay
             return
