--- a/standins/_engine_state.py
+++ b/standins/_engine_state.py
@@ -1,6 +1,7 @@
 """State of the model engine's stand-in: cache, events, streams, versions."""
 
 import os
+import time
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
@@ -71,7 +72,7 @@
 
     def __init__(self, params):
         self.params = params
-        self.incarnation = os.urandom(8).hex()
+        self.incarnation = f"{time.time_ns() // 1_000_000:012x}{os.urandom(4).hex()}"
         self.cache = OrderedDict()
         self.events = deque(maxlen=EVENTS_KEPT)
         self.sequence = 0
@@ -86,6 +87,7 @@
         self.queued_tokens = 0
         self.draining = False
         self.drop_events = 0
+        self.reports = 0
         self.witness = {
             "cross_account": 0,
             "bad_imports": 0,
@@ -172,6 +174,14 @@
             self.streams.popitem(last=False)
         return stream
 
+    def next_report(self):
+        """Count the reports of this life.
+
+        :return: the number of the next one.
+        """
+        self.reports += 1
+        return self.reports
+
     def report(self):
         """Build a load report.
 
@@ -180,6 +190,7 @@
         return {
             "incarnation": self.incarnation,
             "as_of": trio.current_time(),
+            "sequence": self.next_report(),
             "running": self.running,
             "queued": self.queued,
             "queued_tokens": self.queued_tokens,
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import os
+import time
 
 import trio
 from quart import Response, request
@@ -46,13 +47,15 @@
     app.config["MAX_CONTENT_LENGTH"] = 16 * 1024 * 1024
     install_faults(app)
     ledger = []
-    state = {"running": 0, "draining": False}
-    incarnation = os.urandom(8).hex()
+    state = {"running": 0, "draining": False, "reports": 0}
+    incarnation = f"{time.time_ns() // 1_000_000:012x}{os.urandom(4).hex()}"
 
     @app.get("/load")
     async def load():
+        state["reports"] += 1
         return {
             "incarnation": incarnation,
+            "sequence": state["reports"],
             "running": state["running"],
             "queued": 0,
             "draining": state["draining"],
--- a/standins/store.py
+++ b/standins/store.py
@@ -2,11 +2,13 @@
 
 ``PUT /pieces/KEY`` writes a piece and answers its generation, size and digest;
 ``GET /pieces/KEY`` reads it with ``X-Generation``; ``DELETE`` frees it.
-``PUT /commits/ID`` writes a commit record, ``GET /commits`` lists them.
+``PUT /commits/ID`` writes a commit record, ``GET /commits/ID`` reads one, and
+``GET /commits`` lists them in base64.
 ``POST /lift`` moves pieces from disk to memory. ``GET /load`` reports the use.
 ``POST /witness/damage`` makes a piece half-written, overwritten or freed.
 """
 
+import base64
 import hashlib
 import os
 from collections import OrderedDict
@@ -160,12 +162,21 @@
 
     @app.put("/commits/<commit_id>")
     async def commit(commit_id):
-        commits[commit_id] = (await request.get_data()).decode()
+        commits[commit_id] = await request.get_data()
         return {"ok": True}
 
+    @app.get("/commits/<commit_id>")
+    async def read_commit(commit_id):
+        if commit_id not in commits:
+            return {"error": "unknown commit"}, 404
+        return Response(commits[commit_id], 200)
+
     @app.get("/commits")
     async def list_commits():
-        return {"incarnation": incarnation, "commits": commits}
+        listed = {
+            key: base64.b64encode(data).decode() for key, data in commits.items()
+        }
+        return {"incarnation": incarnation, "commits": listed}
 
     @app.get("/load")
     async def load():
--- a/wasabistage/entry/_once.py
+++ b/wasabistage/entry/_once.py
@@ -10,6 +10,7 @@
 from wasabistage.entry._gossip import FindIncarnation
 from wasabistage.entry._plain import PlainAnswer, PlainCall
 from wasabistage.entry._task import LATER, Reply, Task
+from wasabistage.entry._timer import Tick
 from wasabistage.entry._wire import ONCE, OnceAnswered, OnceForward
 from wasabistage.exceptions import (
     ConflictError,
@@ -169,16 +170,13 @@
                 return self._issue(message, now)
             case CountUnsettled():
                 return len(self.attempts) + self.policy.batcher_.decide(None, now)
+            case Tick():
+                pass
             case _:
-                self._observe(message, now)
+                self.policy.observe(message, now)
         self._carry_out(now)
         return LATER
 
-    def _observe(self, message, now):
-        if hasattr(message, "period"):
-            return
-        self.policy.observe(message, now)
-
     def _issue(self, message, now):
         count = min(message.count, MOST_TICKETS)
         nonces = tuple(secrets.token_bytes(NONCE_BYTES) for _ in range(count))
@@ -221,7 +219,7 @@
         call = attempt.call
         attempt_id = secrets.token_hex(ATTEMPT_BYTES)
         self.attempts[attempt_id] = attempt
-        attempt.reply.attempt_id = attempt_id
+        attempt.reply.tag = attempt_id
         content = b"\0".join((call.path.encode(), call.query, call.body))
         declared = call.resolved.call
         self.policy.observe(
@@ -404,9 +402,8 @@
         try:
             return await reply.wait()
         except trio.Cancelled:
-            attempt_id = getattr(reply, "attempt_id", None)
-            if attempt_id is not None:
-                self.tell(AttemptGone(attempt=attempt_id))
+            if reply.tag is not None:
+                self.tell(AttemptGone(attempt=reply.tag))
             raise
 
     async def answer_peer(self, message):
--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -14,6 +14,7 @@
 from wasabistage.platform import NOT_SENT
 
 MOST_ATTEMPTS = 3
+CONNECT_TIMEOUT_SECONDS = 1.0
 #: Headers of a caller that reach the backend server.
 PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language")
 #: Headers of a backend server that reach the caller.
@@ -99,24 +100,26 @@
         question = ChooseServer(service=call.resolved.service, tried=tried)
         return await self.routing.ask(question)
 
-    async def dispatch(self, call, server):
+    async def dispatch(self, call, server, patience=None):
         """Send a call to one backend server, once.
 
         :param call: a :class:`PlainCall`.
         :param server: the backend server.
+        :param patience: longest wait for the answer, in seconds; ``None`` for the
+            call's deadline.
         :return: a :class:`PlainAnswer`.
         :raises UnavailableError: if nothing was sent.
         :raises OutcomeUnknownError: if it was sent and no answer came.
         """
         good = False
         try:
-            answer = await self._send(call, server)
+            answer = await self._send(call, server, patience)
             good = answer.status < 500
         finally:
             self.routing.tell(AttemptEnded(server=server.name, good=good))
         return answer
 
-    async def _send(self, call, server):
+    async def _send(self, call, server, patience):
         headers = dict(call.headers)
         headers["X-Request-Id"] = call.request_id
         headers["X-Client-Account"] = call.account.name
@@ -129,7 +132,9 @@
             path=call.path,
             query=call.query or None,
         )
-        timeout = httpx.Timeout(call.resolved.call.deadline, connect=1.0)
+        timeout = httpx.Timeout(
+            patience or call.resolved.call.deadline, connect=CONNECT_TIMEOUT_SECONDS
+        )
         try:
             answer = await self.context.http.request(
                 call.resolved.call.method,
--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -1,158 +1,464 @@
 """The task that watches the backend servers and chooses one for a request."""
 
-from dataclasses import dataclass, replace
+import random
+from dataclasses import dataclass, field
 
 import trio
 
-from wasabistage.declarations import BackendServer, ServiceKind
+from wasabistage.base import Rank
+from wasabistage.cache import CacheEvent, ServerGone
+from wasabistage.declarations import ServiceKind
+from wasabistage.entry._admission import SlotsOfService
 from wasabistage.entry._task import Task
+from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import UnavailableError, WasabistageError
+from wasabistage.membership import (
+    BackendMembership,
+    GossipSigns,
+    LeavingSign,
+    ServerCall,
+    ServerListing,
+    UsableQuery,
+)
+from wasabistage.membership import ServerReport as MembershipReport
+from wasabistage.observe import make_logger
 from wasabistage.platform import EngineLoad
-
-LOAD_FRESH_SECONDS = 5.0
+from wasabistage.routing import (
+    CallEnded,
+    CallStarted,
+    Candidate,
+    Dispatched,
+    DispatchEnded,
+    FetchDone,
+    FirstToken,
+    HealthPolicy,
+    HealthQuery,
+    LeastLoadedRouter,
+    LinkQueue,
+    LoadReport,
+    PredictiveRouter,
+    RouteQuery,
+    ServerRemoved,
+    ServerSeen,
+)
+
+TICK_SECONDS = 0.25
+EVENTS_SECONDS = 0.2
+PLAIN_VERSION = "plain"
+MODEL_PREFIX = "model:"
+PLAIN_PREFIX = "service:"
+log = make_logger("routing")
 
 
 @dataclass(frozen=True, kw_only=True)
-class ServerReport:
+class LoadArrived:
     """A load report that arrived, or its failure.
 
     :param name: name of the backend server.
     :param load: the report, or ``None`` if none came.
+    :param asked_at: monotonic time of the question, in seconds.
     """
 
     name: str
     load: EngineLoad | None
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
 class ChooseServer:
     """Asks for the backend server of one attempt.
 
+    Answered with a :class:`Chosen`.
+
+    :param attempt: identifier of the attempt.
     :param service: the :class:`wasabistage.declarations.Service`.
     :param tried: names of the servers tried before.
+    :param rank: rank of the call.
+    :param prompt: the :class:`wasabistage.entry._cache.Prompt`, for a model.
+    :param found: where its pieces are, for a model.
     """
 
+    attempt: str
     service: object
     tried: tuple = ()
+    rank: Rank = Rank.INTERACTIVE
+    prompt: object = None
+    found: object = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Chosen:
+    """The backend server of one attempt.
+
+    :param server: the :class:`wasabistage.declarations.BackendServer`.
+    :param decision: the :class:`wasabistage.routing.RouteDecision`.
+    """
+
+    server: object
+    decision: object
 
 
 @dataclass(frozen=True, kw_only=True)
 class AttemptEnded:
     """Tells how an attempt ended.
 
+    :param attempt: identifier of the attempt.
     :param server: name of the backend server.
-    :param good: whether it answered.
+    :param good: whether the server answered well.
+    :param seconds: seconds per unit of expected time, or plain seconds.
     """
 
+    attempt: str
     server: str
     good: bool
+    seconds: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskServers:
+    """Asks for the state of every backend server."""
 
 
 @dataclass
-class ServerState:
+class ServerFacts:
     """What this entry knows of one backend server.
 
-    :ivar server: its declaration.
     :ivar load: its newest load report.
-    :ivar reported_at: when that came, monotonic seconds.
-    :ivar running: this entry's own requests on it.
+    :ivar heard: whether a report ever came.
+    :ivar polling: whether a poll is under way.
+    :ivar next_event: sequence number of the next cache event.
     """
 
-    server: BackendServer
-    load: EngineLoad = EngineLoad()
-    reported_at: float = float("-inf")
-    running: int = 0
+    load: EngineLoad = field(default_factory=EngineLoad)
+    heard: bool = False
+    polling: bool = False
+    next_event: int = 0
 
 
 class RoutingTask(Task):
     """Owns the state of the backend servers.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    :param admission: task that is told the slots of each service.
+    :param cache: task that is told the cache events.
     """
 
     name = "routing"
 
-    def __init__(self, context):
+    def __init__(self, context, admission, cache):
         super().__init__(context.metrics)
         self.context = context
-        self.servers = {}
+        self.admission = admission
+        self.cache = cache
+        self.membership = BackendMembership().reset()
+        self.health = HealthPolicy().reset()
+        self.router = PredictiveRouter().reset()
+        self.plain_router = LeastLoadedRouter().reset()
+        self.random = random.Random(context.incarnation + "routing")
+        self.facts = {}
+        self.deployment = None
+        self.gossip = None
 
     async def start(self):
-        """Begin to poll the load reports."""
+        """Begin to poll the load reports and the cache events."""
+        timers = self.context.timers
         period = self.context.settings.heartbeat_interval
-        self.nursery.start_soon(self.context.timers.run_subscription, period, self.poll)
-
-    async def poll(self, tick):
-        """Ask every declared server for its load.
+        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
+        self.nursery.start_soon(timers.run_subscription, period, self._poll_loads)
+        self.nursery.start_soon(
+            timers.run_subscription, EVENTS_SECONDS, self._poll_events
+        )
+
+    async def _on_tick(self, tick):
+        self.tell(tick)
+
+    async def _poll_loads(self, tick):
+        for server in self.context.config.value.deployment.servers.values():
+            facts = self.facts.get(server.name)
+            if facts is not None and not facts.polling:
+                facts.polling = True
+                self.nursery.start_soon(self._poll_load, server, facts)
+
+    async def _poll_load(self, server, facts):
+        asked_at = self.context.timers.now()
+        try:
+            load = await self.context.engine(server).load()
+        except WasabistageError:
+            load = None
+        finally:
+            facts.polling = False
+        self.tell(LoadArrived(name=server.name, load=load, asked_at=asked_at))
 
-        :param tick: a :class:`wasabistage.entry._timer.Tick`.
-        """
-        deployment = self.context.config.value.deployment
+    async def _poll_events(self, tick):
+        servers = self.context.config.value.deployment.servers.values()
         async with trio.open_nursery() as nursery:
-            for server in deployment.servers.values():
-                nursery.start_soon(self._poll_one, server)
+            for server in servers:
+                facts = self.facts.get(server.name)
+                if server.kind is ServiceKind.MODEL and facts and facts.heard:
+                    nursery.start_soon(self._poll_event, server, facts)
 
-    async def _poll_one(self, server):
+    async def _poll_event(self, server, facts):
         try:
-            load = await self.context.engine(server).load()
+            answer = await self.context.engine(server).cache_events(facts.next_event)
         except WasabistageError:
-            load = None
-        self.tell(ServerReport(name=server.name, load=load))
+            return
+        for event in answer["events"]:
+            facts.next_event = max(facts.next_event, event["seq"] + 1)
+            self.cache.tell(
+                CacheEvent(
+                    server=server.name,
+                    incarnation=answer["incarnation"],
+                    sequence=event["seq"],
+                    stored=tuple(event["stored"]),
+                    removed=tuple(event["removed"]),
+                )
+            )
 
     async def handle(self, message, reply):
-        """Handle a report, a question or the end of an attempt."""
-        self._follow_declarations()
-        if isinstance(message, ServerReport):
-            self._take_report(message)
-        elif isinstance(message, AttemptEnded):
-            state = self.servers.get(message.server)
-            if state is not None:
-                state.running -= 1
-        else:
-            return self._choose(message)
-
-    def _follow_declarations(self):
-        declared = self.context.config.value.deployment.servers
-        for name in list(self.servers):
-            if name not in declared:
-                del self.servers[name]
-        for name, server in declared.items():
-            if name not in self.servers:
-                self.servers[name] = ServerState(server)
-            self.servers[name].server = server
-
-    def _take_report(self, message):
-        state = self.servers.get(message.name)
-        if state is None or message.load is None:
+        """Handle a message; see :meth:`Task.handle`."""
+        now = self.context.timers.now()
+        self._follow_declarations(now)
+        match message:
+            case LoadArrived():
+                self._take_load(message, now)
+            case ServerListing() | LeavingSign():
+                self.membership.observe(message, now)
+            case ChooseServer():
+                return self._choose(message, now)
+            case AttemptEnded():
+                self._end_attempt(message, now)
+            case FirstToken() | FetchDone():
+                self.router.observe(message, now)
+            case AskServers():
+                return self._describe(now)
+            case Tick():
+                self._tick(now)
+
+    def _follow_declarations(self, now):
+        deployment = self.context.config.value.deployment
+        if deployment is self.deployment:
             return
-        state.load = replace(message.load)
-        state.reported_at = self.context.timers.now()
-
-    def _choose(self, message):
-        fit = [
-            state
-            for state in self.servers.values()
-            if self._serves(state, message.service)
-            and state.server.name not in message.tried
-        ]
-        if not fit:
-            raise UnavailableError(
-                f"no backend server can take a call of {message.service.name}",
-                remedy="retry later, or check the servers of this service",
-                retry_after=1.0,
-            )
-        best = min(fit, key=lambda state: state.running + state.load.queued)
-        best.running += 1
-        return best.server
-
-    def _serves(self, state, service):
-        fresh = self.context.timers.now() - state.reported_at < LOAD_FRESH_SECONDS
-        if not fresh or state.load.draining:
-            return False
+        self.deployment = deployment
+        self.membership.declare(tuple(deployment.servers))
+        for name in set(self.facts) - set(deployment.servers):
+            del self.facts[name]
+            self.health.observe(ServerRemoved(server=name), now)
+            self.cache.tell(ServerGone(server=name))
+        for name in deployment.servers:
+            self.facts.setdefault(name, ServerFacts())
+
+    def _tick(self, now):
+        for action in self.membership.tick(now):
+            if isinstance(action, GossipSigns) and self.gossip is not None:
+                for sign in action.signs:
+                    self.gossip.tell(sign)
+        for change in self.health.tick(now):
+            facts = {"server": change.server, "state": str(change.state)}
+            log.info("a backend server changed", extra=facts)
+        self._tell_slots(now)
+
+    def _tell_slots(self, now):
+        for service in self.deployment.services.values():
+            names = self._fit(service)
+            usable = self.membership.decide(UsableQuery(servers=names), now)
+            ready = usable.ready + usable.suspect if usable else ()
+            slots = sum(self.deployment.servers[name].slots for name in ready)
+            self.admission.tell(SlotsOfService(service=service.name, slots=slots))
+
+    def _fit(self, service):
+        """Return the names of the servers that are declared for a service."""
+        servers = self.deployment.servers.values()
         if service.kind is ServiceKind.PLAIN:
-            return service.name in state.server.services
-        models = self.context.config.value.deployment.models
-        model = models.get(service.model)
-        if model is None or model.name not in state.server.models:
-            return False
-        return state.load.versions.get(model.name) == model.version
+            return tuple(s.name for s in servers if service.name in s.services)
+        return tuple(s.name for s in servers if service.model in s.models)
+
+    def _take_load(self, message, now):
+        facts = self.facts.get(message.name)
+        if facts is None:
+            return
+        if message.load is None:
+            self.membership.observe(ServerCall(server=message.name, ok=False), now)
+            return
+        load = message.load
+        if facts.heard and facts.load.incarnation != load.incarnation:
+            facts.next_event = 0
+            self.cache.tell(ServerGone(server=message.name))
+        server = self.deployment.servers[message.name]
+        self._observe_health(server, load, facts, now)
+        facts.load = load
+        facts.heard = True
+        self.membership.observe(
+            MembershipReport(
+                server=message.name,
+                life=load.incarnation,
+                sequence=load.sequence,
+                draining=load.draining,
+            ),
+            now,
+        )
+        self._observe_load(server, load, now - message.asked_at, now)
+
+    def _observe_health(self, server, load, facts, now):
+        fresh = facts.heard and facts.load.incarnation != load.incarnation
+        self.health.observe(
+            ServerSeen(
+                server=server.name,
+                service=health_group(server),
+                incarnation=load.incarnation,
+                fresh=fresh,
+            ),
+            now,
+        )
+
+    def _observe_load(self, server, load, lag, now):
+        if server.kind is ServiceKind.PLAIN:
+            report = LoadReport(
+                server=server.name, version=PLAIN_VERSION, running=load.running, lag=lag
+            )
+            self.plain_router.observe(report, now)
+            return
+        for model, version in load.versions.items():
+            self.router.observe(
+                LoadReport(
+                    server=server.name,
+                    version=version,
+                    queued_tokens=load.queued_tokens,
+                    running=load.running,
+                    lag=lag,
+                    model=model,
+                ),
+                now,
+            )
+
+    def _choose(self, message, now):
+        names = tuple(n for n in self._fit(message.service) if n not in message.tried)
+        usable = self.membership.decide(UsableQuery(servers=names), now)
+        if not usable:
+            raise no_server(message.service, usable.reason)
+        allowed = self._prefer(usable.ready + usable.suspect, now)
+        candidates = tuple(
+            self._candidate(name, message, allowed[name]) for name in allowed
+        )
+        query = self._route_query(message, candidates)
+        router = self.plain_router if message.prompt is None else self.router
+        if message.found is not None:
+            for store, size in message.found.queues.items():
+                router.observe(LinkQueue(store=store, size=size), now)
+        decision = router.decide(query, now)
+        if not decision:
+            raise no_server(message.service, decision.reason)
+        self._start_attempt(message, decision, router, now)
+        return Chosen(
+            server=self.deployment.servers[decision.server], decision=decision
+        )
+
+    def _prefer(self, names, now):
+        """Return the weight of each server that health allows."""
+        groups = {health_group(self.deployment.servers[name]) for name in names}
+        healths = {}
+        for group in groups:
+            for item in self.health.decide(HealthQuery(service=group), now):
+                healths[item.server] = item
+        heard = [name for name in names if self.facts[name].heard]
+        good = {
+            name: healths[name].weight
+            for name in heard
+            if name in healths and healths[name].usable
+        }
+        return good or {name: 1.0 for name in heard}
+
+    def _candidate(self, name, message, weight):
+        server = self.deployment.servers[name]
+        version = PLAIN_VERSION
+        if message.prompt is not None:
+            version = self.facts[name].load.versions.get(message.service.model, "")
+        return Candidate(
+            server=name,
+            version=version,
+            weight=weight,
+            failure_domain=server.failure_domain,
+        )
+
+    def _route_query(self, message, candidates):
+        prompt, found = message.prompt, message.found
+        if prompt is None:
+            return RouteQuery(
+                account="",
+                model=message.service.name,
+                version=PLAIN_VERSION,
+                prompt_tokens=1,
+                rank=message.rank,
+                candidates=candidates,
+                draw=self.random.random(),
+            )
+        return RouteQuery(
+            account=prompt.account,
+            model=prompt.model.name,
+            version=prompt.model.version,
+            piece_keys=prompt.keys,
+            prompt_tokens=prompt.tokens,
+            piece_tokens=prompt.model.piece_tokens,
+            piece_bytes=prompt.piece_bytes,
+            rank=message.rank,
+            candidates=candidates,
+            held=found.held if found else (),
+            stored=found.stored if found else (),
+            session=prompt.session,
+            draw=self.random.random(),
+        )
+
+    def _start_attempt(self, message, decision, router, now):
+        self.health.observe(CallStarted(server=decision.server), now)
+        router.observe(
+            Dispatched(
+                request=message.attempt,
+                server=decision.server,
+                tokens=max(1, decision.tokens),
+            ),
+            now,
+        )
+
+    def _end_attempt(self, message, now):
+        ended = DispatchEnded(request=message.attempt)
+        self.router.observe(ended, now)
+        self.plain_router.observe(ended, now)
+        self.membership.observe(
+            ServerCall(server=message.server, ok=message.good), now
+        )
+        self.health.observe(
+            CallEnded(
+                server=message.server, ok=message.good, seconds=message.seconds
+            ),
+            now,
+        )
+
+    def _describe(self, now):
+        return tuple(
+            (name, str(self.membership.state(name, now)), facts.load)
+            for name, facts in sorted(self.facts.items())
+        )
+
+
+def health_group(server):
+    """Return the group of servers that a server's health is compared within.
+
+    :param server: a :class:`wasabistage.declarations.BackendServer`.
+    :return: a string.
+    """
+    if server.kind is ServiceKind.PLAIN:
+        return PLAIN_PREFIX + ",".join(sorted(server.services))
+    return MODEL_PREFIX + ",".join(sorted(server.models))
+
+
+def no_server(service, reason):
+    """Build the error for a call that no server can take.
+
+    :param service: the :class:`wasabistage.declarations.Service`.
+    :param reason: why, one clause.
+    :return: an :class:`UnavailableError`.
+    """
+    return UnavailableError(
+        f"no backend server can take a call of {service.name}: {reason}",
+        remedy="retry later, or check the servers of this service",
+        retry_after=1.0,
+    )
--- a/wasabistage/entry/_task.py
+++ b/wasabistage/entry/_task.py
@@ -13,9 +13,13 @@
 
 
 class Reply:
-    """Where the answer to one message is put."""
+    """Where the answer to one message is put.
+
+    :ivar tag: identifier that the task gave the pending request, if any.
+    """
 
     def __init__(self):
+        self.tag = None
         self.done = trio.Event()
         self.value = None
         self.error = None
@@ -90,9 +94,18 @@
         :raises OverloadError: if the inbox is full.
         """
         reply = Reply()
-        self._put(Envelope(message, reply))
+        self.post(message, reply)
         return await reply.wait()
 
+    def post(self, message, reply):
+        """Send a message whose answer is put into a given reply.
+
+        :param message: the message.
+        :param reply: a :class:`Reply`.
+        :raises OverloadError: if the inbox is full.
+        """
+        self._put(Envelope(message, reply))
+
     def _put(self, envelope):
         try:
             self.sender.send_nowait(envelope)
--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/platform/_engine.py
@@ -74,7 +74,8 @@
 class EngineLoad:
     """A load report of a backend server.
 
-    :param incarnation: identifier of the server process's life.
+    :param incarnation: identifier of the server process's life; sorts by its start.
+    :param sequence: number of the report in that life.
     :param running: requests running.
     :param queued: requests waiting.
     :param queued_tokens: prompt tokens waiting.
@@ -86,6 +87,7 @@
     """
 
     incarnation: str = ""
+    sequence: int = 0
     running: int = 0
     queued: int = 0
     queued_tokens: int = 0
--- a/wasabistage/platform/_store.py
+++ b/wasabistage/platform/_store.py
@@ -1,5 +1,10 @@
 """Client of a KV cache store."""
 
+import base64
+
+import httpx
+
+from wasabistage.exceptions import UnavailableError
 from wasabistage.platform._http import call_json
 
 CONTROL_TIMEOUT_SECONDS = 2.0
@@ -28,13 +33,38 @@
             self.client, "PUT", url, content=record, timeout=CONTROL_TIMEOUT_SECONDS
         )
 
+    async def read_commit(self, commit_id):
+        """Read one commit record.
+
+        :param commit_id: identifier of the record.
+        :return: its bytes.
+        :raises UnavailableError: if the store does not answer or has no such record.
+        """
+        url = f"http://{self.address}/commits/{commit_id}"
+        try:
+            answer = await self.client.get(url, timeout=CONTROL_TIMEOUT_SECONDS)
+        except httpx.HTTPError as error:
+            raise UnavailableError(
+                f"the store at {self.address} did not answer",
+                remedy="the prompt is computed instead",
+            ) from error
+        if answer.status_code != 200:
+            raise UnavailableError(
+                f"the store at {self.address} answered {answer.status_code}",
+                remedy="the prompt is computed instead",
+            )
+        return answer.content
+
     async def commits(self):
         """List the commit records.
 
-        :return: the decoded answer with ``incarnation`` and ``commits``.
+        :return: tuple of their bytes.
         """
         url = f"http://{self.address}/commits"
-        return await call_json(self.client, "GET", url, timeout=CONTROL_TIMEOUT_SECONDS)
+        answer = await call_json(
+            self.client, "GET", url, timeout=CONTROL_TIMEOUT_SECONDS
+        )
+        return tuple(base64.b64decode(item) for item in answer["commits"].values())
 
     async def lift(self, keys):
         """Move pieces from disk to memory.
--- a/wasabistage/sessions/_stream_ids.py
+++ b/wasabistage/sessions/_stream_ids.py
@@ -8,7 +8,7 @@
 
 MIN_RANDOM_BYTES = 16
 MAX_ID_LENGTH = 160  # characters
-ID_PATTERN = re.compile(r"s1-([A-Za-z0-9_.]{1,64})-([0-9a-f]{32,64})")
+ID_PATTERN = re.compile(r"s1-([A-Za-z0-9_.-]{1,64})-([0-9a-f]{32,64})")
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/settings/_entry.py
+++ b/wasabistage/settings/_entry.py
@@ -135,6 +135,9 @@
     log_batch: Duration = Field(
         0.01, ge=0, description="time over which appends to the log are grouped"
     )
+    key_horizon: Duration = Field(
+        7200.0, gt=0, description="age at which an idempotency key expires"
+    )
     address_lifetime: Duration = Field(
         10.0, gt=0, description="how long callers may keep the answered addresses"
     )
@@ -192,6 +195,7 @@
     config_poll: float = 0.5
     log_retention: float = 86400.0
     log_batch: float = 0.01
+    key_horizon: float = 7200.0
     address_lifetime: float = 10.0
 
 
