Drain an entry process in steps, and plan gossip for many entries

Cause: a graceful shutdown must cut no request while callers still hold its address; and telling everyone everything does not fit 400 entries. Change: DrainPolicy on the entry_instance chart (withdraw, hand on, finish or hand over, flush, exit; a bound, and what it cut). GossipPlan: FullMesh for today and CellPlan (cells in a failure domain, few heartbeat neighbours, hashed watchers, digests, configuration tree), with sizes of really encoded messages. Ruled out: every member of a cell of 25 hearing each other's heartbeat at 0.5 s (over 6 KB/s, refused by the plan's own check). StopAtOnce cuts the 2 requests of the test, DrainPolicy says so only at its bound.

--- a/wasabistage/membership/__init__.py
+++ b/wasabistage/membership/__init__.py
@@ -37,6 +37,29 @@
     UsableQuery,
     UsableServers,
 )
+from wasabistage.membership._drain import (
+    Admission,
+    AdmitQuery,
+    CloseListeners,
+    DrainPolicy,
+    DrainRequested,
+    Exit,
+    FlushOutcomes,
+    HandOverWork,
+    StopAtOnce,
+    Withdraw,
+    WorkLeft,
+)
+from wasabistage.membership._gossip import (
+    CellDigest,
+    CellPlan,
+    FullMesh,
+    GossipCost,
+    GossipPlan,
+    ServerWord,
+    encode_message,
+    rank_by_hash,
+)
 from wasabistage.membership._messages import (
     Heartbeat,
     HeartbeatQuery,
@@ -61,6 +84,25 @@
 )
 
 __all__ = [
+    "Admission",
+    "AdmitQuery",
+    "CellDigest",
+    "CellPlan",
+    "CloseListeners",
+    "DrainPolicy",
+    "DrainRequested",
+    "Exit",
+    "FlushOutcomes",
+    "FullMesh",
+    "GossipCost",
+    "GossipPlan",
+    "HandOverWork",
+    "ServerWord",
+    "StopAtOnce",
+    "Withdraw",
+    "WorkLeft",
+    "encode_message",
+    "rank_by_hash",
     "NO_ADDRESS",
     "NO_SERVER",
     "AddressAnswer",
