--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,9 +15,13 @@
 from pathlib import Path
 
 import httpx
+import trio
 
 from standins._engine_state import EngineParams
 from wasabistage.declarations import ServiceKind, check_folder
+from wasabistage.entry import TrioTimerService
+from wasabistage.operators import publish_deployment
+from wasabistage.platform import HttpLogClient, make_http_client
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
@@ -241,6 +245,50 @@
             url = f"http://{self.entry_address(index)}/v1/entries"
             self.processes[name] = FleetProcess(name, arguments, url)
 
+    def publish(self, deployment=None, **options):
+        """Publish a deployment through the log.
+
+        :param deployment: the deployment; ``None`` for the fleet's own.
+        :param options: further arguments of ``publish_deployment``.
+        :return: the outcome of the publication.
+        """
+        chosen = deployment or self.deployment
+        return trio.run(self._publish, chosen, options)
+
+    async def _publish(self, deployment, options):
+        async with make_http_client() as client:
+            log = HttpLogClient(client, self.log_address)
+            timers = TrioTimerService()
+            return await publish_deployment(log, deployment, timers, **options)
+
+    def wait_served(self, seconds=START_SECONDS):
+        """Wait until every entry has a configuration and knows its servers.
+
+        :param seconds: longest wait.
+        :raises RuntimeError: if one does not serve in time.
+        """
+        end = time.monotonic() + seconds
+        waiting = set(range(1, self.options.entries + 1))
+        while waiting and time.monotonic() < end:
+            waiting = {index for index in waiting if not self._serves(index)}
+            time.sleep(0.05)
+        if waiting:
+            raise RuntimeError(f"entries {sorted(waiting)} do not serve")
+
+    def _serves(self, index):
+        """Tell whether an entry answers an idempotent call of a plain service."""
+        for service in self.deployment.services.values():
+            for call in service.calls.values():
+                if service.kind is ServiceKind.PLAIN and call.idempotent:
+                    path = call.path.replace("/*", "/ready")
+                    url = f"http://{self.entry_address(index)}/v1/services/"
+                    url += service.name + path
+                    key = f"demo-{next(iter(self.deployment.accounts))}-key"
+                    headers = {"Authorization": f"Bearer {key}"}
+                    answer = self.http.request(call.method, url, headers=headers)
+                    return answer.status_code == 200
+        return True
+
     def spawn(self, name):
         """Start one process.
 
--- a/wasabistage/entry/_admission.py
+++ b/wasabistage/entry/_admission.py
@@ -1,6 +1,5 @@
 """The task that admits requests."""
 
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import trio
@@ -140,12 +139,11 @@
                     if self.gossip is not None:
                         self.gossip.tell(action.report)
 
-    @asynccontextmanager
-    async def slot(self, arrive):
-        """Wait for a slot and hold it.
+    async def acquire(self, arrive):
+        """Wait for a slot.
 
         :param arrive: a :class:`wasabistage.admission.Arrive`.
-        :return: a context manager of a :class:`Slot`.
+        :return: a :class:`Slot`, to be released by the caller.
         :raises WasabistageError: if the request is refused; it was not run.
         """
         try:
@@ -153,11 +151,7 @@
         except trio.Cancelled:
             self.tell(Cancelled(request_id=arrive.request_id))
             raise
-        held = Slot(self, arrive.request_id)
-        try:
-            yield held
-        finally:
-            held.release()
+        return Slot(self, arrive.request_id)
 
 
 class Slot:
--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -1,34 +1,48 @@
 """The HTTP interface towards callers."""
 
+import json
 import secrets
 
-import trio
 from quart import Response, make_response, request
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
 from wasabistage.entry._accounts import AccountDirectory
+from wasabistage.entry._cache import SessionAnnounced
 from wasabistage.entry._calls import resolve_completion, resolve_plain
 from wasabistage.entry._completions import Completion
 from wasabistage.entry._frames import error_body
+from wasabistage.entry._gossip import AskAddresses
+from wasabistage.entry._once import RunOnce, TakeTickets
 from wasabistage.entry._plain import (
     PASSED_REQUEST_HEADERS,
     PlainCall,
     pick_headers,
 )
-from wasabistage.entry._schemas import CompletionBody, parse_body
+from wasabistage.entry._schemas import (
+    CompletionBody,
+    EntriesQuery,
+    ResumeQuery,
+    parse_body,
+    parse_query,
+)
 from wasabistage.exceptions import (
     BadRequestError,
     DeadlineError,
     NotFoundError,
+    OutcomeUnknownError,
     OverloadError,
     TooLargeError,
     UnavailableError,
     WasabistageError,
 )
 from wasabistage.observe import make_logger
+from wasabistage.sessions import ResumeToken
 
 REQUEST_ID_BYTES = 16
+LONGEST_KEY = 512
+KEY_HEADER = "Idempotency-Key"
+INQUIRY_HEADER = "Idempotency-Inquiry"
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 log = make_logger("caller")
 
@@ -39,16 +53,21 @@
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
     :param completions: the :class:`CompletionServer`.
     :param plain: the :class:`PlainServer`.
-    :param addresses: the answerer of ``GET /v1/entries``.
+    :param once: the task of non-idempotent calls.
+    :param gossip: the task that knows the entries.
+    :param cache: the task that stages sessions ahead.
     """
 
-    def __init__(self, context, completions, plain, addresses):
+    def __init__(self, context, completions, plain, once, gossip, cache):
         self.context = context
         self.completions = completions
         self.plain = plain
-        self.addresses = addresses
+        self.once = once
+        self.gossip = gossip
+        self.cache = cache
         self.directory = AccountDirectory(context.config.value.deployment)
         self.running = 0
+        self.closed = False
 
     def build(self):
         """Build the application.
@@ -60,83 +79,191 @@
         app.config["MAX_CONTENT_LENGTH"] = settings.max_body_bytes
         app.config["BODY_TIMEOUT"] = settings.body_timeout
         app.config["RESPONSE_TIMEOUT"] = settings.request_timeout
-        app.add_url_rule("/v1/entries", view_func=self.get_entries)
-        app.add_url_rule(
-            "/v1/chat/completions", view_func=self.post_completion, methods=["POST"]
-        )
-        app.add_url_rule(
-            "/v1/services/<service>/<path:path>",
-            view_func=self.call_service,
-            methods=METHODS,
+        rules = (
+            ("/v1/entries", self.get_entries, ["GET"]),
+            ("/v1/chat/completions", self.post_completion, ["POST"]),
+            ("/v1/streams/<stream_id>", self.get_stream, ["GET"]),
+            ("/v1/services/<service>/<path:path>", self.call_service, METHODS),
         )
+        for rule, handler, methods in rules:
+            app.add_url_rule(rule, view_func=self.guard(handler), methods=methods)
         app.register_error_handler(WasabistageError, self.answer_error)
         app.register_error_handler(HTTPException, self.answer_http_error)
         app.register_error_handler(Exception, self.answer_fault)
         return app
 
+    def guard(self, handler):
+        """Count a handler's requests and refuse them beyond the bound.
+
+        :param handler: asynchronous view function.
+        :return: an asynchronous view function.
+        """
+
+        async def guarded(**arguments):
+            self.check_open()
+            self.running += 1
+            try:
+                return await handler(**arguments)
+            finally:
+                self.running -= 1
+
+        guarded.__name__ = handler.__name__
+        return guarded
+
+    def check_open(self):
+        """Refuse new requests while closed or full.
+
+        :raises UnavailableError: if this entry is about to stop.
+        :raises OverloadError: if too many requests wait or run.
+        """
+        if self.closed:
+            raise UnavailableError(
+                "this entry is about to stop",
+                remedy="ask another entry which one to use",
+                retry_after=0.0,
+            )
+        if self.running >= self.context.settings.max_requests:
+            raise OverloadError(
+                "this entry has as many requests as it may",
+                remedy="use the next entry of the answer",
+                retry_after=1.0,
+            )
+
     def authenticate(self):
         """Return the client account of the current request."""
         deployment = self.context.config.value.deployment
+        if not deployment.accounts:
+            raise UnavailableError(
+                "no configuration is in force here yet",
+                remedy="retry, or publish one",
+                retry_after=1.0,
+            )
         if self.directory.deployment is not deployment:
             self.directory = AccountDirectory(deployment)
         return self.directory.authenticate(request.headers.get("Authorization"))
 
     async def get_entries(self):
-        """Answer which entries to use."""
+        """Answer which entries to use, with tickets if asked for."""
         account = self.authenticate()
-        return await self.addresses.answer(account, request.args)
+        query = parse_query(EntriesQuery, request.args)
+        question = AskAddresses(
+            account=account.name,
+            session=query.session or "",
+            domain=query.failure_domain or "",
+        )
+        answer = await self.gossip.ask(question)
+        tickets = ()
+        if query.tickets:
+            tickets = await self.once.ask(
+                TakeTickets(account=account.name, count=query.tickets)
+            )
+        if query.session:
+            self.cache.tell(
+                SessionAnnounced(account=account.name, session=query.session)
+            )
+        return {
+            "entries": [
+                {
+                    "instance": item.instance,
+                    "address": item.address,
+                    "failure_domain": item.failure_domain,
+                }
+                for item in answer.addresses
+            ],
+            "lifetime": answer.lifetime,
+            "when_none_works": answer.when_none_works,
+            "retry_after": answer.retry_after,
+            "tickets": list(tickets),
+            "tickets_from": self.context.settings.listen,
+        }
 
     async def post_completion(self):
         """Answer a chat completion."""
         account = self.authenticate()
         body = parse_body(CompletionBody, await request.get_data())
         deployment = self.context.config.value.deployment
-        completion = Completion(
-            request_id=new_request_id(),
-            account=account,
-            resolved=resolve_completion(deployment, body.model, body.call),
-            body=body,
-            parent=self.context.tracer.accept(request.headers),
-        )
+        request_id = new_request_id()
         self.context.metrics.count("request.received")
-        with trio.move_on_after(completion.resolved.call.deadline) as scope:
-            stream = await self.completions.open(completion)
-        if scope.cancelled_caught:
-            raise DeadlineError(
-                "no first token came within the call's deadline",
-                remedy="retry later",
-                ran="unknown",
-                retry_after=1.0,
+        accepted = self.context.tracer.accept(request.headers)
+        with self.context.tracer.hop("request", request_id, accepted) as parent:
+            completion = Completion(
+                request_id=request_id,
+                account=account,
+                resolved=resolve_completion(deployment, body.model, body.call),
+                body=body,
+                parent=parent,
             )
-        response = await make_response(self.completions.relay(stream))
-        response.content_type = "text/event-stream"
-        response.headers["X-Request-Id"] = completion.request_id
-        response.headers["X-Stream-Id"] = stream.stream_id
-        response.headers["Cache-Control"] = "no-store"
-        response.timeout = None
-        return response
+            served = await self.completions.open(completion)
+        events = self.completions.relay(served)
+        if not body.stream:
+            return await answer_whole(events, request_id, served.stream.stream_id)
+        return await stream_response(events, request_id, served.stream.stream_id)
+
+    async def get_stream(self, stream_id):
+        """Resume a stream from a position."""
+        account = self.authenticate()
+        query = parse_query(ResumeQuery, request.args)
+        token = ResumeToken(
+            request_id=stream_id, position=query.position, digest=query.digest or ""
+        )
+        stream = await self.completions.resume(account, stream_id, token)
+        events = self.completions.relay_resumed(stream)
+        return await stream_response(events, new_request_id(), stream_id)
 
     async def call_service(self, service, path):
         """Pass a call to a plain service."""
         account = self.authenticate()
         body = await request.get_data()
         deployment = self.context.config.value.deployment
-        call = PlainCall(
-            request_id=new_request_id(),
-            account=account,
-            resolved=resolve_plain(deployment, service, request.method, "/" + path),
-            path="/" + path,
-            query=request.query_string,
-            body=body,
-            headers=pick_headers(request.headers, PASSED_REQUEST_HEADERS),
-            key=request.headers.get("Idempotency-Key", ""),
-            parent=self.context.tracer.accept(request.headers),
-        )
+        request_id = new_request_id()
         self.context.metrics.count("request.received")
-        answer = await self.plain.serve(call)
-        headers = {**answer.headers, "X-Request-Id": call.request_id}
+        accepted = self.context.tracer.accept(request.headers)
+        with self.context.tracer.hop("request", request_id, accepted) as parent:
+            call = PlainCall(
+                request_id=request_id,
+                account=account,
+                resolved=resolve_plain(deployment, service, request.method, "/" + path),
+                path="/" + path,
+                query=request.query_string,
+                body=body,
+                headers=pick_headers(request.headers, PASSED_REQUEST_HEADERS),
+                key=request.headers.get(KEY_HEADER, ""),
+                parent=parent,
+            )
+            answer = await self.run_call(call)
+        headers = {**answer.headers, "X-Request-Id": request_id}
         return Response(answer.body, answer.status, headers)
 
+    async def run_call(self, call):
+        """Run a plain call as its declaration demands.
+
+        :param call: a :class:`PlainCall`.
+        :return: a :class:`PlainAnswer`.
+        """
+        declared = call.resolved.call
+        if declared.idempotent:
+            return await self.plain.serve(call)
+        if not call.key:
+            raise BadRequestError(
+                "this call is not idempotent and carries no Idempotency-Key",
+                remedy="send a ticket of GET /v1/entries?tickets=1, or a UUIDv7",
+            )
+        if len(call.key) > LONGEST_KEY:
+            raise BadRequestError(
+                "the Idempotency-Key is too long", remedy="send a ticket or a UUIDv7"
+            )
+        deadline = self.context.timers.now() + declared.deadline
+        inquire = request.headers.get(INQUIRY_HEADER, "") == "1"
+        if inquire:
+            return await self.once.run_call(
+                RunOnce(call=call, deadline=deadline, inquire=True)
+            )
+        slot = await self.plain.admit(call, deadline)
+        try:
+            return await self.once.run_call(RunOnce(call=call, deadline=deadline))
+        finally:
+            slot.release()
+
     async def answer_error(self, error):
         """Answer a typed error."""
         self.context.metrics.count("request.failed", label=error.kind)
@@ -160,6 +287,63 @@
         return await self.answer_error(fault)
 
 
+async def stream_response(events, request_id, stream_id):
+    """Build the response of a stream.
+
+    :param events: asynchronous iterator of bytes.
+    :param request_id: identifier of the request.
+    :param stream_id: identifier of the stream.
+    :return: the response.
+    """
+    response = await make_response(events)
+    response.content_type = "text/event-stream"
+    response.headers["X-Request-Id"] = request_id
+    response.headers["X-Stream-Id"] = stream_id
+    response.headers["Cache-Control"] = "no-store"
+    response.timeout = None
+    return response
+
+
+async def answer_whole(events, request_id, stream_id):
+    """Collect a stream into one JSON answer.
+
+    :param events: asynchronous iterator of bytes.
+    :param request_id: identifier of the request.
+    :param stream_id: identifier of the stream.
+    :return: the response.
+    :raises OutcomeUnknownError: if the answer could not be finished.
+    """
+    parts, end, model = [], None, ""
+    async for event in events:
+        for line in event.decode().split("\n"):
+            if not line.startswith("data: {"):
+                continue
+            data = json.loads(line[len("data: ") :])
+            if "choices" in data:
+                model = data["model"]
+                parts.append(data["choices"][0]["delta"]["content"])
+            elif "error" in data:
+                raise OutcomeUnknownError(
+                    data["error"]["message"],
+                    remedy="send the prompt again",
+                    ran="unknown",
+                )
+            else:
+                end = data
+    message = {"role": "assistant", "content": "".join(parts)}
+    reason = end["finish_reason"]
+    computed = {"prompt_tokens": end["prompt_tokens"], "completion_tokens": len(parts)}
+    body = {
+        "id": stream_id,
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{"index": 0, "message": message, "finish_reason": reason}],
+        "usage": computed,
+        "sha256": end["sha256"],
+    }
+    return body, 200, {"X-Request-Id": request_id, "X-Stream-Id": stream_id}
+
+
 def translate_http_error(error):
     """Turn an error of the HTTP library into a typed one.
 
--- a/wasabistage/entry/_cache.py
+++ b/wasabistage/entry/_cache.py
@@ -450,7 +450,9 @@
             record, prompt.account, prompt.model.name, prompt.model.version, prompt.keys
         )
         if not usable:
-            self._reject(job, (record or usable).reason if not record else usable.reason)
+            self._reject(
+                job, (record or usable).reason if not record else usable.reason
+            )
             return None
         return record
 
@@ -536,9 +538,7 @@
         self.jobs.pop(job.transfer, None)
         self.exporting.discard(job.keys[-1])
         if job.reply is not None:
-            job.reply.set(
-                Fetched(pieces=job.moved, size=job.size, seconds=job.seconds)
-            )
+            job.reply.set(Fetched(pieces=job.moved, size=job.size, seconds=job.seconds))
 
     def _cancel(self, message, now):
         job = self.jobs.pop(message.transfer, None)
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -1,26 +1,45 @@
-"""Serves chat completions: choose a server, relay its stream, check every frame."""
+"""Serves chat completions: admit, route, fetch pieces, relay."""
 
 import secrets
-from dataclasses import dataclass
-
-from wasabistage.cache import cache_salt
-from wasabistage.entry._frames import (
-    AnswerDigest,
-    format_end,
-    format_error,
-    format_token,
+from dataclasses import dataclass, field
+
+import trio
+
+from wasabistage.admission import Arrive
+from wasabistage.cache import BYTES_PER_TOKEN, TransferCancelled, piece_keys
+from wasabistage.entry._attempts import run_attempts
+from wasabistage.entry._cache import (
+    Fetched,
+    FetchPieces,
+    FindPieces,
+    Prompt,
+    TurnEnded,
+    text_piece_bytes,
 )
+from wasabistage.entry._gossip import StreamResumed
+from wasabistage.entry._relay import EngineStream
 from wasabistage.entry._routing import AttemptEnded, ChooseServer
+from wasabistage.entry._streams import CallerLeft
+from wasabistage.entry._task import Reply
 from wasabistage.exceptions import (
-    IntegrityError,
+    DeadlineError,
     NotFoundError,
+    TooLargeError,
     UnavailableError,
     WasabistageError,
 )
 from wasabistage.platform import EngineRequest
+from wasabistage.routing import FetchDone, FirstToken, Plan
+from wasabistage.sessions import engine_stream_id, make_stream_id, parse_stream_id
 
-MOST_ATTEMPTS = 3
-SEPARATOR = "~"
+STREAM_RANDOM_BYTES = 16
+ATTEMPT_BYTES = 8
+LEAST_PREDICTION_SECONDS = 0.01
+#: Longest wait for a fetch, as a multiple of the time to compute it instead.
+FETCH_PATIENCE = 1.0
+LEAST_FETCH_SECONDS = 0.05
+PREFILL_RATE_GUESS = 20_000.0
+ENGINE_OPTIONS = ("temperature", "top_p", "seed", "stop")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,152 +60,380 @@
     parent: object = None
 
 
+@dataclass
+class Served:
+    """An answer that is being relayed.
+
+    :ivar completion: the :class:`Completion`.
+    :ivar prompt: the :class:`wasabistage.entry._cache.Prompt`.
+    :ivar stream: the :class:`wasabistage.entry._relay.EngineStream`.
+    :ivar slot: the admission slot.
+    :ivar attempt: identifier of the attempt.
+    :ivar expected: pieces that routing expected to be reused.
+    :ivar pace: first-token time as a multiple of the predicted one.
+    """
+
+    completion: Completion
+    prompt: Prompt
+    stream: EngineStream
+    slot: object = None
+    attempt: str = ""
+    expected: int = 0
+    pace: float = 1.0
+    settled: bool = field(default=False)
+
+
+def prompt_text(messages):
+    """Join chat messages into the text whose pieces are named.
+
+    :param messages: the checked messages.
+    :return: bytes.
+    """
+    return "".join(f"{item.role}\n{item.content}\n" for item in messages).encode()
+
+
+def describe_prompt(completion):
+    """Compute what the cache needs to know of a prompt.
+
+    :param completion: a :class:`Completion`.
+    :return: a :class:`wasabistage.entry._cache.Prompt`.
+    :raises UnavailableError: if the service's model is not declared.
+    :raises TooLargeError: if the prompt exceeds the model's context.
+    """
+    resolved, body = completion.resolved, completion.body
+    model = resolved.model
+    if model is None:
+        raise UnavailableError(
+            f"service {resolved.service.name} has no declared model",
+            remedy="declare its model and publish",
+        )
+    text = prompt_text(body.messages)
+    tokens = -(-len(text) // BYTES_PER_TOKEN)
+    if tokens + body.max_tokens > model.context_tokens:
+        raise TooLargeError(
+            f"the prompt and its answer exceed {model.context_tokens} tokens",
+            remedy="shorten the conversation or lower max_tokens",
+        )
+    account = completion.account.name
+    return Prompt(
+        account=account,
+        model=model,
+        session=body.session or "",
+        keys=piece_keys(
+            account, model.name, model.version, text, text_piece_bytes(model)
+        ),
+        tokens=tokens,
+        rank=resolved.call.rank,
+    )
+
+
 class CompletionServer:
     """Serves completions of one entry.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    :param admission: the admission task.
     :param routing: the routing task.
+    :param cache: the cache task.
+    :param streams: the task of abandoned streams.
+    :param gossip: the task that talks to peers.
     """
 
-    def __init__(self, context, routing):
+    def __init__(self, context, admission, routing, cache, streams, gossip):
         self.context = context
+        self.admission = admission
         self.routing = routing
+        self.cache = cache
+        self.streams = streams
+        self.gossip = gossip
+        self.open_streams = set()
 
     async def open(self, completion):
-        """Find a server and wait for the first frame.
+        """Admit a completion, find a server and wait for the first frame.
 
         :param completion: a :class:`Completion`.
-        :return: an :class:`OpenStream`.
-        :raises WasabistageError: if no server answered.
+        :return: a :class:`Served`.
+        :raises WasabistageError: if it was refused or no server answered.
         """
-        tried = ()
-        while True:
-            question = ChooseServer(service=completion.resolved.service, tried=tried)
-            server = await self.routing.ask(question)
-            stream = OpenStream(self.context, completion, server)
-            try:
-                await stream.begin()
-                return stream
-            except WasabistageError:
-                await stream.close()
-                self.routing.tell(AttemptEnded(server=server.name, good=False))
-                tried += (server.name,)
-                self.context.metrics.count("request.retried")
-                if len(tried) >= MOST_ATTEMPTS:
-                    raise
-
-    async def relay(self, stream):
-        """Yield the events of an open stream to the caller.
-
-        :param stream: what :meth:`open` returned.
-        :return: asynchronous iterator of bytes.
-        """
-        good = False
+        prompt = describe_prompt(completion)
+        call = completion.resolved.call
+        deadline_at = self.context.timers.now() + call.deadline
+        slot = await self._admit(completion, prompt, deadline_at)
+        served = None
         try:
-            async for event in stream.events():
-                yield event
-            good = stream.whole
+            with trio.move_on_at(deadline_at):
+                served = await self._attempt_all(completion, prompt, deadline_at)
         finally:
-            self.routing.tell(AttemptEnded(server=stream.server.name, good=good))
-            await stream.close()
+            if served is None:
+                slot.release()
+        if served is None:
+            raise DeadlineError(
+                "no first token came within the call's deadline",
+                remedy="retry later",
+                ran="unknown",
+                retry_after=1.0,
+            )
+        slot.first_byte()
+        served.slot = slot
+        self.context.metrics.count("prompt.tokens", prompt.tokens)
+        return served
 
+    async def _admit(self, completion, prompt, deadline_at):
+        call = completion.resolved.call
+        arrive = Arrive(
+            request_id=completion.request_id,
+            account=completion.account.name,
+            rank=call.rank,
+            service=completion.resolved.service.name,
+            cost=call.cost or prompt.tokens + completion.body.max_tokens,
+            deadline_at=deadline_at,
+        )
+        hop = self.context.tracer.hop
+        with hop("admission", completion.request_id, completion.parent):
+            return await self.admission.acquire(arrive)
 
-class OpenStream:
-    """An answer stream of one engine, checked frame by frame.
+    async def _attempt_all(self, completion, prompt, deadline_at):
+        async def attempt(tried):
+            return await self._attempt(completion, prompt, tried)
 
-    :param context: the :class:`wasabistage.entry._context.EntryContext`.
-    :param completion: the :class:`Completion`.
-    :param server: the backend server.
-    """
+        return await run_attempts(
+            self.context, self.routing, completion.resolved, deadline_at, attempt
+        )
 
-    def __init__(self, context, completion, server):
-        self.context = context
-        self.completion = completion
-        self.server = server
-        unguessable = secrets.token_hex(16)
-        self.stream_id = f"{unguessable}{SEPARATOR}{server.name}"
-        self.digest = AnswerDigest()
-        self.position = 0
-        self.whole = False
-        self.opened = None
-        self.frames = None
-        self.first = None
-
-    async def begin(self):
-        """Send the prompt and wait for the first frame."""
-        resolved, body = self.completion.resolved, self.completion.body
-        model = resolved.model
-        if model is None:
-            raise UnavailableError(
-                f"service {resolved.service.name} has no declared model",
-                remedy="declare its model and publish",
+    async def _attempt(self, completion, prompt, tried):
+        """Try one server; return its name and the result or the error."""
+        attempt_id = secrets.token_hex(ATTEMPT_BYTES)
+        try:
+            chosen = await self._choose(completion, prompt, tried, attempt_id)
+        except WasabistageError as error:
+            return "", error
+        served = self._make_served(completion, prompt, chosen, attempt_id)
+        hop = self.context.tracer.hop
+        server = chosen.server.name
+        facts = {"server": server, "plan": str(chosen.decision.plan)}
+        try:
+            with hop("engine", completion.request_id, completion.parent, **facts):
+                await self._begin(served, chosen)
+        except BaseException as error:
+            self._end_attempt(served, good=False)
+            await served.stream.close()
+            if isinstance(error, WasabistageError):
+                return server, error
+            if isinstance(error, StopAsyncIteration):
+                return server, _no_frame(server)
+            raise
+        return server, served
+
+    async def _choose(self, completion, prompt, tried, attempt_id):
+        found = await self.cache.ask(FindPieces(prompt=prompt))
+        question = ChooseServer(
+            attempt=attempt_id,
+            service=completion.resolved.service,
+            tried=tried,
+            rank=prompt.rank,
+            prompt=prompt,
+            found=found,
+        )
+        hop = self.context.tracer.hop
+        with hop("routing", completion.request_id, completion.parent):
+            return await self.routing.ask(question)
+
+    def _make_served(self, completion, prompt, chosen, attempt_id):
+        server = chosen.server
+        stream_id = make_stream_id(
+            server.name, secrets.token_bytes(STREAM_RANDOM_BYTES)
+        )
+        stream = EngineStream(
+            self.context,
+            server,
+            str(stream_id),
+            engine_stream_id(completion.account.name, stream_id),
+            completion.resolved.service.name,
+        )
+        return Served(
+            completion=completion,
+            prompt=prompt,
+            stream=stream,
+            attempt=attempt_id,
+            expected=chosen.decision.pieces,
+        )
+
+    async def _begin(self, served, chosen):
+        decision, prompt = chosen.decision, served.prompt
+        if decision.plan is Plan.FETCH:
+            await self._fetch(served, decision)
+        started = self.context.timers.now()
+        await served.stream.begin(self._engine_request(served))
+        seconds = self.context.timers.now() - started
+        tokens = max(1, prompt.tokens - decision.pieces * prompt.model.piece_tokens)
+        self.routing.tell(
+            FirstToken(request=served.attempt, seconds=seconds, computed=tokens)
+        )
+        predicted = max(decision.predicted_first_token, LEAST_PREDICTION_SECONDS)
+        served.pace = seconds / predicted
+        rank = served.completion.resolved.call.rank.name.lower()
+        self.context.metrics.time("request.first_token", seconds, rank)
+
+    async def _fetch(self, served, decision):
+        """Import stored pieces, for at most as long as computing them would take."""
+        prompt = served.prompt
+        first = decision.pieces - decision.fetched
+        question = FetchPieces(
+            prompt=prompt,
+            store=decision.store,
+            tail=decision.tail,
+            server=decision.server,
+            first=first,
+            pieces=decision.pieces,
+        )
+        saved = decision.fetched * prompt.model.piece_tokens / PREFILL_RATE_GUESS
+        patience = max(LEAST_FETCH_SECONDS, FETCH_PATIENCE * saved)
+        reply = Reply()
+        fetched = Fetched()
+        with trio.move_on_after(patience):
+            self.cache.post(question, reply)
+            fetched = await reply.wait()
+        if not reply.done.is_set() and reply.tag is not None:
+            self.cache.tell(TransferCancelled(transfer=reply.tag))
+        served.expected = first + fetched.pieces
+        if fetched.size:
+            self.routing.tell(
+                FetchDone(
+                    store=decision.store, size=fetched.size, seconds=fetched.seconds
+                )
             )
-        request = EngineRequest(
-            stream_id=self.stream_id,
-            model=model.name,
-            version=model.version,
+
+    def _engine_request(self, served):
+        completion, prompt = served.completion, served.prompt
+        body = completion.body
+        options = {
+            name: getattr(body, name)
+            for name in ENGINE_OPTIONS
+            if getattr(body, name) is not None
+        }
+        return EngineRequest(
+            stream_id=served.stream.engine_stream,
+            model=prompt.model.name,
+            version=prompt.model.version,
             messages=tuple(item.model_dump() for item in body.messages),
             max_tokens=body.max_tokens,
-            salt=cache_salt(self.completion.account.name, model.name, model.version),
-            piece_tokens=model.piece_tokens,
-            priority=int(resolved.call.rank),
+            salt=prompt.salt,
+            cache_keys=prompt.keys,
+            piece_tokens=prompt.model.piece_tokens,
+            priority=int(prompt.rank),
+            options=options,
         )
-        self.opened = self.context.engine(self.server).generate(request)
-        self.frames = await self.opened.__aenter__()
-        self.first = await anext(self.frames)
 
-    async def events(self):
-        """Yield the caller's events, the first frame included.
+    async def relay(self, served):
+        """Yield the events of an answer to its caller.
 
+        :param served: what :meth:`open` returned.
         :return: asynchronous iterator of bytes.
         """
-        service = self.completion.resolved.service.name
+        stream = served.stream
+        self.open_streams.add(stream)
+        finished = False
         try:
-            frame = self.first
-            while not frame.finish:
-                self.check(frame)
-                self.digest.add(frame.text)
-                yield format_token(self.stream_id, service, frame.position, frame.text)
-                self.position += 1
-                frame = await anext(self.frames)
-            self.check(frame)
-            yield format_end(self.stream_id, frame, self.digest)
-            self.whole = True
-        except WasabistageError as error:
-            yield format_error(error, self.position)
+            async for event in stream.events():
+                yield event
+            finished = True
+        finally:
+            self.open_streams.discard(stream)
+            self._settle(served, finished)
+            await stream.close()
 
-    def check(self, frame):
-        """Check that a frame is the next one of this stream.
+    def _settle(self, served, finished):
+        """Tell every task how the answer ended; runs on each way out."""
+        stream = served.stream
+        self._end_attempt(served, good=stream.whole or not finished)
+        if not stream.whole:
+            self._leave(stream)
+            served.slot.release()
+            return
+        last = stream.last
+        self.context.metrics.count("request.answered")
+        computed = max(0, last.prompt_tokens - last.cached_tokens)
+        self.context.metrics.count("prompt.recomputed", computed)
+        served.slot.cost = computed + last.position
+        served.slot.release()
+        self.cache.tell(
+            TurnEnded(
+                prompt=served.prompt,
+                server=stream.server.name,
+                expected=served.expected,
+                cached_tokens=last.cached_tokens,
+            )
+        )
 
-        :param frame: a :class:`wasabistage.platform.EngineFrame`.
-        :raises IntegrityError: if it is not.
-        """
-        if frame.stream_id == self.stream_id and frame.position == self.position:
+    def _end_attempt(self, served, good):
+        if served.settled:
             return
-        self.context.metrics.count("answer.mismatch")
-        raise IntegrityError(
-            "the engine sent a frame of another stream or position",
-            remedy="resume the stream, or send the prompt again",
-            ran="unknown",
+        served.settled = True
+        self.routing.tell(
+            AttemptEnded(
+                attempt=served.attempt,
+                server=served.stream.server.name,
+                good=good,
+                seconds=served.pace,
+            )
         )
 
-    async def close(self):
-        """Close the connection to the engine."""
-        if self.opened is not None:
-            opened, self.opened = self.opened, None
-            await opened.__aexit__(None, None, None)
+    def _leave(self, stream):
+        self.streams.tell(
+            CallerLeft(
+                stream_id=stream.stream_id,
+                engine_stream=stream.engine_stream,
+                server=stream.server.name,
+            )
+        )
 
+    async def resume(self, account, text, token):
+        """Open a stream again that a caller lost.
 
-def server_of(stream_id):
-    """Return the name of the server that holds a stream.
+        :param account: the client account.
+        :param text: identifier of the stream, as the caller sent it.
+        :param token: the caller's :class:`wasabistage.sessions.ResumeToken`.
+        :return: an :class:`EngineStream`.
+        :raises NotFoundError: if no such stream of this account is known.
+        """
+        stream_id = parse_stream_id(text)
+        deployment = self.context.config.value.deployment
+        server = deployment.servers.get(stream_id.server)
+        if server is None:
+            raise NotFoundError(
+                "the stream is not known", remedy="send the whole prompt again"
+            )
+        engine_stream = engine_stream_id(account.name, stream_id)
+        stream = EngineStream(self.context, server, text, engine_stream, resume=token)
+        await stream.reopen()
+        self.context.metrics.count("answer.resumed")
+        resumed = StreamResumed(stream_id=text)
+        self.streams.tell(resumed)
+        self.gossip.tell(resumed)
+        return stream
 
-    :param stream_id: identifier of the stream.
-    :return: a name.
-    :raises NotFoundError: if the identifier is malformed.
-    """
-    _, separator, name = stream_id.partition(SEPARATOR)
-    if not separator or not name:
-        raise NotFoundError(
-            "the stream is not known", remedy="send the whole prompt again"
-        )
-    return name
+    async def relay_resumed(self, stream):
+        """Yield the events of a resumed stream.
+
+        :param stream: what :meth:`resume` returned.
+        :return: asynchronous iterator of bytes.
+        """
+        self.open_streams.add(stream)
+        try:
+            async for event in stream.events():
+                yield event
+        finally:
+            self.open_streams.discard(stream)
+            if not stream.whole:
+                self._leave(stream)
+            await stream.close()
+
+    def hand_over(self):
+        """Tell the callers of every open stream to resume elsewhere."""
+        for stream in self.open_streams:
+            stream.handed_over = True
+
+
+def _no_frame(server):
+    return UnavailableError(
+        f"backend server {server} sent no frame", remedy="retry later", ran="unknown"
+    )
--- a/wasabistage/entry/_frames.py
+++ b/wasabistage/entry/_frames.py
@@ -1,6 +1,5 @@
 """The server-sent events that callers receive."""
 
-import hashlib
 import json
 
 END_EVENT = "end"
@@ -8,28 +7,11 @@
 DONE = b"data: [DONE]\n\n"
 
 
-class AnswerDigest:
-    """Length and digest of an answer while it streams."""
-
-    def __init__(self):
-        self.length = 0
-        self.sha256 = hashlib.sha256()
-
-    def add(self, text):
-        """Take in the text of one frame.
-
-        :param text: a string.
-        """
-        data = text.encode()
-        self.length += len(data)
-        self.sha256.update(data)
-
-
 def format_token(stream_id, service, position, text):
     """Build the event of one token.
 
     :param stream_id: identifier of the stream.
-    :param service: name of the service.
+    :param service: name of the service; empty after a resume.
     :param position: number of the token in the answer.
     :param text: its text.
     :return: bytes.
@@ -48,15 +30,14 @@
 
     :param stream_id: identifier of the stream.
     :param last: the engine's last :class:`wasabistage.platform.EngineFrame`.
-    :param digest: the :class:`AnswerDigest` of the whole answer.
+    :param digest: hex digest of the whole answer.
     :return: bytes.
     """
     end = {
         "id": stream_id,
         "finish_reason": last.finish,
-        "frames": last.position,
-        "length": digest.length,
-        "sha256": digest.sha256.hexdigest(),
+        "length": last.position,
+        "sha256": digest,
         "prompt_tokens": last.prompt_tokens,
         "cached_tokens": last.cached_tokens,
     }
--- a/wasabistage/entry/_gossip.py
+++ b/wasabistage/entry/_gossip.py
@@ -6,6 +6,7 @@
 import trio
 
 from wasabistage.admission import DemandReport
+from wasabistage.cache import Committed
 from wasabistage.entry._task import Task
 from wasabistage.entry._wire import GOSSIP, Gossip, GossipReply
 from wasabistage.exceptions import UnavailableError, WasabistageError
@@ -34,6 +35,7 @@
 LIST_SECONDS = 1.0
 MAX_SIGNS = 64
 MAX_RESUMED = 256
+MAX_COMMITS = 256
 MILLISECONDS = 1000
 ENTRY_KIND = "entry"
 log = make_logger("membership")
@@ -145,6 +147,7 @@
         self.signs = {}
         self.demand = None
         self.resumed = {}
+        self.commits = {}
         self.load = 0.0
         self.phase = Phase.SERVING
         self.config = ReportConfig(version=0, next_offset=0)
@@ -201,6 +204,10 @@
                 self.resumed[message.stream_id] = None
                 while len(self.resumed) > MAX_RESUMED:
                     self.resumed.pop(next(iter(self.resumed)))
+            case Committed():
+                self.commits[message.store, message.tail] = message
+                while len(self.commits) > MAX_COMMITS:
+                    self.commits.pop(next(iter(self.commits)))
             case ReportLoad():
                 self.load = message.load
             case ReportConfig():
@@ -240,6 +247,7 @@
         self.signs.clear()
         self.demand = None
         self.resumed.clear()
+        self.commits.clear()
 
     def _gossip(self):
         heartbeat = self._heartbeat(self.context.timers.now())
@@ -248,6 +256,7 @@
             signs=tuple(self.signs.values())[:MAX_SIGNS],
             demand=self.demand,
             resumed=tuple(self.resumed),
+            commits=tuple(self.commits.values()),
         )
 
     def _heartbeat(self, now):
@@ -355,13 +364,15 @@
     :param admission: task for demand reports.
     :param config: task for versions.
     :param streams: task for resumed streams.
+    :param cache: task for commit records.
     """
 
-    def __init__(self, routing, admission, config, streams):
+    def __init__(self, routing, admission, config, streams, cache):
         self.routing = routing
         self.admission = admission
         self.config = config
         self.streams = streams
+        self.cache = cache
 
     def on_gossip(self, gossip):
         """Hand on a peer's message.
@@ -374,6 +385,8 @@
             self.admission.tell(gossip.demand)
         for stream_id in gossip.resumed:
             self.streams.tell(StreamResumed(stream_id=stream_id))
+        for commit in gossip.commits:
+            self.cache.tell(commit)
 
     def on_heartbeat(self, heartbeat):
         """Hand on a peer's heartbeat.
--- a/wasabistage/entry/_once.py
+++ b/wasabistage/entry/_once.py
@@ -186,9 +186,7 @@
         return self.policy.decide(query, now) or ()
 
     def _take(self, message, reply, now):
-        attempt = Attempt(
-            message.call, reply, False, message.inquire, message.deadline
-        )
+        attempt = Attempt(message.call, reply, False, message.inquire, message.deadline)
         self._register(attempt, now)
 
     def _take_forwarded(self, message, reply, now):
--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -3,17 +3,24 @@
 from dataclasses import dataclass, field
 
 import httpx
+import trio
 
+from wasabistage.admission import Arrive
 from wasabistage.base import Ran
+from wasabistage.entry._attempts import run_attempts
 from wasabistage.entry._routing import AttemptEnded, ChooseServer
 from wasabistage.exceptions import (
+    DeadlineError,
     OutcomeUnknownError,
     UnavailableError,
     WasabistageError,
 )
 from wasabistage.platform import NOT_SENT
 
-MOST_ATTEMPTS = 3
+LEAST_COST = 1
+FIRST_SERVER_ERROR = 500
+#: Statuses after which an idempotent call is tried elsewhere.
+RETRIED_STATUSES = (500, 502, 503, 504)
 CONNECT_TIMEOUT_SECONDS = 1.0
 #: Headers of a caller that reach the backend server.
 PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language")
@@ -65,13 +72,34 @@
     """Serves plain calls of one entry.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    :param admission: the admission task.
     :param routing: the routing task.
     """
 
-    def __init__(self, context, routing):
+    def __init__(self, context, admission, routing):
         self.context = context
+        self.admission = admission
         self.routing = routing
 
+    async def admit(self, call, deadline_at):
+        """Wait for a slot.
+
+        :param call: a :class:`PlainCall`.
+        :param deadline_at: latest useful time of the answer, monotonic seconds.
+        :return: a :class:`wasabistage.entry._admission.Slot`.
+        """
+        declared = call.resolved.call
+        arrive = Arrive(
+            request_id=call.request_id,
+            account=call.account.name,
+            rank=declared.rank,
+            service=call.resolved.service.name,
+            cost=declared.cost or LEAST_COST,
+            deadline_at=deadline_at,
+        )
+        with self.context.tracer.hop("admission", call.request_id, call.parent):
+            return await self.admission.acquire(arrive)
+
     async def serve(self, call):
         """Run an idempotent call; it may be sent more than once.
 
@@ -79,16 +107,43 @@
         :return: a :class:`PlainAnswer`.
         :raises WasabistageError: if no server answered.
         """
-        tried = ()
-        while True:
+        deadline_at = self.context.timers.now() + call.resolved.call.deadline
+        slot = await self.admit(call, deadline_at)
+
+        async def attempt(tried):
+            return await self._attempt(call, tried)
+
+        answer = None
+        try:
+            with trio.move_on_at(deadline_at):
+                answer = await run_attempts(
+                    self.context, self.routing, call.resolved, deadline_at, attempt
+                )
+        finally:
+            slot.release()
+        if answer is None:
+            raise DeadlineError(
+                "no answer came within the call's deadline",
+                remedy="retry later",
+                ran=Ran.UNKNOWN,
+                retry_after=1.0,
+            )
+        self.context.metrics.count("request.answered")
+        return answer
+
+    async def _attempt(self, call, tried):
+        """Try one server; return its name and the answer or the error."""
+        try:
             server = await self.choose(call, tried)
-            tried += (server.name,)
-            try:
-                return await self.dispatch(call, server)
-            except WasabistageError:
-                if not call.resolved.call.idempotent or len(tried) >= MOST_ATTEMPTS:
-                    raise
-                self.context.metrics.count("request.retried")
+        except WasabistageError as error:
+            return "", error
+        try:
+            answer = await self.dispatch(call, server)
+        except WasabistageError as error:
+            return server.name, error
+        if answer.status in RETRIED_STATUSES:
+            return server.name, _failed(server, answer)
+        return server.name, answer
 
     async def choose(self, call, tried):
         """Ask for a backend server.
@@ -97,8 +152,13 @@
         :param tried: names of the servers tried before.
         :return: a :class:`wasabistage.declarations.BackendServer`.
         """
-        question = ChooseServer(service=call.resolved.service, tried=tried)
-        return await self.routing.ask(question)
+        question = ChooseServer(
+            attempt=call.request_id,
+            service=call.resolved.service,
+            tried=tried,
+            rank=call.resolved.call.rank,
+        )
+        return (await self.routing.ask(question)).server
 
     async def dispatch(self, call, server, patience=None):
         """Send a call to one backend server, once.
@@ -112,11 +172,20 @@
         :raises OutcomeUnknownError: if it was sent and no answer came.
         """
         good = False
+        started = self.context.timers.now()
+        hop = self.context.tracer.hop
         try:
-            answer = await self._send(call, server, patience)
-            good = answer.status < 500
+            with hop("service", call.request_id, call.parent, server=server.name):
+                answer = await self._send(call, server, patience)
+            good = answer.status < FIRST_SERVER_ERROR
         finally:
-            self.routing.tell(AttemptEnded(server=server.name, good=good))
+            ended = AttemptEnded(
+                attempt=call.request_id,
+                server=server.name,
+                good=good,
+                seconds=self.context.timers.now() - started,
+            )
+            self.routing.tell(ended)
         return answer
 
     async def _send(self, call, server, patience):
@@ -170,3 +239,12 @@
     :return: a dict.
     """
     return {name: headers[name] for name in names if name in headers}
+
+
+def _failed(server, answer):
+    return UnavailableError(
+        f"backend server {server.name} answered {answer.status}",
+        remedy="retry later",
+        ran=Ran.UNKNOWN,
+        retry_after=1.0,
+    )
--- a/wasabistage/entry/_process.py
+++ b/wasabistage/entry/_process.py
@@ -2,6 +2,7 @@
 
 import secrets
 import signal
+import time
 
 import trio
 import trio_asyncio
@@ -9,21 +10,32 @@
 from hypercorn.trio import serve
 
 from wasabistage.declarations import Deployment
-from wasabistage.entry._addresses import AddressAnswerer
+from wasabistage.entry._admission import AdmissionTask
 from wasabistage.entry._app import CallerApp
+from wasabistage.entry._cache import CacheTask
 from wasabistage.entry._completions import CompletionServer
 from wasabistage.entry._config import ConfigTask
 from wasabistage.entry._context import ConfigInForce, EntryContext
+from wasabistage.entry._drain import Drainer
+from wasabistage.entry._gossip import GossipListeners, GossipTask
+from wasabistage.entry._once import OnceTask
 from wasabistage.entry._peers import PeerClient, PeerServer
 from wasabistage.entry._plain import PlainServer
 from wasabistage.entry._routing import RoutingTask
+from wasabistage.entry._status import StatusAnswerer
+from wasabistage.entry._streams import StreamsTask
 from wasabistage.entry._timer import TrioTimerService
+from wasabistage.entry._wire import CONFIG, GOSSIP, ONCE, STATUS, TRACE
+from wasabistage.membership import make_incarnation
 from wasabistage.observe import Tracer, make_log_handler, make_logger, make_metrics
 from wasabistage.platform import HttpLogClient, make_http_client
 from wasabistage.utils import Watched
 
 INCARNATION_BYTES = 8
 LOG_TIMEOUT_SECONDS = 3.0
+MILLISECONDS = 1000
+#: Time for idle connections to close once nothing is under way.
+CLOSE_SECONDS = 0.5
 log = make_logger("process")
 
 
@@ -45,14 +57,17 @@
 
     def __init__(self, settings):
         self.settings = settings
-        self.stopped = None
 
     async def run(self):
         """Start every part, serve, and drain on SIGTERM or SIGINT."""
-        self.stopped = trio.Event()
         async with trio_asyncio.open_loop():
             async with make_http_client() as http:
-                await self._run_parts(self._make_context(http))
+                context = self._make_context(http)
+                try:
+                    await EntryParts(context).run()
+                finally:
+                    context.peers.close()
+                    context.tracer.close()
 
     def _make_context(self, http):
         settings = self.settings
@@ -60,9 +75,12 @@
         empty = ConfigInForce(
             version=0, deployment=Deployment(name=settings.deployment)
         )
+        started_ms = int(time.time() * MILLISECONDS)
         return EntryContext(
             settings=settings,
-            incarnation=secrets.token_hex(INCARNATION_BYTES),
+            incarnation=make_incarnation(
+                started_ms, secrets.token_bytes(INCARNATION_BYTES)
+            ),
             timers=TrioTimerService(),
             metrics=metrics,
             tracer=Tracer(
@@ -77,36 +95,93 @@
             config=Watched(empty),
         )
 
-    async def _run_parts(self, context):
-        routing = RoutingTask(context)
-        app = CallerApp(
+
+class EntryParts:
+    """The tasks of one entry, wired to each other.
+
+    :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    """
+
+    def __init__(self, context):
+        self.context = context
+        self.admission = AdmissionTask(context)
+        self.cache = CacheTask(context)
+        self.routing = RoutingTask(context, self.admission, self.cache)
+        self.config = ConfigTask(context)
+        self.streams = StreamsTask(context)
+        listeners = GossipListeners(
+            self.routing, self.admission, self.config, self.streams, self.cache
+        )
+        self.gossip = GossipTask(context, listeners)
+        for task in (self.admission, self.cache, self.routing, self.config):
+            task.gossip = self.gossip
+        self.plain = PlainServer(context, self.admission, self.routing)
+        self.once = OnceTask(context, self.plain, self.gossip)
+        self.completions = CompletionServer(
             context,
-            CompletionServer(context, routing),
-            PlainServer(context, routing),
-            AddressAnswerer(context),
+            self.admission,
+            self.routing,
+            self.cache,
+            self.streams,
+            self.gossip,
+        )
+        self.app = CallerApp(
+            context, self.completions, self.plain, self.once, self.gossip, self.cache
+        )
+        self.status = StatusAnswerer(
+            context, self.config, self.gossip, self.routing, self.app
         )
-        peers = PeerServer(self.settings.peer_listen, self.settings.peer_key)
+        self.drainer = Drainer(
+            context, self.app, self.completions, self.once, self.gossip
+        )
+        self.stopped = trio.Event()
+
+    @property
+    def tasks(self):
+        """The tasks in the order in which they start."""
+        return (
+            self.cache,
+            self.admission,
+            self.streams,
+            self.routing,
+            self.gossip,
+            self.config,
+            self.once,
+        )
+
+    async def run(self):
+        """Run until drained."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._wait_for_signal)
-            await nursery.start(peers.run)
-            await nursery.start(ConfigTask(context).run)
-            await nursery.start(routing.run)
-            log.info("started", extra={"incarnation": context.incarnation})
+            await nursery.start(self._peer_server().run)
+            for task in self.tasks:
+                await nursery.start(task.run)
+            log.info("started", extra={"incarnation": self.context.incarnation})
             await serve(
-                app.build(), self._server_config(), shutdown_trigger=self.stopped.wait
+                self.app.build(),
+                self._server_config(),
+                shutdown_trigger=self.stopped.wait,
             )
             log.info("stopped")
             nursery.cancel_scope.cancel()
-        context.peers.close()
-        context.tracer.close()
+
+    def _peer_server(self):
+        settings = self.context.settings
+        server = PeerServer(settings.peer_listen, settings.peer_key)
+        server.serve(GOSSIP, self.gossip.answer_peer)
+        server.serve(CONFIG, self.config.answer_peer)
+        server.serve(ONCE, self.once.answer_peer)
+        server.serve(STATUS, self.status.status)
+        server.serve(TRACE, self.status.trace)
+        return server
 
     def _server_config(self):
-        settings = self.settings
+        settings = self.context.settings
         config = Config()
         config.bind = [settings.listen]
         config.errorlog = None
         config.accesslog = None
-        config.graceful_timeout = settings.drain_timeout
+        config.graceful_timeout = CLOSE_SECONDS
         config.keep_alive_timeout = settings.idle_timeout
         config.read_timeout = None
         config.h11_max_incomplete_size = settings.max_header_bytes
@@ -117,5 +192,6 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 log.info("draining")
+                await self.drainer.run()
                 self.stopped.set()
                 return
--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -23,6 +23,7 @@
 from wasabistage.membership import ServerReport as MembershipReport
 from wasabistage.observe import make_logger
 from wasabistage.platform import EngineLoad
+from wasabistage.retries import Failure, FreshRequest, RetryPolicy, RetryQuery
 from wasabistage.routing import (
     CallEnded,
     CallStarted,
@@ -114,6 +115,26 @@
     seconds: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class AskRetry:
+    """Asks whether a failed attempt may be repeated.
+
+    Answered with a :class:`wasabistage.retries.Retry` or a sentinel.
+
+    :param service: the :class:`wasabistage.declarations.Service`.
+    :param idempotent: whether the call may be repeated.
+    :param failure: a :class:`wasabistage.retries.Failure`.
+    :param tried: names of the servers tried so far.
+    :param deadline_at: latest useful time of the first byte, monotonic seconds.
+    """
+
+    service: object
+    idempotent: bool
+    failure: Failure
+    tried: tuple
+    deadline_at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class AskServers:
     """Asks for the state of every backend server."""
@@ -155,6 +176,7 @@
         self.router = PredictiveRouter().reset()
         self.plain_router = LeastLoadedRouter().reset()
         self.random = random.Random(context.incarnation + "routing")
+        self.retries = RetryPolicy().reset()
         self.facts = {}
         self.deployment = None
         self.gossip = None
@@ -231,6 +253,10 @@
                 self.router.observe(message, now)
             case AskServers():
                 return self._describe(now)
+            case FreshRequest():
+                self.retries.observe(message, now)
+            case AskRetry():
+                return self._retry(message, now)
             case Tick():
                 self._tick(now)
 
@@ -407,6 +433,22 @@
             draw=self.random.random(),
         )
 
+    def _retry(self, message, now):
+        names = self._fit(message.service)
+        usable = self.membership.decide(UsableQuery(servers=names), now)
+        candidates = usable.ready + usable.suspect if usable else ()
+        query = RetryQuery(
+            service=message.service.name,
+            idempotent=message.idempotent,
+            failure=message.failure,
+            attempts=len(message.tried),
+            failed=message.tried,
+            candidates=candidates,
+            deadline_at=message.deadline_at,
+            draw=self.random.random(),
+        )
+        return self.retries.decide(query, now)
+
     def _start_attempt(self, message, decision, router, now):
         self.health.observe(CallStarted(server=decision.server), now)
         router.observe(
@@ -422,13 +464,9 @@
         ended = DispatchEnded(request=message.attempt)
         self.router.observe(ended, now)
         self.plain_router.observe(ended, now)
-        self.membership.observe(
-            ServerCall(server=message.server, ok=message.good), now
-        )
+        self.membership.observe(ServerCall(server=message.server, ok=message.good), now)
         self.health.observe(
-            CallEnded(
-                server=message.server, ok=message.good, seconds=message.seconds
-            ),
+            CallEnded(server=message.server, ok=message.good, seconds=message.seconds),
             now,
         )
 
--- a/wasabistage/entry/_schemas.py
+++ b/wasabistage/entry/_schemas.py
@@ -9,6 +9,9 @@
 LONGEST_SESSION_NAME = 200
 MOST_MESSAGES = 4096
 MOST_TOKENS = 32_768
+MOST_TICKETS = 16
+MOST_FAULTS = 5
+LONGEST_FAULT = 500  # characters
 
 
 class ChatMessage(BaseModel):
@@ -39,6 +42,39 @@
     call: Annotated[str, Field(max_length=200)] | None = None
 
 
+class EntriesQuery(BaseModel):
+    """Query of ``GET /v1/entries``."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    session: Annotated[str, Field(max_length=LONGEST_SESSION_NAME)] | None = None
+    tickets: Annotated[int, Field(ge=0, le=MOST_TICKETS)] = 0
+    failure_domain: Annotated[str, Field(max_length=64)] | None = None
+
+
+class ResumeQuery(BaseModel):
+    """Query of ``GET /v1/streams/STREAM_ID``."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    position: Annotated[int, Field(ge=0, le=MOST_TOKENS)] = 0
+    digest: Annotated[str, Field(max_length=64)] | None = None
+
+
+def parse_query(model, args):
+    """Check the query of a request.
+
+    :param model: a pydantic model class.
+    :param args: the query's arguments.
+    :return: an instance of the model.
+    :raises BadRequestError: naming each argument that is wrong, without its value.
+    """
+    try:
+        return model.model_validate(dict(args))
+    except ValidationError as error:
+        raise _bad_request("query", error) from None
+
+
 def parse_body(model, data):
     """Check a JSON body.
 
@@ -50,11 +86,16 @@
     try:
         return model.model_validate_json(data)
     except ValidationError as error:
-        faults = "; ".join(
-            f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
-            for item in error.errors(include_input=False, include_url=False)[:5]
-        )
-        raise BadRequestError(
-            f"the body is not valid: {faults}",
-            remedy="send the JSON that the caller's guide describes",
-        ) from None
+        raise _bad_request("body", error) from None
+
+
+def _bad_request(part, error):
+    details = error.errors(include_input=False, include_url=False)[:MOST_FAULTS]
+    faults = "; ".join(
+        f"{'.'.join(str(place) for place in item['loc']) or part}: {item['msg']}"
+        for item in details
+    )
+    return BadRequestError(
+        f"the {part} is not valid: {ascii(faults)[1:-1][:LONGEST_FAULT]}",
+        remedy="send the form that the caller's guide describes",
+    )
--- a/wasabistage/entry/_wire.py
+++ b/wasabistage/entry/_wire.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from wasabistage.admission import DemandReport
+from wasabistage.cache import Committed
 from wasabistage.declarations import ConfigState
 from wasabistage.entry._peers import PeerMethod
 from wasabistage.membership import Heartbeat, LeavingSign
@@ -18,12 +19,14 @@
     :param signs: words on leaving backend servers.
     :param demand: its demand, if due.
     :param resumed: identifiers of streams that callers resumed here lately.
+    :param commits: commit records written lately.
     """
 
     heartbeat: Heartbeat
     signs: tuple[LeavingSign, ...] = ()
     demand: DemandReport | None = None
     resumed: tuple[str, ...] = ()
+    commits: tuple[Committed, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/platform/_engine.py
@@ -129,12 +129,11 @@
         """
 
     @abstractmethod
-    def resume(self, stream_id, position, salt):
+    def resume(self, stream_id, position):
         """Open an answer stream again.
 
         :param stream_id: identifier of the stream.
         :param position: first position wanted.
-        :param salt: cache salt of the client account.
         :return: as :meth:`generate`.
         """
 
@@ -179,12 +178,11 @@
             yield frames
 
     @asynccontextmanager
-    async def resume(self, stream_id, position, salt):
+    async def resume(self, stream_id, position):
         """Open a stream again; see :meth:`EngineClient.resume`."""
         url = f"http://{self.address}/v1/streams/{stream_id}"
         params = {"position": position}
-        headers = {"X-Cache-Salt": salt}
-        async with self._open("GET", url, params=params, headers=headers) as frames:
+        async with self._open("GET", url, params=params) as frames:
             yield frames
 
     @asynccontextmanager
