Keep an entry alive when a peer connection is dropped; say not run of a key only

And an attempt refused by admission said 'not run' although an earlier attempt with its key may have run. Ruled out: the configuration fold (all live entries had the version in 0.3 s). Change: a dropped channel is closed by its last user; unhandled asyncio errors are logged; a refused attempt asks the key's home, and says 'no' only of a refused key.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 from dataclasses import dataclass, field, replace
+from functools import partial
 from pathlib import Path
 
 import httpx
@@ -253,9 +254,10 @@
         :return: the outcome of the publication.
         """
         chosen = deployment or self.deployment
-        return trio.run(self._publish, chosen, options)
+        return trio.run(partial(self.publish_async, chosen, **options))
 
-    async def _publish(self, deployment, options):
+    async def publish_async(self, deployment, **options):
+        """Publish a deployment from within trio; see :meth:`publish`."""
         async with make_http_client() as client:
             log = HttpLogClient(client, self.log_address)
             timers = TrioTimerService()
--- a/wasabistage/entry/__init__.py
+++ b/wasabistage/entry/__init__.py
@@ -3,17 +3,23 @@
 from wasabistage.entry._config import STREAM as CONFIG_STREAM
 from wasabistage.entry._config import fold_read
 from wasabistage.entry._once import STREAM as ONCE_STREAM
-from wasabistage.entry._peers import PeerClient
+from wasabistage.entry._peers import PeerClient, log_loop_error
 from wasabistage.entry._process import run_entry
 from wasabistage.entry._timer import Tick, TimerService, TrioTimerService
+from wasabistage.entry._wire import STATUS, TRACE, StatusAsk, TraceAsk
 
 __all__ = [
     "CONFIG_STREAM",
     "ONCE_STREAM",
     "PeerClient",
+    "STATUS",
+    "StatusAsk",
+    "TRACE",
+    "TraceAsk",
     "Tick",
     "TimerService",
     "TrioTimerService",
     "fold_read",
+    "log_loop_error",
     "run_entry",
 ]
--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -7,6 +7,7 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
+from wasabistage.base import Ran
 from wasabistage.entry._accounts import AccountDirectory
 from wasabistage.entry._cache import SessionAnnounced
 from wasabistage.entry._calls import resolve_completion, resolve_plain
@@ -253,17 +254,48 @@
                 "the Idempotency-Key is too long", remedy="send a ticket or a UUIDv7"
             )
         deadline = self.context.timers.now() + declared.deadline
-        inquire = request.headers.get(INQUIRY_HEADER, "") == "1"
-        if inquire:
-            return await self.once.run_call(
-                RunOnce(call=call, deadline=deadline, inquire=True)
-            )
-        slot = await self.plain.admit(call, deadline)
+        if request.headers.get(INQUIRY_HEADER, "") == "1":
+            return await self.inquire(call, deadline)
+        try:
+            slot = await self.plain.admit(call, deadline)
+        except WasabistageError as refusal:
+            return await self.refuse_once(call, deadline, refusal)
         try:
             return await self.once.run_call(RunOnce(call=call, deadline=deadline))
         finally:
             slot.release()
 
+    async def inquire(self, call, deadline):
+        """Find out what became of a key, and stop it if it was not run yet.
+
+        :param call: a :class:`PlainCall`.
+        :param deadline: monotonic time after which nobody waits, in seconds.
+        :return: the :class:`PlainAnswer` of the run.
+        :raises WasabistageError: with ``ran`` ``no`` or ``unknown``.
+        """
+        question = RunOnce(call=call, deadline=deadline, inquire=True)
+        return await self.once.run_call(question)
+
+    async def refuse_once(self, call, deadline, refusal):
+        """Refuse an attempt without claiming more than is known of its key.
+
+        An earlier attempt with the key may have run, so *not run* is said only once
+        the key was refused for ever.
+
+        :param call: a :class:`PlainCall`.
+        :param deadline: monotonic time after which nobody waits, in seconds.
+        :param refusal: the error of the admission.
+        :return: the :class:`PlainAnswer` of an earlier attempt's run.
+        :raises WasabistageError: the refusal, with what is known of the key.
+        """
+        try:
+            return await self.inquire(call, deadline)
+        except WasabistageError as known:
+            refusal.ran = known.ran
+            if known.ran is Ran.NO:
+                refusal.remedy = f"{refusal.remedy}, under a new key"
+            raise refusal from known
+
     async def answer_error(self, error):
         """Answer a typed error."""
         self.context.metrics.count("request.failed", label=error.kind)
--- a/wasabistage/entry/_once.py
+++ b/wasabistage/entry/_once.py
@@ -313,12 +313,11 @@
         self.nursery.start_soon(self._dispatch, action, attempt.call)
 
     async def _dispatch(self, action, call):
-        facts = {"key_account": action.key.account}
         hop = self.context.tracer.hop("once.dispatch", call.request_id, call.parent)
         with hop as parent:
             event = await self._send(action, replace(call, parent=parent))
-        facts["event"] = type(event).__name__
-        log.info("a non-idempotent call ended", extra={"facts": facts})
+        facts = {"account": action.key.account, "outcome": type(event).__name__}
+        log.info("a non-idempotent call ended", extra=facts)
         self.tell(event)
 
     async def _send(self, action, call):
--- a/wasabistage/entry/_peers.py
+++ b/wasabistage/entry/_peers.py
@@ -72,6 +72,19 @@
     reply: type
 
 
+def log_loop_error(loop, context):
+    """Write an error that asyncio code left unhandled to the log.
+
+    The loop's own handler would end the process, although such an error is a
+    finalizer's or a broken connection's.
+
+    :param loop: the event loop.
+    :param context: dict with the ``message`` and perhaps the ``exception``.
+    """
+    reason = context.get("exception") or context.get("message")
+    log.error("asyncio left an error unhandled", extra={"reason": str(reason)})
+
+
 class PeerServer:
     """Answers the calls of other entries.
 
@@ -180,6 +193,16 @@
         except (StreamTerminatedError, OSError, TimeoutError) as error:
             self.forget(address)
             raise _unknown(address, type(error).__name__) from error
+        finally:
+            self._close_orphan(address, channel)
+
+    def _close_orphan(self, address, channel):
+        """Close a channel that another call has dropped in the meantime.
+
+        A dropped channel that connects again would be closed by nobody.
+        """
+        if self.channels.get(address) is not channel:
+            channel.close()
 
     async def _connect(self, address):
         channel = self.channels.get(address)
@@ -193,6 +216,7 @@
                 await trio_asyncio.aio_as_trio(channel.__connect__)()
         except (OSError, trio.TooSlowError) as error:
             self.forget(address)
+            channel.close()
             raise UnavailableError(
                 f"no connection to the entry at {address}",
                 remedy="another entry is tried",
--- a/wasabistage/entry/_process.py
+++ b/wasabistage/entry/_process.py
@@ -19,7 +19,7 @@
 from wasabistage.entry._drain import Drainer
 from wasabistage.entry._gossip import GossipListeners, GossipTask
 from wasabistage.entry._once import OnceTask
-from wasabistage.entry._peers import PeerClient, PeerServer
+from wasabistage.entry._peers import PeerClient, PeerServer, log_loop_error
 from wasabistage.entry._plain import PlainServer
 from wasabistage.entry._routing import RoutingTask
 from wasabistage.entry._status import StatusAnswerer
@@ -60,7 +60,8 @@
 
     async def run(self):
         """Start every part, serve, and drain on SIGTERM or SIGINT."""
-        async with trio_asyncio.open_loop():
+        async with trio_asyncio.open_loop() as loop:
+            loop.set_exception_handler(log_loop_error)
             async with make_http_client() as http:
                 context = self._make_context(http)
                 try:
