--- a/wasabistage/declarations/_codec.py
+++ b/wasabistage/declarations/_codec.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import re
+import zlib
 
 import msgspec
 
@@ -12,11 +13,14 @@
 
 #: Number of the written form; raised with any change of it or of its rules.
 FORMAT = 1
+#: Largest written deployment, compressed and plain.
 MAX_DEPLOYMENT_BYTES = 1 << 20
+MAX_PLAIN_BYTES = 4 << 20
 
 #: The bytes are not a deployment that this program can put in force.
 UNREADABLE = Sentinel("UNREADABLE")
 
+_COMPRESSION_LEVEL = 6
 _HASH = re.compile(r"[0-9a-f]{64}")
 
 
@@ -33,7 +37,7 @@
     """Write a deployment; equal deployments give equal bytes.
 
     :param deployment: a :class:`wasabistage.declarations.Deployment`.
-    :return: JSON as bytes.
+    :return: compressed JSON as bytes.
     :raises wasabistage.exceptions.DeclarationError: if it is too large or holds a
         bearer key in place of a digest.
     """
@@ -43,10 +47,12 @@
             remedy="hash the bearer key and declare its digest",
         )
     plain = msgspec.to_builtins(deployment, str_keys=True, order="sorted")
-    payload = msgspec.json.encode(plain)
-    if len(payload) > MAX_DEPLOYMENT_BYTES:
+    text = msgspec.json.encode(plain)
+    payload = zlib.compress(text, _COMPRESSION_LEVEL)
+    if len(text) > MAX_PLAIN_BYTES or len(payload) > MAX_DEPLOYMENT_BYTES:
         raise DeclarationError(
-            f"the deployment takes {len(payload)} bytes, above {MAX_DEPLOYMENT_BYTES}",
+            f"the deployment takes {len(text)} bytes, {len(payload)} compressed, "
+            f"above {MAX_PLAIN_BYTES} or {MAX_DEPLOYMENT_BYTES}",
             remedy="declare fewer accounts or servers",
         )
     return payload
@@ -64,8 +70,11 @@
         return UNREADABLE.because(f"format {format} is not known to this program")
     if len(payload) > MAX_DEPLOYMENT_BYTES:
         return UNREADABLE.because("it is too large")
+    text = plain_bytes(payload)
+    if text is None:
+        return UNREADABLE.because("it can't be decompressed within its bound")
     try:
-        plain = msgspec.json.decode(payload)
+        plain = msgspec.json.decode(text)
         deployment = msgspec.convert(plain, Deployment, str_keys=True)
     except (msgspec.MsgspecError, RecursionError, ValueError) as error:
         return UNREADABLE.because(f"it is malformed ({type(error).__name__})")
@@ -77,6 +86,21 @@
     return deployment
 
 
+def plain_bytes(payload):
+    """Decompress a written deployment within its bound.
+
+    :param payload: the written deployment.
+    :return: its JSON as bytes, or ``None``.
+    """
+    reader = zlib.decompressobj()
+    try:
+        text = reader.decompress(payload, MAX_PLAIN_BYTES)
+    except zlib.error:
+        return None
+    complete = reader.eof and not reader.unused_data
+    return text if complete else None
+
+
 def _hashes_are_digests(deployment):
     return all(
         _HASH.fullmatch(digest)
--- a/wasabistage/declarations/_publish.py
+++ b/wasabistage/declarations/_publish.py
@@ -176,7 +176,7 @@
             return
         head = fold.state_.head
         digest = digest_of(self.payload_)
-        if head and head.digest == digest and not fold.has_gap:
+        if self._is_in_force():
             self.outcome_ = Accepted(version=head.version, unchanged=True)
             return
         self.base_ = self._choose_base()
@@ -198,6 +198,14 @@
         )
         self.stage_ = _Stage.APPEND
 
+    def _is_in_force(self):
+        """Tell whether this very deployment is the newest accepted one."""
+        fold = self.fold_
+        if fold.has_gap or not fold.serving_:
+            return False
+        newest = fold.serving_.version == fold.state_.version
+        return newest and fold.deployment_ == self.deployment
+
     def _choose_base(self):
         if self.fold_.has_gap:
             return ANY_BASE
