Bound what a gap holds, and carry configuration through trims

Cause: 1,024 held records of up to 2 MB each were no bound on memory, and a wrong hint made an entry read the log without end.

--- a/wasabistage/declarations/__init__.py
+++ b/wasabistage/declarations/__init__.py
@@ -7,6 +7,8 @@
 )
 from wasabistage.declarations._carry import (
     CarryForward,
+    CarryHead,
+    CarryQuery,
     carried_record,
 )
 from wasabistage.declarations._check import CheckResult, check_folder
@@ -48,21 +50,15 @@
 from wasabistage.declarations._messages import (
     NO_CONFIGURATION,
     NOT_DUE,
-    NOT_EVERYWHERE,
     NOT_SEEN,
     PENDING,
     Accepted,
     AppendAnswered,
     AppendFailed,
     AppendRecord,
-    CarryHead,
-    CarryQuery,
-    Everywhere,
-    EverywhereQuery,
     HeadStated,
     InForce,
     InForceQuery,
-    LiveInstances,
     LogFailed,
     LogRead,
     LogRecord,
@@ -71,11 +67,9 @@
     OutcomeQuery,
     Overtaken,
     PeerState,
-    PollQuery,
     PutInForce,
     RaiseAlarm,
     ReadLog,
-    VersionReported,
 )
 from wasabistage.declarations._model import (
     BackendServer,
@@ -90,9 +84,15 @@
     WeightStore,
 )
 from wasabistage.declarations._peers import (
+    NOT_EVERYWHERE,
     BaseConfigPeerView,
     ConfigPeerView,
     EveryonePolls,
+    Everywhere,
+    EverywhereQuery,
+    LiveInstances,
+    PollQuery,
+    VersionReported,
 )
 from wasabistage.declarations._problem import Problem, ValueFault, suggest
 from wasabistage.declarations._publish import (
--- a/wasabistage/declarations/_carry.py
+++ b/wasabistage/declarations/_carry.py
@@ -1,16 +1,35 @@
 """When to state the head again, before the log trims it."""
 
+from dataclasses import dataclass
+
 from wasabistage.base import Policy
-from wasabistage.declarations._messages import (
-    NOT_DUE,
-    CarryHead,
-    CarryQuery,
-    HeadStated,
-)
+from wasabistage.declarations._messages import NOT_DUE, HeadStated
 from wasabistage.declarations._record import ConfigCarried, encode_record
 from wasabistage.exceptions import SettingError
 
 
+@dataclass(frozen=True, kw_only=True)
+class CarryQuery:
+    """Query: should this entry carry the head forward now?
+
+    :param version: version of the head.
+    :param draw: uniform random number, 0 to 1; one for the life of the process.
+    """
+
+    version: int
+    draw: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class CarryHead:
+    """Decision: append a carried record with the state.
+
+    :param version: version of the head.
+    """
+
+    version: int
+
+
 class CarryForward(Policy):
     """Decide when this entry carries the head forward.
 
--- a/wasabistage/declarations/_check.py
+++ b/wasabistage/declarations/_check.py
@@ -4,6 +4,7 @@
 
 from wasabistage.base import Rank
 from wasabistage.declarations._border import validate_section
+from wasabistage.declarations._codec import encode_deployment
 from wasabistage.declarations._fields import parse_name
 from wasabistage.declarations._model import (
     BackendServer,
@@ -19,6 +20,7 @@
 from wasabistage.declarations._problem import Problem, ValueFault, suggest
 from wasabistage.declarations._relations import find_faults
 from wasabistage.declarations._sections import SECTIONS
+from wasabistage.exceptions import DeclarationError
 
 MAX_PROBLEMS = 1000
 _SECRET_KEYS = {"key", "keys", "bearer_key", "bearer", "token", "secret", "password"}
@@ -84,12 +86,24 @@
     # A section with a fault of its own still counts as declared: no second report.
     for fault in find_faults(deployment, declared):
         problems.append(_locate(fault, read, folder))
+    if not problems:
+        problems.extend(_check_size(deployment, folder))
     if problems:
         ordered = tuple(sorted(set(problems)))[:MAX_PROBLEMS]
         return CheckResult(deployment=None, problems=ordered)
     return CheckResult(deployment=deployment)
 
 
+def _check_size(deployment, folder):
+    """Check that the deployment fits into a record."""
+    try:
+        encode_deployment(deployment)
+    except DeclarationError as error:
+        what, remedy = error.message, error.remedy
+        return [Problem(file=folder, line=0, what=what, remedy=remedy)]
+    return []
+
+
 def _read_section(section, read, declared):
     """Validate one section and file it by kind and name."""
     if section.kind not in SECTIONS:
--- a/wasabistage/declarations/_fold.py
+++ b/wasabistage/declarations/_fold.py
@@ -7,7 +7,7 @@
 
 from abc import abstractmethod
 from collections import OrderedDict
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from wasabistage.base import Policy
 from wasabistage.declarations._codec import decode_deployment
@@ -18,6 +18,7 @@
     InForce,
     InForceQuery,
     LogRead,
+    LogRecord,
     Outcome,
     OutcomeQuery,
     PeerState,
@@ -35,6 +36,15 @@
     state_fault,
 )
 from wasabistage.exceptions import SettingError
+from wasabistage.utils import Sentinel
+
+
+@dataclass(frozen=True)
+class _Held:
+    """A record behind a gap, decoded once."""
+
+    record: LogRecord
+    item: ConfigProposed | ConfigCarried | Sentinel
 
 
 class BaseConfigFold(Policy):
@@ -42,12 +52,20 @@
 
     :param max_held: records held while a gap is open; the oldest go first, which
         only makes the gap wider.
+    :param max_held_bytes: bytes of them, by the same rule.
     :param max_outcomes: outcomes remembered by id; the oldest go first.
     :param max_alarms: alarms kept until the next tick; more are only counted.
     """
 
-    def __init__(self, max_held=1024, max_outcomes=4096, max_alarms=100):
+    def __init__(
+        self,
+        max_held=1024,
+        max_held_bytes=8 << 20,
+        max_outcomes=4096,
+        max_alarms=100,
+    ):
         self.max_held = max_held
+        self.max_held_bytes = max_held_bytes
         self.max_outcomes = max_outcomes
         self.max_alarms = max_alarms
 
@@ -225,25 +243,31 @@
             self.held_start_ = read.start
             self.held_end_ = read.start
         known = self.held_end_
-        self.held_.extend(r for r in records if r.offset >= known)
+        fresh = [record for record in records if record.offset >= known]
+        self.held_.extend(_Held(record, decode_record(record.data)) for record in fresh)
         self.held_end_ = max(known, read.end)
-        if len(self.held_) > self.max_held:
-            self.held_ = self.held_[-self.max_held :]
-            self.held_start_ = self.held_[0].offset
+        self._bound_held()
+
+    def _bound_held(self):
+        """Drop the oldest held records; what is known then starts behind them."""
+        size = sum(len(held.record.data) for held in self.held_)
+        while len(self.held_) > self.max_held or size > self.max_held_bytes:
+            dropped = self.held_.pop(0)
+            size -= len(dropped.record.data)
+            self.held_start_ = dropped.record.offset + 1
 
     def _close_gap(self):
         """Close the gap if a held record, or the own state, reaches over it."""
         if not self.has_gap:
             return
-        decoded = [(record, decode_record(record.data)) for record in self.held_]
-        for record, item in decoded:
-            if isinstance(item, ConfigCarried):
-                self._use_carried(item, record)
+        for held in self.held_:
+            if isinstance(held.item, ConfigCarried):
+                self._use_carried(held.item, held.record)
         if self.state_.next < self.held_start_:
-            self._use_any_base(decoded)
+            self._use_any_base()
         if self.state_.next < self.held_start_:
             return
-        records, end = self.held_, self.held_end_
+        records, end = [held.record for held in self.held_], self.held_end_
         self.held_, self.held_start_, self.held_end_ = [], None, None
         self._fold_all(records, end)
 
@@ -257,19 +281,19 @@
             # Newer ones may have been trimmed, but this one was once accepted.
             self._note_unread(state)
 
-    def _use_any_base(self, decoded):
+    def _use_any_base(self):
         """A proposal with any base needs no knowledge from before ``seen``."""
         last = -1
-        for record, item in decoded:
+        for held in self.held_:
+            item, offset = held.item, held.record.offset
             if not isinstance(item, ConfigProposed):
                 continue
-            known = self.held_start_ <= item.seen <= record.offset
+            known = self.held_start_ <= item.seen <= offset
             if item.base_version == ANY_BASE and known and last < item.seen:
-                before = ConfigState(next=record.offset, last_proposal=last)
-                self.state_ = before
+                self.state_ = ConfigState(next=offset, last_proposal=last)
                 self.jumps_ += 1
                 return
-            last = record.offset
+            last = offset
 
     def _note_unread(self, state):
         for statement in (state.readable, state.head):
--- a/wasabistage/declarations/_messages.py
+++ b/wasabistage/declarations/_messages.py
@@ -11,8 +11,6 @@
 NO_CONFIGURATION = Sentinel("NO_CONFIGURATION")
 #: No record with this id was folded.
 NOT_SEEN = Sentinel("NOT_SEEN")
-#: Some live entry has not reported the version.
-NOT_EVERYWHERE = Sentinel("NOT_EVERYWHERE")
 #: Nothing has to be carried forward now.
 NOT_DUE = Sentinel("NOT_DUE")
 #: The publication goes on.
@@ -225,83 +223,3 @@
     reason: str
     remedy: str
     may_take_effect: bool
-
-
-@dataclass(frozen=True, kw_only=True)
-class VersionReported:
-    """Event: an entry told the version in force there.
-
-    :param instance: its name.
-    :param version: the version in force there.
-    :param next_offset: offset below which it has folded the log.
-    """
-
-    instance: str
-    version: int
-    next_offset: int = 0
-
-
-@dataclass(frozen=True, kw_only=True)
-class LiveInstances:
-    """Event: the entries that live now, this one included.
-
-    :param names: their names.
-    """
-
-    names: tuple[str, ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class EverywhereQuery:
-    """Query: is a version in force at every live entry?
-
-    :param version: the version.
-    """
-
-    version: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class Everywhere:
-    """Answer: every live entry reported the version or a newer one.
-
-    :param version: the version.
-    :param instances: number of live entries.
-    """
-
-    version: int
-    instances: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class PollQuery:
-    """Query: should this entry read the log now?
-
-    :param next_offset: offset below which it has folded the log.
-    :param draw: uniform random number, 0 to 1.
-    """
-
-    next_offset: int
-    draw: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class CarryQuery:
-    """Query: should this entry carry the head forward now?
-
-    :param version: version of the head.
-    :param draw: uniform random number, 0 to 1; one for the life of the process.
-    """
-
-    version: int
-    draw: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class CarryHead:
-    """Decision: append a carried record with the state.
-
-    :param version: version of the head.
-    """
-
-    version: int
--- a/wasabistage/declarations/_peers.py
+++ b/wasabistage/declarations/_peers.py
@@ -1,19 +1,75 @@
 """What other entries have in force, and when to read the log."""
 
 from abc import abstractmethod
+from dataclasses import dataclass
 
 from wasabistage.base import Policy
-from wasabistage.declarations._messages import (
-    NOT_DUE,
-    NOT_EVERYWHERE,
-    Everywhere,
-    EverywhereQuery,
-    LiveInstances,
-    PollQuery,
-    ReadLog,
-    VersionReported,
-)
+from wasabistage.declarations._messages import NOT_DUE, ReadLog
 from wasabistage.exceptions import SettingError
+from wasabistage.utils import Sentinel
+
+#: Some live entry has not reported the version.
+NOT_EVERYWHERE = Sentinel("NOT_EVERYWHERE")
+#: Reads that one hint causes at most, so that a wrong hint doesn't load the log.
+MAX_HINT_READS = 10
+
+
+@dataclass(frozen=True, kw_only=True)
+class VersionReported:
+    """Event: an entry told the version in force there.
+
+    :param instance: its name.
+    :param version: the version in force there.
+    :param next_offset: offset below which it has folded the log.
+    """
+
+    instance: str
+    version: int
+    next_offset: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class LiveInstances:
+    """Event: the entries that live now, this one included.
+
+    :param names: their names.
+    """
+
+    names: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class EverywhereQuery:
+    """Query: is a version in force at every live entry?
+
+    :param version: the version.
+    """
+
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Everywhere:
+    """Answer: every live entry reported the version or a newer one.
+
+    :param version: the version.
+    :param instances: number of live entries.
+    """
+
+    version: int
+    instances: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class PollQuery:
+    """Query: should this entry read the log now?
+
+    :param next_offset: offset below which it has folded the log.
+    :param draw: uniform random number, 0 to 1.
+    """
+
+    next_offset: int
+    draw: float
 
 
 class BaseConfigPeerView(Policy):
@@ -38,6 +94,7 @@
         self.live_ = ()
         self.versions_ = {}
         self.hint_ = 0
+        self.hint_reads_ = 0
         self.last_poll_ = None
         self.wait_ = 0.0
         return self
@@ -54,7 +111,9 @@
             known = self.versions_.items()
             self.versions_ = {name: version for name, version in known if name in kept}
         elif isinstance(event, VersionReported):
-            self.hint_ = max(self.hint_, event.next_offset)
+            if event.next_offset > self.hint_:
+                self.hint_ = event.next_offset
+                self.hint_reads_ = 0
             # A restarted entry reports an older version; only its last word counts.
             if event.instance in self.live_:
                 self.versions_[event.instance] = event.version
@@ -89,10 +148,12 @@
 
     def _poll(self, query, now):
         since = now - self.last_poll_ if self.last_poll_ is not None else None
-        hinted = self.hint_ > query.next_offset
+        behind = self.hint_ > query.next_offset
+        hinted = behind and self.hint_reads_ < MAX_HINT_READS
         wait = min(self.wait_, self.hint_interval) if hinted else self.wait_
         if since is not None and since < wait:
             return NOT_DUE.because(f"next poll in {wait - since:.3f} s")
+        self.hint_reads_ += behind
         self.last_poll_ = now
         self.wait_ = self.poll_wait(query.draw)
         return ReadLog(offset=query.next_offset)
--- a/wasabistage/declarations/_publish.py
+++ b/wasabistage/declarations/_publish.py
@@ -45,7 +45,8 @@
     """Publish one deployment.
 
     The task carries the actions of :meth:`tick` out one at a time and gives the
-    answer of each to :meth:`observe`, until :meth:`decide` gives an outcome.
+    answer of each to :meth:`observe`, until :meth:`decide` gives an outcome, which
+    is final. A peer's state, where one can be had, is told before the first action.
 
     :param deployment: a :class:`wasabistage.declarations.Deployment`.
     :param id: id of this publication, random, from the caller.
@@ -114,6 +115,8 @@
             self.fold_.observe(event, now)
             return
         self.busy_ = False
+        if self.outcome_:
+            return
         if isinstance(event, LogRead):
             self.fold_.observe(event, now)
             self.fold_.tick(now)
