Name the tests' number of inputs apart from the examples' folder

Ruled out: a fault of the codec; the test's own constant was overwritten. Change: the number of inputs is INPUTS, set by WASABISTAGE_INPUTS.

--- a/wasabistage/declarations/tests/test_check.py
+++ b/wasabistage/declarations/tests/test_check.py
@@ -70,7 +70,7 @@
 
 
 #: A longer run: set the variable to the number of inputs.
-EXAMPLES = int(os.environ.get("WASABISTAGE_EXAMPLES", "300"))
+INPUTS = int(os.environ.get("WASABISTAGE_INPUTS", "300"))
 
 
 class FolderTest(unittest.TestCase):
@@ -143,7 +143,7 @@
 
 
 class TestAnyText(FolderTest):
-    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @settings(max_examples=INPUTS, derandomize=True, deadline=None, database=None)
     @given(st.text(max_size=300))
     def test_any_text_parses_to_sections_or_problems(self, text):
         sections, problems = parse_ini(text, "f")
@@ -164,7 +164,7 @@
         st.text(max_size=20),
     )
 
-    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @settings(max_examples=INPUTS, derandomize=True, deadline=None, database=None)
     @given(st.lists(LINES, max_size=25))
     def test_any_lines_check_without_raising(self, lines):
         self.write("f.ini", "\n".join(lines).encode("utf-8", "surrogatepass"))
--- a/wasabistage/declarations/tests/test_explored.py
+++ b/wasabistage/declarations/tests/test_explored.py
@@ -19,7 +19,7 @@
 
 
 #: A longer run: set the variable to the number of inputs.
-EXAMPLES = int(os.environ.get("WASABISTAGE_EXAMPLES", "150"))
+INPUTS = int(os.environ.get("WASABISTAGE_INPUTS", "150"))
 
 
 class TrustsAnyCarried(ConfigFold):
@@ -71,7 +71,7 @@
         # The schedules must get somewhere, or they would prove nothing.
         self.assertGreater(outcomes, len(SEEDS) // 2)
 
-    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @settings(max_examples=INPUTS, derandomize=True, deadline=None, database=None)
     @given(
         st.lists(
             st.tuples(st.sampled_from(STEPS), st.integers(0, 1 << 16)), max_size=60
--- a/wasabistage/declarations/tests/test_records.py
+++ b/wasabistage/declarations/tests/test_records.py
@@ -41,7 +41,7 @@
 
 
 #: A longer run: set the variable to the number of inputs.
-EXAMPLES = int(os.environ.get("WASABISTAGE_EXAMPLES", "300"))
+INPUTS = int(os.environ.get("WASABISTAGE_INPUTS", "300"))
 
 
 def proposal(number, base, id="p", payload=None, format=1):
@@ -102,7 +102,7 @@
             found = decode_deployment(data, format)
             self.assertTrue(UNREADABLE.is_(found), data[:40])
 
-    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @settings(max_examples=INPUTS, derandomize=True, deadline=None, database=None)
     @given(st.binary(max_size=80), st.integers(0, 1 << 16))
     def test_any_bytes_decode_to_a_record_or_a_reason(self, data, place):
         self.assertTrue(BAD_RECORD.is_(decode_record(data)))
--- a/wasabistage/settings/tests/test_settings.py
+++ b/wasabistage/settings/tests/test_settings.py
@@ -39,7 +39,7 @@
 
 
 #: A longer run: set the variable to the number of inputs.
-EXAMPLES = int(os.environ.get("WASABISTAGE_EXAMPLES", "150"))
+INPUTS = int(os.environ.get("WASABISTAGE_INPUTS", "150"))
 
 
 class TestSettings(unittest.TestCase):
@@ -93,7 +93,7 @@
     def test_reference_page_is_what_the_code_generates(self):
         self.assertEqual(PAGE.read_text(encoding="utf-8"), describe_settings())
 
-    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @settings(max_examples=INPUTS, derandomize=True, deadline=None, database=None)
     @given(st.text(max_size=200) | st.binary(max_size=200))
     def test_any_content_gives_problems_only(self, content):
         data = content if isinstance(content, bytes) else content.encode("utf-8")
