Hold records behind a gap in a module of their own

Change: Gap keeps, bounds and searches held records; the fold decides. The settings page shows the least that a file must hold, and a test reads it.

--- a/wasabistage/declarations/_fold.py
+++ b/wasabistage/declarations/_fold.py
@@ -7,10 +7,11 @@
 
 from abc import abstractmethod
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from wasabistage.base import Policy
 from wasabistage.declarations._codec import decode_deployment
+from wasabistage.declarations._gap import Gap
 from wasabistage.declarations._messages import (
     NO_CONFIGURATION,
     NOT_SEEN,
@@ -18,7 +19,6 @@
     InForce,
     InForceQuery,
     LogRead,
-    LogRecord,
     Outcome,
     OutcomeQuery,
     PeerState,
@@ -36,15 +36,6 @@
     state_fault,
 )
 from wasabistage.exceptions import SettingError
-from wasabistage.utils import Sentinel
-
-
-@dataclass(frozen=True)
-class _Held:
-    """A record behind a gap, decoded once."""
-
-    record: LogRecord
-    item: ConfigProposed | ConfigCarried | Sentinel
 
 
 class BaseConfigFold(Policy):
@@ -77,9 +68,7 @@
         self.state_ = ConfigState()
         self.serving_ = None
         self.deployment_ = None
-        self.held_ = []
-        self.held_start_ = None
-        self.held_end_ = None
+        self.gap_ = Gap(self.max_held, self.max_held_bytes)
         self.outcomes_ = OrderedDict()
         self.alarms_ = []
         self.alarm_count_ = 0
@@ -153,12 +142,12 @@
     @property
     def has_gap(self):
         """Tell whether records were trimmed before they were read."""
-        return self.held_start_ is not None
+        return self.gap_.is_open
 
     @property
     def read_from(self):
         """Return the offset to read the log from."""
-        return self.held_end_ if self.has_gap else self.state_.next
+        return self.gap_.end if self.has_gap else self.state_.next
 
     def _on_read(self, read):
         records = sorted(read.records, key=lambda record: record.offset)
@@ -166,7 +155,7 @@
         if read.start <= self.state_.next:
             self._fold_all(records, read.end)
         else:
-            self._hold(read, records)
+            self.gap_.hold(read, records)
         self._close_gap()
         self._put_newest()
 
@@ -236,65 +225,27 @@
             return
         self.stated_ = HeadStated(version=head.version, age=record.age)
 
-    def _hold(self, read, records):
-        """Keep what was read behind a gap."""
-        if self.held_end_ is None or read.start > self.held_end_:
-            self.held_ = []
-            self.held_start_ = read.start
-            self.held_end_ = read.start
-        known = self.held_end_
-        fresh = [record for record in records if record.offset >= known]
-        self.held_.extend(_Held(record, decode_record(record.data)) for record in fresh)
-        self.held_end_ = max(known, read.end)
-        self._bound_held()
-
-    def _bound_held(self):
-        """Drop the oldest held records; what is known then starts behind them."""
-        size = sum(len(held.record.data) for held in self.held_)
-        while len(self.held_) > self.max_held or size > self.max_held_bytes:
-            dropped = self.held_.pop(0)
-            size -= len(dropped.record.data)
-            self.held_start_ = dropped.record.offset + 1
-
     def _close_gap(self):
         """Close the gap if a held record, or the own state, reaches over it."""
         if not self.has_gap:
             return
-        for held in self.held_:
-            if isinstance(held.item, ConfigCarried):
-                self._use_carried(held.item, held.record)
-        if self.state_.next < self.held_start_:
-            self._use_any_base()
-        if self.state_.next < self.held_start_:
-            return
-        records, end = [held.record for held in self.held_], self.held_end_
-        self.held_, self.held_start_, self.held_end_ = [], None, None
-        self._fold_all(records, end)
+        for held in self.gap_.carried():
+            self._use_carried(held.item, held.record)
+        before = self.gap_.state_before_any_base()
+        if before and self.state_.next < self.gap_.start:
+            self.state_ = before
+            self.jumps_ += 1
+        if self.state_.next >= self.gap_.start:
+            self._fold_all(*self.gap_.release())
 
     def _use_carried(self, carried, record):
         state = carried.state
-        if state.next > record.offset:
-            return
-        if state.next >= self.held_start_:
+        if state.next >= self.gap_.start:
             self._adopt(state, record.age)
         else:
             # Newer ones may have been trimmed, but this one was once accepted.
             self._note_unread(state)
 
-    def _use_any_base(self):
-        """A proposal with any base needs no knowledge from before ``seen``."""
-        last = -1
-        for held in self.held_:
-            item, offset = held.item, held.record.offset
-            if not isinstance(item, ConfigProposed):
-                continue
-            known = self.held_start_ <= item.seen <= offset
-            if item.base_version == ANY_BASE and known and last < item.seen:
-                self.state_ = ConfigState(next=offset, last_proposal=last)
-                self.jumps_ += 1
-                return
-            last = offset
-
     def _note_unread(self, state):
         for statement in (state.readable, state.head):
             if statement:
--- a/wasabistage/declarations/tests/test_explored.py
+++ b/wasabistage/declarations/tests/test_explored.py
@@ -27,7 +27,7 @@
 
     def _use_carried(self, carried, record):
         state = carried.state
-        self._adopt(replace(state, next=self.held_start_), record.age)
+        self._adopt(replace(state, next=self.gap_.start), record.age)
 
 
 class AppliesCarried(ConfigFold):
@@ -42,8 +42,9 @@
 class SkipsGaps(ConfigFold):
     """Without holding back what was read behind a trimmed part."""
 
-    def _hold(self, read, records):
-        self._fold_all(records, read.end)
+    def _close_gap(self):
+        if self.has_gap:
+            self._fold_all(*self.gap_.release())
 
 
 class LastWriterPublish(PublishPolicy):
--- a/wasabistage/declarations/tests/test_records.py
+++ b/wasabistage/declarations/tests/test_records.py
@@ -157,10 +157,10 @@
         fold = ConfigFold(max_held=4).reset()
         records = [proposal(n, 50 + n, f"p{n}") for n in range(9)]
         fold.observe(read(*records, start=100), 0)
-        self.assertEqual((len(fold.held_), fold.held_start_), (4, 105))
+        self.assertEqual((len(fold.gap_.held), fold.gap_.start), (4, 105))
         fold = ConfigFold(max_held_bytes=1).reset()
         fold.observe(read(*records, start=100), 0)
-        self.assertEqual((len(fold.held_), fold.held_start_), (0, 109))
+        self.assertEqual((len(fold.gap_.held), fold.gap_.start), (0, 109))
 
 
 class TestDiff(unittest.TestCase):
--- a/wasabistage/settings/_entry.py
+++ b/wasabistage/settings/_entry.py
@@ -25,6 +25,22 @@
 
 KIB = 1 << 10
 MIB = 1 << 20
+#: The least that a file must hold; stands in the reference page.
+EXAMPLE = """\
+[entry]
+name = entry-1
+deployment = padavu
+failure_domain = kochi-a
+
+[listen]
+listen = 127.0.0.1:20001
+peer_listen = 127.0.0.1:20101
+peers = 127.0.0.1:20102, 127.0.0.1:20103
+
+[platform]
+log = 127.0.0.1:24001
+live_list = 127.0.0.1:24002
+"""
 LogLevel = choice(debug="debug", info="info", warning="warning", error="error")
 
 
@@ -295,6 +311,12 @@
         "",
         "This page is generated; `python -m wasabistage.settings` prints it.",
         "",
+        "The least that a file must hold:",
+        "",
+        "```ini",
+        EXAMPLE.rstrip(),
+        "```",
+        "",
     ]
     for header, model in SECTIONS.items():
         lines.extend(describe_model(header, model))
--- a/wasabistage/settings/tests/test_settings.py
+++ b/wasabistage/settings/tests/test_settings.py
@@ -14,7 +14,7 @@
     describe_settings,
     load_settings,
 )
-from wasabistage.settings._entry import SECTIONS
+from wasabistage.settings._entry import EXAMPLE, SECTIONS
 
 PAGE = Path(__file__).parents[3] / "docs" / "reference" / "settings.md"
 GOOD = """\
@@ -58,6 +58,9 @@
         self.assertEqual(loaded.peers, ("127.0.0.1:20102", "[::1]:20103"))
         self.assertEqual((loaded.drain_timeout, loaded.max_body_bytes), (120, 1 << 20))
 
+    def test_example_of_the_page_is_good(self):
+        self.assertEqual(self.problems(EXAMPLE), [])
+
     def test_every_fault_is_named_with_line_and_remedy(self):
         text = GOOD.replace("failure_domain", "failure_domian")
         text = text.replace("127.0.0.1:20201", "log.example:20201")
