Explore once-only schedules in bulk and switch mechanisms off one by one

Cause: a sound result means nothing unless the same checks are seen to fail. Change: variants with one mechanism off each, the bulk run, keys from clocks that err by one skew each are taken.

--- a/benchmarks/once_explorer/__init__.py
+++ b/benchmarks/once_explorer/__init__.py
@@ -7,7 +7,17 @@
 
 from benchmarks.once_explorer._callers import run_schedule
 from benchmarks.once_explorer._limits import FAULTS
+from benchmarks.once_explorer._mutants import EARLY_TRIM, EARLY_TRIM_UNCARRIED, MUTANTS
 from benchmarks.once_explorer._node import VARIANTS, Variant
 from benchmarks.once_explorer._world import Result
 
-__all__ = ["FAULTS", "Result", "VARIANTS", "Variant", "run_schedule"]
+__all__ = [
+    "EARLY_TRIM",
+    "EARLY_TRIM_UNCARRIED",
+    "FAULTS",
+    "MUTANTS",
+    "Result",
+    "VARIANTS",
+    "Variant",
+    "run_schedule",
+]
--- a/benchmarks/once_explorer/_callers.py
+++ b/benchmarks/once_explorer/_callers.py
@@ -3,6 +3,7 @@
 from benchmarks.once_explorer._limits import ATTEMPT_TIME, CLOCK_SKEW, EPOCH
 from benchmarks.once_explorer._world import World
 from wasabistage.base import Ran
+from wasabistage.declarations import OutagePolicy
 from wasabistage.once import CallKey, IssueTickets, Verdict, make_key, parse_ticket
 
 ACCOUNT = "padavu"
@@ -14,16 +15,18 @@
     """One purchase: its key, its attempts and how it ended.
 
     :param world: the :class:`World`.
+    :param stops: whether it may stop its own key by an inquiry.
     """
 
-    def __init__(self, world):
+    def __init__(self, world, stops):
+        self.stops = stops
         self.world = world
         self.rng = world.rng
         self.key = None
         self.home = None
         self.attempts = 0
         self.sent = False
-        self.end = ""
+        self.inquired = False
 
     def begin(self):
         """Choose a key and send the first attempt."""
@@ -32,7 +35,8 @@
             self.world.at(1.0, self.begin)
             return
         self.plan_probes()
-        self.attempt()
+        hesitates = self.rng.random() < 0.2
+        self.world.at(self.rng.uniform(0.0, 0.1) * hesitates, self.attempt)
 
     def choose_key(self):
         """Take a ticket of an entry, or make a key."""
@@ -41,7 +45,7 @@
         if tickets and not self.world.variant.unchecked:
             self.take_ticket()
             return
-        wall = EPOCH + self.world.now + self.rng.uniform(-CLOCK_SKEW, 0.0)
+        wall = EPOCH + self.world.now + self.rng.uniform(-CLOCK_SKEW, CLOCK_SKEW)
         key = make_key(wall, self.rng.randbytes(10))
         self.key = CallKey(account=ACCOUNT, key=key)
 
@@ -64,13 +68,17 @@
         for chance, earliest, latest, facts in (
             (0.2, 0.0, 0.05, {}),
             (0.1, 0.0, 8.0, {"inquire": True}),
+            (0.1, 0.0, 0.03, {"inquire": True}),
             (0.1, 0.0, 5.0, {"digest": "another body"}),
+            (0.1, 0.0, 5.0, {"outage": OutagePolicy.REFUSE}),
             (0.2, 5.0, 60.0, {}),
-            (0.3, 40.0, 300.0, {}),
+            (0.3, 40.0, 350.0, {}),
             (0.1, 60.0, 300.0, {"inquire": True}),
             (0.1, 0.0, 60.0, {"key": CallKey(account="guest", key=self.key.key)}),
         ):
-            if parse_ticket(self.key.key) is None and "key" in facts:
+            if not self.stops and facts.keys() & {"inquire", "outage"}:
+                continue
+            if not parse_ticket(self.key.key) and "key" in facts:
                 continue
             if rng.random() < chance:
                 delay = rng.uniform(earliest, latest)
@@ -79,6 +87,9 @@
     def probe(self, key, facts):
         """Send one attempt whose answer only the checks look at."""
         slot = self.rng.randrange(len(self.world.slots))
+        # An inquiry stops a key that has not run, and so does the wrong kind of
+        # key for a call that is declared log-first.
+        self.inquired |= "inquire" in facts or "outage" in facts
         self.send(slot, {"key": key, **facts}, lambda reply: None)
 
     def attempt(self):
@@ -131,15 +142,17 @@
         elif reply.verdict == Verdict.OUTCOME:
             self.finish("served")
         else:
-            self.finish("refused" if reply.ran == Ran.NO else "unknown")
+            refused = "stopped" if self.inquired else "refused"
+            self.finish(refused if reply.ran == Ran.NO else "unknown")
 
     def finish(self, end):
         """Count how the purchase ended."""
-        self.end = end
         self.world.result.ends[end] += 1
 
 
-def run_schedule(seed, variant, faults, *, purchases=6, entries=4, outage=None):
+def run_schedule(
+    seed, variant, faults, *, purchases=6, entries=4, outage=None, stops=True
+):
     """Run one schedule.
 
     :param seed: names the schedule.
@@ -148,9 +161,10 @@
     :param purchases: number of purchases.
     :param entries: number of entries.
     :param outage: the log's one outage as (start, end) in seconds, or ``None``.
+    :param stops: whether callers may stop their own keys by inquiries.
     :return: a :class:`Result`.
     """
     world = World(seed, variant, faults, entries=entries, outage=outage)
     for _ in range(purchases):
-        world.at(world.rng.uniform(1.0, 60.0), Purchase(world).begin)
+        world.at(world.rng.uniform(1.0, 60.0), Purchase(world, stops).begin)
     return world.run()
--- a/benchmarks/once_explorer/_log.py
+++ b/benchmarks/once_explorer/_log.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 
-from benchmarks.once_explorer._limits import READ_LIMIT, RETENTION
+from benchmarks.once_explorer._limits import READ_LIMIT
 from wasabistage.once import (
     AppendConfirmed,
     AppendFailed,
@@ -96,7 +96,8 @@
     def _trim(self):
         count = 0
         while (
-            count < len(self.kept) and self.kept[count][0] < self.world.now - RETENTION
+            count < len(self.kept)
+            and self.kept[count][0] < self.world.now - self.world.variant.keep
         ):
             count += 1
         if count:
--- a/benchmarks/once_explorer/_node.py
+++ b/benchmarks/once_explorer/_node.py
@@ -38,6 +38,7 @@
     :param own_policy: class for callers' own keys.
     :param fold: class of the fold.
     :param unchecked: whether the baseline runs instead.
+    :param keep: time for which the log really keeps records, in seconds.
     """
 
     name: str
@@ -46,6 +47,7 @@
     own_policy: type = LogFirstPolicy
     fold: type = ClaimFold
     unchecked: bool = False
+    keep: float = RETENTION
 
 
 VARIANTS = (
@@ -63,7 +65,6 @@
         self.slot = slot
         rng = world.rng
         self.incarnation = f"i{rng.getrandbits(64):x}"
-        self.skew = rng.uniform(-CLOCK_SKEW, CLOCK_SKEW)
         self.boot = rng.uniform(0.0, 1000.0)
         self.resumes = 0.0
         self.dead = False
@@ -78,8 +79,9 @@
         return self.world.now + self.boot
 
     def wall(self):
-        """Wall time of this process, wrong by its skew."""
-        return EPOCH + self.world.now + self.skew
+        """Wall time of this process, each time wrong by up to the skew."""
+        skew = self.world.rng.uniform(-CLOCK_SKEW, CLOCK_SKEW)
+        return EPOCH + self.world.now + skew
 
     def when_awake(self, function, *args):
         """Call now, or when the process resumes, or never if it died."""
--- a/benchmarks/once_explorer/_world.py
+++ b/benchmarks/once_explorer/_world.py
@@ -25,7 +25,8 @@
 class Result:
     """What one schedule showed.
 
-    :param ends: how purchases ended: served, refused, unknown.
+    :param ends: how purchases ended: served, refused, stopped by the
+        caller itself, unknown.
     :param doubled: keys that ran more than once.
     :param false_no: keys that ran though an answer said they were not run.
     :param unequal: keys with two different successful answers.
@@ -118,7 +119,7 @@
             self.result.faults["log_down"] += 1
         for fault, action in (("kill", self.kill), ("cut", self.cut)):
             for _ in range(rng.randint(1, 4) if fault in self.faults else 0):
-                self.at(rng.uniform(1.0, 120.0), action)
+                self.at(rng.uniform(1.0, 250.0), action)
         for _ in range(rng.randint(1, 4) if "pause" in self.faults else 0):
             self.at(rng.uniform(1.0, 90.0), self.pause_any)
 
--- a/wasabistage/once/_batcher.py
+++ b/wasabistage/once/_batcher.py
@@ -64,6 +64,7 @@
         self.in_flight_ = ()
         self.batch_ = 0
         self.number_ = 0
+        self.seen_ = set()
         self.doubtful_ = {}
         self.next_append_ = 0.0
         self.appends_ = 0
@@ -145,18 +146,22 @@
 
     def _settle(self, event, now):
         records, self.in_flight_ = self.in_flight_, ()
+        seen, self.seen_ = self.seen_, set()
         if isinstance(event, AppendFailed):
             self.queue_.extendleft(reversed(records))
             self.next_append_ = now + self.retry_interval
         elif isinstance(event, AppendUnknown):
-            self.doubtful_ = {record.identity: record for record in records}
+            missing = [record for record in records if record.identity not in seen]
+            self.doubtful_ = {record.identity: record for record in missing}
             self.next_append_ = now + self.retry_interval
 
     def _compare(self, event):
-        if not self.doubtful_:
-            return
+        under_way = {record.identity for record in self.in_flight_}
         for entry in event.entries:
-            self.doubtful_.pop(entry.record.identity, None)
-        if event.at_end:
+            identity = entry.record.identity
+            self.doubtful_.pop(identity, None)
+            if identity in under_way:
+                self.seen_.add(identity)
+        if event.at_end and self.doubtful_:
             self.queue_.extendleft(reversed(self.doubtful_.values()))
             self.doubtful_ = {}
--- a/wasabistage/once/_fold.py
+++ b/wasabistage/once/_fold.py
@@ -13,7 +13,7 @@
 CARRY_BATCH = 64
 CARRY_FROM = 0.4
 CARRY_SPREAD = 0.08
-DOUBT_SKEWS = 3
+DOUBT_SKEWS = 4
 EXPIRY_SKEWS = 4
 
 
@@ -181,7 +181,7 @@
 
     def _doubt(self, wall):
         # What was missed was appended before now. A key's first claim comes at
-        # most two skews before its stamp; this reader's clock may lag by another.
+        # most three skews before its stamp; this reader's clock may lag by another.
         self.doubtful_before_ = wall + DOUBT_SKEWS * self.clock_skew
         self.gaps_ += 1
 
--- a/wasabistage/once/_forwards.py
+++ b/wasabistage/once/_forwards.py
@@ -34,11 +34,13 @@
 
     At ``max_forwards`` attempts under way further ones are refused as overload.
 
+    :param incarnation: random id of this process's life.
     :param fold: the :class:`ClaimFold` that both policies read.
     :param max_forwards: attempts forwarded or looked up at a time.
     """
 
-    def __init__(self, *, fold, max_forwards=4096):
+    def __init__(self, *, incarnation, fold, max_forwards=4096):
+        self.incarnation = incarnation
         self.fold = fold
         self.max_forwards = max_forwards
 
@@ -67,8 +69,8 @@
         """
         if self.answer_from_log(call, born, call.wall, now):
             return
-        if call.forwarded:
-            reason = "this instance is not the home of the key"
+        if call.forwarded or home in ("", self.incarnation):
+            reason = "this instance can't tell what became of the key"
             self.reply(call.attempt, call.key, Verdict.UNKNOWN, reason)
         elif len(self.forwards_) + len(self.lookups_) >= self.max_forwards:
             reason = "too many attempts wait for other instances"
--- a/wasabistage/once/_home.py
+++ b/wasabistage/once/_home.py
@@ -87,8 +87,7 @@
         outcome_bytes=16 << 20,
         max_forwards=4096,
     ):
-        super().__init__(fold=fold, max_forwards=max_forwards)
-        self.incarnation = incarnation
+        super().__init__(incarnation=incarnation, fold=fold, max_forwards=max_forwards)
         self.batcher = batcher
         self.max_keys = max_keys
         self.max_waiting = max_waiting
--- a/wasabistage/once/_keys.py
+++ b/wasabistage/once/_keys.py
@@ -53,4 +53,5 @@
     :param clock_skew: largest error of a wall clock, in seconds.
     :return: ``False`` if it has expired or claims to be made in the future.
     """
-    return born - clock_skew <= wall <= born + horizon
+    # The maker's clock may be fast and this one slow, each by one skew.
+    return born - 2 * clock_skew <= wall <= born + horizon
--- a/wasabistage/once/_messages.py
+++ b/wasabistage/once/_messages.py
@@ -232,12 +232,12 @@
     """The home could not be asked, or did not answer.
 
     :param attempt: the attempt here.
-    :param bytes_sent: whether a byte of this attempt may have reached it. An
-        earlier attempt may have reached it in either case.
+    :param bytes_sent: whether a byte of this attempt may have reached it. It
+        decides nothing: an earlier attempt may have reached it in either case.
     """
 
     attempt: str
-    bytes_sent: bool
+    bytes_sent: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/once/_ticket_policy.py
+++ b/wasabistage/once/_ticket_policy.py
@@ -126,7 +126,7 @@
         :param ticket: a verified :class:`Ticket`.
         :return: ``True`` if it was unused.
         """
-        account, _ = self.unused_.pop(ticket.nonce, (None, 0.0))
+        account, _ = self.unused_.pop(ticket.text, (None, 0.0))
         if account is None:
             return False
         self._count_down(account)
@@ -139,16 +139,16 @@
         :return: a list of actions.
         """
         while self.unused_:
-            nonce, (account, ends) = next(iter(self.unused_.items()))
+            text, (account, ends) = next(iter(self.unused_.items()))
             if ends > now:
                 break
-            del self.unused_[nonce]
+            del self.unused_[text]
             self._count_down(account)
         return super().tick(now)
 
     def _issue(self, query, nonce, now):
         ticket = self.mint.issue(query.account, nonce, query.wall, now)
-        self.unused_[ticket.nonce] = (query.account, now + self.first_use)
+        self.unused_[ticket.text] = (query.account, now + self.first_use)
         self.unused_by_account_[query.account] += 1
         return ticket.text
 
