Bound the memory of the once-only tables and measure a purchase's cost

Cause: the default bounds would have let one reader keep about 200 MB, and times of dropped keys stayed behind without a bound. Change: slotted messages, a bound of their own for ticketed keys in the log's fold, schedules compacted, costs measured by the benchmark.

--- a/benchmarks/once.py
+++ b/benchmarks/once.py
@@ -23,6 +23,7 @@
     FAULTS,
     MUTANTS,
     VARIANTS,
+    measure_costs,
     run_schedule,
 )
 
@@ -187,6 +188,16 @@
     print("faults:", ", ".join(f"{name} {faults[name]}" for name in FAULTS))
 
 
+def print_costs():
+    """Print what one ticketed purchase costs."""
+    costs = measure_costs()
+    print(
+        f"\na purchase: {costs.microseconds:.0f} us and {costs.home_bytes:.0f} bytes "
+        f"at its home, {costs.reader_bytes:.0f} bytes in each reader of the log, "
+        f"{costs.record_bytes:.0f} bytes appended"
+    )
+
+
 def unseen(cells):
     """Return the unsafe variants that broke nothing."""
     broke = {name for (_, name), cell in cells.items() if cell.broken}
@@ -210,6 +221,7 @@
     cells, broken = run_all(plan(options.schedules, options.seed), options.workers)
     print_counts(cells, time.monotonic() - start)
     print_tables(cells)
+    print_costs()
     for job, result in broken[:10]:
         print("BROKEN:", job, result)
     missed = unseen(cells)
--- a/benchmarks/once_explorer/__init__.py
+++ b/benchmarks/once_explorer/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from benchmarks.once_explorer._callers import run_schedule
+from benchmarks.once_explorer._costs import measure_costs
 from benchmarks.once_explorer._limits import FAULTS
 from benchmarks.once_explorer._mutants import EARLY_TRIM, EARLY_TRIM_UNCARRIED, MUTANTS
 from benchmarks.once_explorer._node import VARIANTS, Variant
@@ -19,5 +20,6 @@
     "Result",
     "VARIANTS",
     "Variant",
+    "measure_costs",
     "run_schedule",
 ]
--- a/wasabistage/once/_fold.py
+++ b/wasabistage/once/_fold.py
@@ -17,7 +17,7 @@
 EXPIRY_SKEWS = 4
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, slots=True)
 class Standing:
     """What the log says about one key.
 
@@ -79,8 +79,9 @@
     :param retention: time for which the log keeps every record, in seconds.
     :param horizon: age at which a key expires, in seconds.
     :param clock_skew: largest error of a wall clock, in seconds.
-    :param max_keys: callers' own keys remembered; and as many ticketed keys, of
-        which the oldest is dropped at the bound, since no reader runs them.
+    :param max_keys: callers' own keys remembered.
+    :param max_ticketed: ticketed keys remembered; at the bound the oldest is
+        dropped, since no reader runs them.
     :param outcome_bytes: bytes of outcome bodies remembered in all.
     """
 
@@ -91,7 +92,8 @@
         retention=86400.0,
         horizon=7200.0,
         clock_skew=5.0,
-        max_keys=50_000,
+        max_keys=20_000,
+        max_ticketed=20_000,
         outcome_bytes=16 << 20,
     ):
         self.incarnation = incarnation
@@ -99,6 +101,7 @@
         self.horizon = horizon
         self.clock_skew = clock_skew
         self.max_keys = max_keys
+        self.max_ticketed = max_ticketed
         self.outcome_bytes = outcome_bytes
 
     def reset(self):
@@ -107,10 +110,15 @@
         :return: the fold itself.
         :raises SettingError: if the log could trim the claim of a live key.
         """
-        if self.horizon <= 0 or self.clock_skew < 0 or self.max_keys < 1:
+        if self.horizon <= 0 or self.clock_skew < 0:
+            raise SettingError(
+                "horizon or clock_skew of the claim fold is out of range",
+                remedy="set horizon above 0, clock_skew to 0 or more",
+            )
+        if min(self.max_keys, self.max_ticketed) < 1:
             raise SettingError(
                 "a bound of the claim fold is not positive",
-                remedy="set horizon and max_keys above 0, clock_skew to 0 or more",
+                remedy="set max_keys and max_ticketed to 1 or more",
             )
         if self.horizon + EXPIRY_SKEWS * self.clock_skew >= self.retention:
             raise SettingError(
@@ -197,7 +205,7 @@
         table = self.ticketed_ if ticket else self.keys_
         standing = table.get(record.key)
         if standing is None:
-            if len(table) >= self.max_keys and not self._make_room(ticket, wall):
+            if not self._make_room(ticket, wall):
                 return
             standing = Standing(home=ticket.home if ticket else "")
             table[record.key] = standing
@@ -208,10 +216,11 @@
         self._apply(standing, entry, bool(ticket))
 
     def _make_room(self, ticket, wall):
-        if not ticket:
+        if not ticket and self.is_full():
             self._doubt(wall)
             return False
-        self._forget(next(iter(self.ticketed_)))
+        if ticket and len(self.ticketed_) >= self.max_ticketed:
+            self._forget(next(iter(self.ticketed_)))
         return True
 
     def _schedule(self, record, now, life, wall):
@@ -220,6 +229,15 @@
         due = now + self.carry_age_ - max(0.0, wall - record.written)
         if due < now + life:
             heapq.heappush(self.carries_, (due, self.scheduled_, record.key))
+        if len(self.expiries_) > 2 * (self.max_keys + self.max_ticketed):
+            self.expiries_ = self._known(self.expiries_)
+            self.carries_ = self._known(self.carries_)
+
+    def _known(self, schedule):
+        # Keys dropped at a bound leave their times behind.
+        kept = [item for item in schedule if self.decide(item[2], item[0]) is not EMPTY]
+        heapq.heapify(kept)
+        return kept
 
     def _apply(self, standing, entry, ticketed):
         record = entry.record
--- a/wasabistage/once/_forwards.py
+++ b/wasabistage/once/_forwards.py
@@ -17,7 +17,7 @@
 UNKNOWN_REASON = "the instance that decides this key can't be asked"
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Forwarded:
     """A forwarded attempt.
 
--- a/wasabistage/once/_home.py
+++ b/wasabistage/once/_home.py
@@ -35,7 +35,7 @@
 ENDED = (Phase.DONE, Phase.LOST, Phase.REFUSED)
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, slots=True)
 class Work:
     """One key at the instance that handles it.
 
@@ -81,7 +81,7 @@
         incarnation,
         fold,
         batcher,
-        max_keys=50_000,
+        max_keys=20_000,
         max_waiting=16,
         max_body=64 << 10,
         outcome_bytes=16 << 20,
@@ -167,6 +167,11 @@
         self.works_[call.key] = work
         self.added_ += 1
         heapq.heappush(self.forgets_, (forgets, self.added_, call.key))
+        if len(self.forgets_) > 2 * self.max_keys:
+            # Keys handed over to their home leave their times behind.
+            kept = [item for item in self.forgets_ if item[2] in self.works_]
+            heapq.heapify(kept)
+            self.forgets_ = kept
         self.wait(work, call)
         return work
 
--- a/wasabistage/once/_messages.py
+++ b/wasabistage/once/_messages.py
@@ -10,7 +10,7 @@
 from wasabistage.declarations import OutagePolicy
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class CallKey:
     """Key of one non-idempotent call; keys of two accounts are never equal.
 
@@ -22,7 +22,7 @@
     key: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Outcome:
     """What the backend server answered.
 
@@ -49,7 +49,7 @@
     ABANDON = "abandon"
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Record:
     """One record of the once-only log stream.
 
@@ -78,7 +78,7 @@
         return (self.writer, self.number, self.carried_from)
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class LogEntry:
     """A record at its place in the log.
 
@@ -93,7 +93,7 @@
 # Events
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class CallArrived:
     """An attempt of a non-idempotent call.
 
@@ -118,7 +118,7 @@
     inquire: bool = False
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class RecordsRead:
     """The log answered a read.
 
@@ -138,12 +138,12 @@
     wall: float
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ReadFailed:
     """A read of the log failed or timed out."""
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendConfirmed:
     """The log confirmed an append.
 
@@ -153,7 +153,7 @@
     batch: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendFailed:
     """An append certainly took no effect.
 
@@ -163,7 +163,7 @@
     batch: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendUnknown:
     """An append timed out or its answer was lost; it may take effect, also later.
 
@@ -173,7 +173,7 @@
     batch: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class OutcomeArrived:
     """A backend server answered in full.
 
@@ -189,7 +189,7 @@
     wall: float
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class DispatchUnsent:
     """No byte of the call reached any backend server.
 
@@ -203,7 +203,7 @@
     wall: float
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class DispatchLost:
     """A byte was sent and no whole answer came.
 
@@ -215,7 +215,7 @@
     attempt: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class HomeReplied:
     """The home answered a forwarded attempt.
 
@@ -227,7 +227,7 @@
     reply: "Reply"
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class HomeUnreachable:
     """The home could not be asked, or did not answer.
 
@@ -240,7 +240,7 @@
     bytes_sent: bool = True
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptGone:
     """The caller of an attempt went away; no reply is wanted.
 
@@ -253,7 +253,7 @@
 # Queries
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class IssueTickets:
     """Ask for tickets; answered with a tuple of strings or a sentinel.
 
@@ -270,7 +270,7 @@
 # Actions
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendRecords:
     """Append records to the log in one append.
 
@@ -285,7 +285,7 @@
     records: tuple[Record, ...]
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ReadLog:
     """Read the log; the task reports :class:`RecordsRead` or :class:`ReadFailed`.
 
@@ -295,7 +295,7 @@
     start: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Dispatch:
     """Send the call to a backend server, now and once.
 
@@ -309,7 +309,7 @@
     attempt: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ForwardToHome:
     """Hand an attempt to the key's home.
 
@@ -335,7 +335,7 @@
     OVERLOAD = "overload"
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
     """Answer an attempt.
 
--- a/wasabistage/once/_ticket_policy.py
+++ b/wasabistage/once/_ticket_policy.py
@@ -39,7 +39,7 @@
         first_use=600.0,
         memory=3600.0,
         max_unused=2000,
-        max_keys=50_000,
+        max_keys=20_000,
         max_waiting=16,
         max_body=64 << 10,
         outcome_bytes=16 << 20,
--- a/wasabistage/once/_tickets.py
+++ b/wasabistage/once/_tickets.py
@@ -19,7 +19,7 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Ticket:
     """A parsed ticket; not verified, but by its home.
 
--- a/wasabistage/once/tests/test_log.py
+++ b/wasabistage/once/tests/test_log.py
@@ -210,6 +210,18 @@
         self.assertFalse(self.fold.is_certain(WALL, WALL))
         self.assertTrue(self.fold.is_full())
 
+    def test_ticketed_keys_are_bounded_by_dropping_the_oldest(self):
+        self.fold = self.make_fold(max_ticketed=2, max_keys=1)
+        mint = TicketMint("h", bytes(32))
+        for number in range(20):
+            ticket = mint.issue("padavu", number.to_bytes(16, "big"), WALL, 1.0)
+            self.key = CallKey(account="padavu", key=ticket.text)
+            refusal = make_record(RecordKind.ABANDON, writer="h", key=self.key)
+            self.assertTrue(self.standing(refusal, start=number).is_abandoned)
+        self.assertEqual(len(self.fold.ticketed_), 2)
+        self.assertLessEqual(len(self.fold.expiries_), 6)
+        self.assertTrue(self.fold.is_certain(WALL, WALL))
+
     def test_carries_live_records_once_before_half_the_retention(self):
         self.standing(
             make_record(), make_record(RecordKind.ABANDON, writer="a", number=2)
