Split the once-only records from the messages; name a malformed key as such

Cause: one module held both, and a malformed key was answered as a forged ticket. Change: _records.py; verdict bad_key with a 400 error.

--- a/wasabistage/once/__init__.py
+++ b/wasabistage/once/__init__.py
@@ -62,7 +62,6 @@
     AppendUnknown,
     AttemptGone,
     CallArrived,
-    CallKey,
     Dispatch,
     DispatchLost,
     DispatchUnsent,
@@ -70,21 +69,24 @@
     HomeReplied,
     HomeUnreachable,
     IssueTickets,
-    LogEntry,
-    Outcome,
     OutcomeArrived,
     ReadFailed,
     ReadLog,
-    Record,
-    RecordKind,
     RecordsRead,
     Reply,
     Verdict,
+)
+from wasabistage.once._policy import OncePolicy, UncheckedPolicy, error_of
+from wasabistage.once._records import (
+    CallKey,
+    LogEntry,
+    Outcome,
+    Record,
+    RecordKind,
     decode_record,
     digest_call,
     encode_record,
 )
-from wasabistage.once._policy import OncePolicy, UncheckedPolicy, error_of
 from wasabistage.once._ticket_policy import NO_TICKETS, TicketPolicy
 from wasabistage.once._tickets import NOT_A_TICKET, Ticket, TicketMint, parse_ticket
 
--- a/wasabistage/once/_batcher.py
+++ b/wasabistage/once/_batcher.py
@@ -9,9 +9,9 @@
     AppendFailed,
     AppendRecords,
     AppendUnknown,
-    RecordKind,
     RecordsRead,
 )
+from wasabistage.once._records import RecordKind
 
 
 class LogBatcher(Policy):
--- a/wasabistage/once/_coordinator.py
+++ b/wasabistage/once/_coordinator.py
@@ -134,7 +134,7 @@
             self.own_keys_.observe(event, now)
         else:
             reason = "the idempotency key is neither a ticket nor a UUIDv7"
-            self.reply(event.attempt, event.key, Verdict.FORGED, reason)
+            self.reply(event.attempt, event.key, Verdict.BAD_KEY, reason)
 
     def _read(self, now):
         wanted = self.batcher_.wants_read_ or any(p.wants_read_ for p in self.policies_)
--- a/wasabistage/once/_fold.py
+++ b/wasabistage/once/_fold.py
@@ -7,7 +7,8 @@
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
 from wasabistage.once._keys import is_live, key_time
-from wasabistage.once._messages import LogEntry, RecordKind, RecordsRead
+from wasabistage.once._messages import RecordsRead
+from wasabistage.once._records import LogEntry, RecordKind
 from wasabistage.once._tickets import parse_ticket
 
 CARRY_BATCH = 64
--- a/wasabistage/once/_home.py
+++ b/wasabistage/once/_home.py
@@ -13,12 +13,10 @@
     Dispatch,
     DispatchLost,
     DispatchUnsent,
-    Outcome,
     OutcomeArrived,
-    Record,
-    RecordKind,
     Verdict,
 )
+from wasabistage.once._records import Outcome, Record, RecordKind
 
 
 class Phase(StrEnum):
--- a/wasabistage/once/_log_first.py
+++ b/wasabistage/once/_log_first.py
@@ -2,7 +2,8 @@
 
 from wasabistage.once._home import HomePolicy, Phase
 from wasabistage.once._keys import is_live, key_time
-from wasabistage.once._messages import RecordKind, RecordsRead, Verdict
+from wasabistage.once._messages import RecordsRead, Verdict
+from wasabistage.once._records import RecordKind
 
 
 class LogFirstPolicy(HomePolicy):
--- a/wasabistage/once/_policy.py
+++ b/wasabistage/once/_policy.py
@@ -4,6 +4,7 @@
 
 from wasabistage.base import Policy, Ran
 from wasabistage.exceptions import (
+    BadRequestError,
     ConflictError,
     ExpiredKeyError,
     OutcomeUnknownError,
@@ -118,6 +119,7 @@
         "look the purchase up at the service before sending it under a new key",
     ),
     Verdict.FORGED: (UnauthorizedError, "ask for a ticket with your own bearer key"),
+    Verdict.BAD_KEY: (BadRequestError, "send a ticket or a UUIDv7 in lower case"),
     Verdict.OVERLOAD: (OverloadError, "try again later with the same key"),
 }
 
--- a/wasabistage/once/_ticket_policy.py
+++ b/wasabistage/once/_ticket_policy.py
@@ -6,7 +6,8 @@
 from wasabistage.declarations import OutagePolicy
 from wasabistage.exceptions import SettingError
 from wasabistage.once._home import HomePolicy, Phase
-from wasabistage.once._messages import IssueTickets, RecordKind, Verdict
+from wasabistage.once._messages import IssueTickets, Verdict
+from wasabistage.once._records import RecordKind
 from wasabistage.once._tickets import parse_ticket
 from wasabistage.utils import Sentinel
 
