Refuse crossed replies and bound the own keys of one account

Cause: a home's reply for another key would have reached the wrong caller, and one client account could have filled every reader's table of own keys. Change: a reply must name the forwarded key, else the log is asked; a bound of keys per account, checked before a claim is written.

--- a/wasabistage/once/__init__.py
+++ b/wasabistage/once/__init__.py
@@ -51,7 +51,7 @@
 
 from wasabistage.once._batcher import LogBatcher
 from wasabistage.once._coordinator import OnceCoordinator
-from wasabistage.once._fold import ClaimFold, Standing
+from wasabistage.once._fold import ClaimFold
 from wasabistage.once._home import Phase
 from wasabistage.once._keys import NOT_A_KEY, key_time, make_key
 from wasabistage.once._log_first import LogFirstPolicy
@@ -87,6 +87,7 @@
     digest_call,
     encode_record,
 )
+from wasabistage.once._standing import Standing
 from wasabistage.once._ticket_policy import NO_TICKETS, TicketPolicy
 from wasabistage.once._tickets import NOT_A_TICKET, Ticket, TicketMint, parse_ticket
 
--- a/wasabistage/once/_fold.py
+++ b/wasabistage/once/_fold.py
@@ -2,13 +2,15 @@
 
 import heapq
 import zlib
-from dataclasses import dataclass, field, replace
+from collections import Counter
+from dataclasses import replace
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
 from wasabistage.once._keys import is_live, key_time
 from wasabistage.once._messages import RecordsRead
 from wasabistage.once._records import LogEntry, RecordKind
+from wasabistage.once._standing import EMPTY, Standing
 from wasabistage.once._tickets import parse_ticket
 
 CARRY_BATCH = 64
@@ -18,50 +20,6 @@
 EXPIRY_SKEWS = 4
 
 
-@dataclass(kw_only=True, slots=True)
-class Standing:
-    """What the log says about one key.
-
-    :param home: incarnation that alone may run it; empty while unclaimed.
-    :param claim: first claim.
-    :param abandon: first abandon record.
-    :param refusal: abandon record of the home itself.
-    :param outcome: outcome record of the home.
-    :param carried: original offsets of the carried copies seen.
-    """
-
-    home: str = ""
-    claim: LogEntry | None = None
-    abandon: LogEntry | None = None
-    refusal: LogEntry | None = None
-    outcome: LogEntry | None = None
-    carried: set[int] = field(default_factory=set)
-
-    @property
-    def is_abandoned(self):
-        """Whether the key can never run: abandoned first, or by its own home."""
-        if self.refusal is not None:
-            return True
-        if self.abandon is None:
-            return False
-        return self.claim is None or self.abandon.offset < self.claim.offset
-
-    @property
-    def digest(self):
-        """Digest of the call that the home has run or may run; empty if unknown."""
-        known = self.claim or self.outcome
-        return known.record.digest if known else ""
-
-    def entries(self):
-        """Return what must be carried forward, by rising offset."""
-        known = (self.claim, self.abandon, self.refusal, self.outcome)
-        present = {entry.offset: entry for entry in known if entry is not None}
-        return [present[offset] for offset in sorted(present)]
-
-
-EMPTY = Standing()
-
-
 class ClaimFold(Policy):
     """Fold the once-only log stream.
 
@@ -81,6 +39,8 @@
     :param horizon: age at which a key expires, in seconds.
     :param clock_skew: largest error of a wall clock, in seconds.
     :param max_keys: callers' own keys remembered.
+    :param max_account_keys: callers' own keys of one client account, beyond which
+        its new ones are refused.
     :param max_ticketed: ticketed keys remembered; at the bound the oldest is
         dropped, since no reader runs them.
     :param outcome_bytes: bytes of outcome bodies remembered in all.
@@ -94,6 +54,7 @@
         horizon=7200.0,
         clock_skew=5.0,
         max_keys=20_000,
+        max_account_keys=5_000,
         max_ticketed=20_000,
         outcome_bytes=16 << 20,
     ):
@@ -102,6 +63,7 @@
         self.horizon = horizon
         self.clock_skew = clock_skew
         self.max_keys = max_keys
+        self.max_account_keys = max_account_keys
         self.max_ticketed = max_ticketed
         self.outcome_bytes = outcome_bytes
 
@@ -116,10 +78,10 @@
                 "horizon or clock_skew of the claim fold is out of range",
                 remedy="set horizon above 0, clock_skew to 0 or more",
             )
-        if min(self.max_keys, self.max_ticketed) < 1:
+        if min(self.max_keys, self.max_account_keys, self.max_ticketed) < 1:
             raise SettingError(
                 "a bound of the claim fold is not positive",
-                remedy="set max_keys and max_ticketed to 1 or more",
+                remedy="set max_keys, max_account_keys, max_ticketed to 1 or more",
             )
         if self.horizon + EXPIRY_SKEWS * self.clock_skew >= self.retention:
             raise SettingError(
@@ -128,6 +90,7 @@
             )
         self.keys_ = {}
         self.ticketed_ = {}
+        self.by_account_ = Counter()
         self.position_ = None
         self.doubtful_before_ = float("-inf")
         self.gaps_ = 0
@@ -184,9 +147,15 @@
         live = is_live(born, wall, horizon=self.horizon, clock_skew=self.clock_skew)
         return live and born > self.doubtful_before_
 
-    def is_full(self):
-        """Tell whether no further key can be remembered."""
-        return len(self.keys_) >= self.max_keys
+    def is_full(self, account):
+        """Tell whether no further key of an account may be claimed.
+
+        :param account: name of the client account.
+        :return: ``True`` if it, or the table, has reached its bound.
+        """
+        if len(self.keys_) >= self.max_keys:
+            return True
+        return self.by_account_[account] >= self.max_account_keys
 
     def _doubt(self, wall):
         # What was missed was appended before now. A key's first claim comes at
@@ -210,6 +179,8 @@
                 return
             standing = Standing(home=ticket.home if ticket else "")
             table[record.key] = standing
+            if not ticket:
+                self.by_account_[record.key.account] += 1
             self._schedule(record, now, ends - wall, wall)
         if record.carried_from is not None:
             standing.carried.add(record.carried_from)
@@ -217,7 +188,7 @@
         self._apply(standing, entry, bool(ticket))
 
     def _make_room(self, ticket, wall):
-        if not ticket and self.is_full():
+        if not ticket and len(self.keys_) >= self.max_keys:
             self._doubt(wall)
             return False
         if ticket and len(self.ticketed_) >= self.max_ticketed:
@@ -272,10 +243,19 @@
         return entry
 
     def _forget(self, key):
-        standing = self.keys_.pop(key, None) or self.ticketed_.pop(key, EMPTY)
+        if key in self.keys_:
+            standing = self.keys_.pop(key)
+            self._count_down(key.account)
+        else:
+            standing = self.ticketed_.pop(key, EMPTY)
         if standing.outcome is not None:
             self.held_bytes_ -= len(standing.outcome.record.outcome.body)
 
+    def _count_down(self, account):
+        self.by_account_[account] -= 1
+        if not self.by_account_[account]:
+            del self.by_account_[account]
+
     def _carry(self, now):
         copies = []
         while self.carries_ and self.carries_[0][0] <= now:
--- a/wasabistage/once/_forwards.py
+++ b/wasabistage/once/_forwards.py
@@ -126,8 +126,7 @@
         """
         match event:
             case HomeReplied():
-                if self.forwards_.pop(event.attempt, None) is not None:
-                    self._pass_on(event)
+                self._pass_on(event, self.forwards_.pop(event.attempt, None))
             case HomeUnreachable():
                 forwarded = self.forwards_.pop(event.attempt, None)
                 if forwarded is not None:
@@ -149,8 +148,14 @@
             late = [name for name, f in table.items() if f.call.deadline <= now]
             self._give_up(table, late)
 
-    def _pass_on(self, event):
+    def _pass_on(self, event, forwarded):
         got = event.reply
+        if forwarded is None:
+            return
+        if got.key != forwarded.call.key:
+            # A crossed reply belongs to another caller.
+            self.lookups_[event.attempt] = forwarded
+            return
         self.reply(
             event.attempt,
             got.key,
--- a/wasabistage/once/_log_first.py
+++ b/wasabistage/once/_log_first.py
@@ -94,7 +94,7 @@
         :param now: monotonic time, in seconds.
         """
         kind = RecordKind.ABANDON if call.inquire else RecordKind.CLAIM
-        full = len(self.works_) >= self.max_keys or self.fold.is_full()
+        full = len(self.works_) >= self.max_keys or self.fold.is_full(call.key.account)
         if full or not self.write(kind, call.key, call.digest, call.wall):
             reason = "too many keys are remembered or wait for the log"
             self.reply(call.attempt, call.key, Verdict.OVERLOAD, reason)
--- a/wasabistage/once/tests/test_log.py
+++ b/wasabistage/once/tests/test_log.py
@@ -208,7 +208,15 @@
         self.assertEqual(self.standing(make_record(), other).home, "a")
         self.assertEqual(self.fold.decide(other.key, 0.0).home, "")
         self.assertFalse(self.fold.is_certain(WALL, WALL))
-        self.assertTrue(self.fold.is_full())
+        self.assertTrue(self.fold.is_full("guest"))
+
+    def test_one_account_cannot_fill_the_table(self):
+        self.fold = self.make_fold(max_account_keys=1)
+        self.standing(make_record())
+        self.assertTrue(self.fold.is_full("padavu"))
+        self.assertFalse(self.fold.is_full("guest"))
+        self.fold.tick(75.0)
+        self.assertFalse(self.fold.is_full("padavu"))
 
     def test_ticketed_keys_are_bounded_by_dropping_the_oldest(self):
         self.fold = self.make_fold(max_ticketed=2, max_keys=1)
--- a/wasabistage/once/tests/test_policies.py
+++ b/wasabistage/once/tests/test_policies.py
@@ -142,6 +142,14 @@
         passed = self.b.see(HomeReplied(attempt="r1", reply=reply))
         self.assertEqual(passed, [replace(reply, attempt="r1")])
 
+    def test_crossed_reply_reaches_no_other_caller(self):
+        mine, other = self.a.ticket(0), self.a.ticket(1)
+        self.b.call(mine)
+        self.a.call(other)
+        (reply,) = self.a.finish(other)
+        self.assertEqual(self.b.see(HomeReplied(attempt="r1", reply=reply)), [])
+        self.assert_reply(self.b.read(), Verdict.UNKNOWN)
+
     def test_dead_home_leaves_the_logged_outcome_or_unknown(self):
         key = self.a.ticket()
         self.a.call(key)
@@ -365,6 +373,11 @@
         self.a.policy.batcher_.backlog = 0
         self.assert_reply(self.a.call(self.own), Verdict.OVERLOAD)
 
+    def test_full_account_is_refused_before_a_claim(self):
+        self.a.policy.fold_.max_account_keys = 0
+        self.assert_reply(self.a.call(self.own), Verdict.OVERLOAD)
+        self.assertEqual(self.log, [])
+
     def test_other_forms_of_keys_are_refused(self):
         key = CallKey(account="padavu", key="my-key-1")
         self.assert_reply(self.a.call(key), Verdict.BAD_KEY)
