Skip records of the once-only log that make no sense

Cause: an outcome record without an outcome would have stopped every reader. Change: such records, and copies carried from a later offset, are skipped and counted; fuzzed records are folded in a test.

--- a/wasabistage/once/_fold.py
+++ b/wasabistage/once/_fold.py
@@ -20,6 +20,18 @@
 EXPIRY_SKEWS = 4
 
 
+def is_sound(entry):
+    """Tell whether a record makes sense at its place.
+
+    :param entry: a :class:`LogEntry`.
+    :return: ``False`` for a record that no correct writer appends.
+    """
+    record = entry.record
+    if record.kind == RecordKind.OUTCOME and record.outcome is None:
+        return False
+    return record.carried_from is None or 0 <= record.carried_from < entry.offset
+
+
 class ClaimFold(Policy):
     """Fold the once-only log stream.
 
@@ -27,6 +39,8 @@
     carried copy counts at its original offset, so it never overtakes or reverts.
     Abandon and outcome records of a ticketed key count only from its home.
 
+    Records that make no sense are skipped and counted in ``skipped_``.
+
     A reader that missed records (the log was trimmed past its position, or
     ``max_keys`` was reached) can't judge keys made before that: they are doubtful
     to it and it neither runs nor abandons them.
@@ -94,6 +108,7 @@
         self.position_ = None
         self.doubtful_before_ = float("-inf")
         self.gaps_ = 0
+        self.skipped_ = 0
         self.held_bytes_ = 0
         self.scheduled_ = 0
         self.expiries_ = []
@@ -167,7 +182,10 @@
         record = entry.record
         ticket = parse_ticket(record.key.key)
         born = ticket.issued if ticket else key_time(record.key.key)
-        if record.kind == RecordKind.INTENT or not (ticket or born):
+        if not (ticket or born) or not is_sound(entry):
+            self.skipped_ += 1
+            return
+        if record.kind == RecordKind.INTENT:
             return
         ends = born + self.horizon + EXPIRY_SKEWS * self.clock_skew
         if wall > ends:
--- a/wasabistage/once/tests/test_log.py
+++ b/wasabistage/once/tests/test_log.py
@@ -1,6 +1,10 @@
 import unittest
 from dataclasses import replace
 
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from wasabistage.exceptions import SettingError
 from wasabistage.once import (
     AppendConfirmed,
@@ -55,7 +59,25 @@
     )
 
 
+FUZZED = {
+    "kind": st.sampled_from(RecordKind),
+    "writer": st.text(max_size=3),
+    "number": st.integers(),
+    "key": st.sampled_from([own_key(), CallKey(account="", key="\x00")]),
+    "digest": st.text(max_size=3),
+    "written": st.floats(),
+    "outcome": st.none() | st.builds(Outcome, status=st.integers(), body=st.binary()),
+    "carried_from": st.none() | st.integers(),
+}
+
+
 class TestRecords(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.binary(max_size=200))
+    def test_other_bytes_are_no_record(self, data):
+        with self.assertRaises(msgspec.MsgspecError):
+            decode_record(data)
+
     def test_record_survives_the_log(self):
         record = make_record(
             RecordKind.OUTCOME,
@@ -210,6 +232,21 @@
         self.assertFalse(self.fold.is_certain(WALL, WALL))
         self.assertTrue(self.fold.is_full("guest"))
 
+    def test_senseless_records_are_skipped(self):
+        ahead = make_record(carried_from=9)
+        empty = make_record(RecordKind.OUTCOME)
+        foreign = make_record(key=CallKey(account="padavu", key="x"))
+        self.assertEqual(self.standing(ahead, empty, foreign).home, "")
+        self.assertEqual(self.fold.skipped_, 3)
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.lists(st.builds(Record, **FUZZED), max_size=8))
+    def test_any_decoded_records_are_folded(self, records):
+        fold = self.make_fold()
+        fold.observe(make_read(records), 0.0)
+        fold.tick(1000.0)
+        self.assertEqual(fold.position_, len(records))
+
     def test_one_account_cannot_fill_the_table(self):
         self.fold = self.make_fold(max_account_keys=1)
         self.standing(make_record())
