--- a/wasabistage/once/_fold.py
+++ b/wasabistage/once/_fold.py
@@ -2,63 +2,34 @@
 
 import heapq
 import zlib
-from dataclasses import dataclass, field, replace
+from collections import Counter
+from dataclasses import replace
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
 from wasabistage.once._keys import is_live, key_time
-from wasabistage.once._messages import LogEntry, RecordKind, RecordsRead
+from wasabistage.once._messages import RecordsRead
+from wasabistage.once._records import LogEntry, RecordKind
+from wasabistage.once._standing import EMPTY, Standing
 from wasabistage.once._tickets import parse_ticket
 
 CARRY_BATCH = 64
 CARRY_FROM = 0.4
 CARRY_SPREAD = 0.08
-DOUBT_SKEWS = 3
+DOUBT_SKEWS = 4
 EXPIRY_SKEWS = 4
 
 
-@dataclass(kw_only=True)
-class Standing:
-    """What the log says about one key.
+def is_sound(entry):
+    """Tell whether a record makes sense at its place.
 
-    :param home: incarnation that alone may run it; empty while unclaimed.
-    :param claim: first claim.
-    :param abandon: first abandon record.
-    :param refusal: abandon record of the home itself.
-    :param outcome: outcome record of the home.
-    :param carried: original offsets of the carried copies seen.
+    :param entry: a :class:`LogEntry`.
+    :return: ``False`` for a record that no correct writer appends.
     """
-
-    home: str = ""
-    claim: LogEntry | None = None
-    abandon: LogEntry | None = None
-    refusal: LogEntry | None = None
-    outcome: LogEntry | None = None
-    carried: set[int] = field(default_factory=set)
-
-    @property
-    def is_abandoned(self):
-        """Whether the key can never run: abandoned first, or by its own home."""
-        if self.refusal is not None:
-            return True
-        if self.abandon is None:
-            return False
-        return self.claim is None or self.abandon.offset < self.claim.offset
-
-    @property
-    def digest(self):
-        """Digest of the call that the home has run or may run; empty if unknown."""
-        known = self.claim or self.outcome
-        return known.record.digest if known else ""
-
-    def entries(self):
-        """Return what must be carried forward, by rising offset."""
-        known = (self.claim, self.abandon, self.refusal, self.outcome)
-        present = {entry.offset: entry for entry in known if entry is not None}
-        return [present[offset] for offset in sorted(present)]
-
-
-EMPTY = Standing()
+    record = entry.record
+    if record.kind == RecordKind.OUTCOME and record.outcome is None:
+        return False
+    return record.carried_from is None or 0 <= record.carried_from < entry.offset
 
 
 class ClaimFold(Policy):
@@ -68,6 +39,8 @@
     carried copy counts at its original offset, so it never overtakes or reverts.
     Abandon and outcome records of a ticketed key count only from its home.
 
+    Records that make no sense are skipped and counted in ``skipped_``.
+
     A reader that missed records (the log was trimmed past its position, or
     ``max_keys`` was reached) can't judge keys made before that: they are doubtful
     to it and it neither runs nor abandons them.
@@ -79,8 +52,11 @@
     :param retention: time for which the log keeps every record, in seconds.
     :param horizon: age at which a key expires, in seconds.
     :param clock_skew: largest error of a wall clock, in seconds.
-    :param max_keys: callers' own keys remembered; and as many ticketed keys, of
-        which the oldest is dropped at the bound, since no reader runs them.
+    :param max_keys: callers' own keys remembered.
+    :param max_account_keys: callers' own keys of one client account, beyond which
+        its new ones are refused.
+    :param max_ticketed: ticketed keys remembered; at the bound the oldest is
+        dropped, since no reader runs them.
     :param outcome_bytes: bytes of outcome bodies remembered in all.
     """
 
@@ -91,7 +67,9 @@
         retention=86400.0,
         horizon=7200.0,
         clock_skew=5.0,
-        max_keys=50_000,
+        max_keys=20_000,
+        max_account_keys=5_000,
+        max_ticketed=20_000,
         outcome_bytes=16 << 20,
     ):
         self.incarnation = incarnation
@@ -99,6 +77,8 @@
         self.horizon = horizon
         self.clock_skew = clock_skew
         self.max_keys = max_keys
+        self.max_account_keys = max_account_keys
+        self.max_ticketed = max_ticketed
         self.outcome_bytes = outcome_bytes
 
     def reset(self):
@@ -107,10 +87,15 @@
         :return: the fold itself.
         :raises SettingError: if the log could trim the claim of a live key.
         """
-        if self.horizon <= 0 or self.clock_skew < 0 or self.max_keys < 1:
+        if self.horizon <= 0 or self.clock_skew < 0:
+            raise SettingError(
+                "horizon or clock_skew of the claim fold is out of range",
+                remedy="set horizon above 0, clock_skew to 0 or more",
+            )
+        if min(self.max_keys, self.max_account_keys, self.max_ticketed) < 1:
             raise SettingError(
                 "a bound of the claim fold is not positive",
-                remedy="set horizon and max_keys above 0, clock_skew to 0 or more",
+                remedy="set max_keys, max_account_keys, max_ticketed to 1 or more",
             )
         if self.horizon + EXPIRY_SKEWS * self.clock_skew >= self.retention:
             raise SettingError(
@@ -119,9 +104,11 @@
             )
         self.keys_ = {}
         self.ticketed_ = {}
+        self.by_account_ = Counter()
         self.position_ = None
         self.doubtful_before_ = float("-inf")
         self.gaps_ = 0
+        self.skipped_ = 0
         self.held_bytes_ = 0
         self.scheduled_ = 0
         self.expiries_ = []
@@ -175,13 +162,19 @@
         live = is_live(born, wall, horizon=self.horizon, clock_skew=self.clock_skew)
         return live and born > self.doubtful_before_
 
-    def is_full(self):
-        """Tell whether no further key can be remembered."""
-        return len(self.keys_) >= self.max_keys
+    def is_full(self, account):
+        """Tell whether no further key of an account may be claimed.
+
+        :param account: name of the client account.
+        :return: ``True`` if it, or the table, has reached its bound.
+        """
+        if len(self.keys_) >= self.max_keys:
+            return True
+        return self.by_account_[account] >= self.max_account_keys
 
     def _doubt(self, wall):
         # What was missed was appended before now. A key's first claim comes at
-        # most two skews before its stamp; this reader's clock may lag by another.
+        # most three skews before its stamp; this reader's clock may lag by another.
         self.doubtful_before_ = wall + DOUBT_SKEWS * self.clock_skew
         self.gaps_ += 1
 
@@ -189,7 +182,10 @@
         record = entry.record
         ticket = parse_ticket(record.key.key)
         born = ticket.issued if ticket else key_time(record.key.key)
-        if record.kind == RecordKind.INTENT or not (ticket or born):
+        if not (ticket or born) or not is_sound(entry):
+            self.skipped_ += 1
+            return
+        if record.kind == RecordKind.INTENT:
             return
         ends = born + self.horizon + EXPIRY_SKEWS * self.clock_skew
         if wall > ends:
@@ -197,10 +193,12 @@
         table = self.ticketed_ if ticket else self.keys_
         standing = table.get(record.key)
         if standing is None:
-            if len(table) >= self.max_keys and not self._make_room(ticket, wall):
+            if not self._make_room(ticket, wall):
                 return
             standing = Standing(home=ticket.home if ticket else "")
             table[record.key] = standing
+            if not ticket:
+                self.by_account_[record.key.account] += 1
             self._schedule(record, now, ends - wall, wall)
         if record.carried_from is not None:
             standing.carried.add(record.carried_from)
@@ -208,10 +206,11 @@
         self._apply(standing, entry, bool(ticket))
 
     def _make_room(self, ticket, wall):
-        if not ticket:
+        if not ticket and len(self.keys_) >= self.max_keys:
             self._doubt(wall)
             return False
-        self._forget(next(iter(self.ticketed_)))
+        if ticket and len(self.ticketed_) >= self.max_ticketed:
+            self._forget(next(iter(self.ticketed_)))
         return True
 
     def _schedule(self, record, now, life, wall):
@@ -220,6 +219,15 @@
         due = now + self.carry_age_ - max(0.0, wall - record.written)
         if due < now + life:
             heapq.heappush(self.carries_, (due, self.scheduled_, record.key))
+        if len(self.expiries_) > 2 * (self.max_keys + self.max_ticketed):
+            self.expiries_ = self._known(self.expiries_)
+            self.carries_ = self._known(self.carries_)
+
+    def _known(self, schedule):
+        # Keys dropped at a bound leave their times behind.
+        kept = [item for item in schedule if self.decide(item[2], item[0]) is not EMPTY]
+        heapq.heapify(kept)
+        return kept
 
     def _apply(self, standing, entry, ticketed):
         record = entry.record
@@ -253,10 +261,19 @@
         return entry
 
     def _forget(self, key):
-        standing = self.keys_.pop(key, None) or self.ticketed_.pop(key, EMPTY)
+        if key in self.keys_:
+            standing = self.keys_.pop(key)
+            self._count_down(key.account)
+        else:
+            standing = self.ticketed_.pop(key, EMPTY)
         if standing.outcome is not None:
             self.held_bytes_ -= len(standing.outcome.record.outcome.body)
 
+    def _count_down(self, account):
+        self.by_account_[account] -= 1
+        if not self.by_account_[account]:
+            del self.by_account_[account]
+
     def _carry(self, now):
         copies = []
         while self.carries_ and self.carries_[0][0] <= now:
--- a/wasabistage/once/_forwards.py
+++ b/wasabistage/once/_forwards.py
@@ -17,7 +17,7 @@
 UNKNOWN_REASON = "the instance that decides this key can't be asked"
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Forwarded:
     """A forwarded attempt.
 
@@ -34,11 +34,13 @@
 
     At ``max_forwards`` attempts under way further ones are refused as overload.
 
+    :param incarnation: random id of this process's life.
     :param fold: the :class:`ClaimFold` that both policies read.
     :param max_forwards: attempts forwarded or looked up at a time.
     """
 
-    def __init__(self, *, fold, max_forwards=4096):
+    def __init__(self, *, incarnation, fold, max_forwards=4096):
+        self.incarnation = incarnation
         self.fold = fold
         self.max_forwards = max_forwards
 
@@ -67,8 +69,8 @@
         """
         if self.answer_from_log(call, born, call.wall, now):
             return
-        if call.forwarded:
-            reason = "this instance is not the home of the key"
+        if call.forwarded or home in ("", self.incarnation):
+            reason = "this instance can't tell what became of the key"
             self.reply(call.attempt, call.key, Verdict.UNKNOWN, reason)
         elif len(self.forwards_) + len(self.lookups_) >= self.max_forwards:
             reason = "too many attempts wait for other instances"
@@ -124,8 +126,7 @@
         """
         match event:
             case HomeReplied():
-                if self.forwards_.pop(event.attempt, None) is not None:
-                    self._pass_on(event)
+                self._pass_on(event, self.forwards_.pop(event.attempt, None))
             case HomeUnreachable():
                 forwarded = self.forwards_.pop(event.attempt, None)
                 if forwarded is not None:
@@ -147,8 +148,14 @@
             late = [name for name, f in table.items() if f.call.deadline <= now]
             self._give_up(table, late)
 
-    def _pass_on(self, event):
+    def _pass_on(self, event, forwarded):
         got = event.reply
+        if forwarded is None:
+            return
+        if got.key != forwarded.call.key:
+            # A crossed reply belongs to another caller.
+            self.lookups_[event.attempt] = forwarded
+            return
         self.reply(
             event.attempt,
             got.key,
--- a/wasabistage/once/_home.py
+++ b/wasabistage/once/_home.py
@@ -13,12 +13,10 @@
     Dispatch,
     DispatchLost,
     DispatchUnsent,
-    Outcome,
     OutcomeArrived,
-    Record,
-    RecordKind,
     Verdict,
 )
+from wasabistage.once._records import Outcome, Record, RecordKind
 
 
 class Phase(StrEnum):
@@ -35,7 +33,7 @@
 ENDED = (Phase.DONE, Phase.LOST, Phase.REFUSED)
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, slots=True)
 class Work:
     """One key at the instance that handles it.
 
@@ -81,14 +79,13 @@
         incarnation,
         fold,
         batcher,
-        max_keys=50_000,
+        max_keys=20_000,
         max_waiting=16,
         max_body=64 << 10,
         outcome_bytes=16 << 20,
         max_forwards=4096,
     ):
-        super().__init__(fold=fold, max_forwards=max_forwards)
-        self.incarnation = incarnation
+        super().__init__(incarnation=incarnation, fold=fold, max_forwards=max_forwards)
         self.batcher = batcher
         self.max_keys = max_keys
         self.max_waiting = max_waiting
@@ -168,6 +165,11 @@
         self.works_[call.key] = work
         self.added_ += 1
         heapq.heappush(self.forgets_, (forgets, self.added_, call.key))
+        if len(self.forgets_) > 2 * self.max_keys:
+            # Keys handed over to their home leave their times behind.
+            kept = [item for item in self.forgets_ if item[2] in self.works_]
+            heapq.heapify(kept)
+            self.forgets_ = kept
         self.wait(work, call)
         return work
 
--- a/wasabistage/once/_messages.py
+++ b/wasabistage/once/_messages.py
@@ -1,99 +1,16 @@
-"""Typed messages of the once-only decisions: records, events, queries, actions."""
+"""Typed messages of the once-only decisions: events, queries, actions."""
 
-import hashlib
 from dataclasses import dataclass
 from enum import StrEnum
 
-import msgspec
-
 from wasabistage.base import Ran
 from wasabistage.declarations import OutagePolicy
-
-
-@dataclass(frozen=True, kw_only=True)
-class CallKey:
-    """Key of one non-idempotent call; keys of two accounts are never equal.
-
-    :param account: name of the client account.
-    :param key: a ticket, or the caller's own UUIDv7.
-    """
-
-    account: str
-    key: str
-
-
-@dataclass(frozen=True, kw_only=True)
-class Outcome:
-    """What the backend server answered.
-
-    :param status: HTTP status.
-    :param headers: response headers that are passed on.
-    :param body: response body; empty when it was too large to be kept.
-    :param digest: SHA-256 hex digest of the whole body.
-    :param body_omitted: whether the body was too large to be kept.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b""
-    digest: str = ""
-    body_omitted: bool = False
-
-
-class RecordKind(StrEnum):
-    """What a log record states about its key."""
-
-    INTENT = "intent"
-    CLAIM = "claim"
-    OUTCOME = "outcome"
-    ABANDON = "abandon"
-
-
-@dataclass(frozen=True, kw_only=True)
-class Record:
-    """One record of the once-only log stream.
-
-    :param kind: what it states.
-    :param writer: incarnation that wrote it first.
-    :param number: sequence number within the writer.
-    :param key: the key it is about.
-    :param digest: digest of the call, see :func:`digest_call`.
-    :param written: wall time of writing, in seconds since the epoch.
-    :param outcome: the answer, for kind ``OUTCOME``.
-    :param carried_from: offset of the original when this is a carried copy.
-    """
-
-    kind: RecordKind
-    writer: str
-    number: int
-    key: CallKey
-    digest: str
-    written: float
-    outcome: Outcome | None = None
-    carried_from: int | None = None
-
-    @property
-    def identity(self):
-        """Identify the record; equal for every repeat of one append."""
-        return (self.writer, self.number, self.carried_from)
-
-
-@dataclass(frozen=True, kw_only=True)
-class LogEntry:
-    """A record at its place in the log.
-
-    :param offset: offset of the record.
-    :param record: the record.
-    """
-
-    offset: int
-    record: Record
-
+from wasabistage.once._records import CallKey, LogEntry, Outcome, Record
 
 # Events
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class CallArrived:
     """An attempt of a non-idempotent call.
 
@@ -118,7 +35,7 @@
     inquire: bool = False
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class RecordsRead:
     """The log answered a read.
 
@@ -138,12 +55,12 @@
     wall: float
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ReadFailed:
     """A read of the log failed or timed out."""
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendConfirmed:
     """The log confirmed an append.
 
@@ -153,7 +70,7 @@
     batch: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendFailed:
     """An append certainly took no effect.
 
@@ -163,7 +80,7 @@
     batch: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendUnknown:
     """An append timed out or its answer was lost; it may take effect, also later.
 
@@ -173,7 +90,7 @@
     batch: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class OutcomeArrived:
     """A backend server answered in full.
 
@@ -189,7 +106,7 @@
     wall: float
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class DispatchUnsent:
     """No byte of the call reached any backend server.
 
@@ -203,7 +120,7 @@
     wall: float
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class DispatchLost:
     """A byte was sent and no whole answer came.
 
@@ -215,7 +132,7 @@
     attempt: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class HomeReplied:
     """The home answered a forwarded attempt.
 
@@ -227,20 +144,20 @@
     reply: "Reply"
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class HomeUnreachable:
     """The home could not be asked, or did not answer.
 
     :param attempt: the attempt here.
-    :param bytes_sent: whether a byte of this attempt may have reached it. An
-        earlier attempt may have reached it in either case.
+    :param bytes_sent: whether a byte of this attempt may have reached it. It
+        decides nothing: an earlier attempt may have reached it in either case.
     """
 
     attempt: str
-    bytes_sent: bool
+    bytes_sent: bool = True
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptGone:
     """The caller of an attempt went away; no reply is wanted.
 
@@ -253,7 +170,7 @@
 # Queries
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class IssueTickets:
     """Ask for tickets; answered with a tuple of strings or a sentinel.
 
@@ -270,7 +187,7 @@
 # Actions
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class AppendRecords:
     """Append records to the log in one append.
 
@@ -285,7 +202,7 @@
     records: tuple[Record, ...]
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ReadLog:
     """Read the log; the task reports :class:`RecordsRead` or :class:`ReadFailed`.
 
@@ -295,7 +212,7 @@
     start: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Dispatch:
     """Send the call to a backend server, now and once.
 
@@ -309,7 +226,7 @@
     attempt: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ForwardToHome:
     """Hand an attempt to the key's home.
 
@@ -332,10 +249,11 @@
     CONFLICT = "conflict"
     EXPIRED = "expired"
     FORGED = "forged"
+    BAD_KEY = "bad_key"
     OVERLOAD = "overload"
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
     """Answer an attempt.
 
@@ -354,37 +272,3 @@
     ran: Ran | None = Ran.UNKNOWN
     outcome: Outcome | None = None
     reason: str = ""
-
-
-def digest_call(service, call, body):
-    """Digest what a key was first used for.
-
-    :param service: name of the service.
-    :param call: name of the declared call.
-    :param body: request body, in bytes.
-    :return: a hex digest.
-    """
-    digest = hashlib.sha256()
-    for part in (service.encode(), call.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
-def encode_record(record):
-    """Encode a record for the log.
-
-    :param record: a :class:`Record`.
-    :return: bytes.
-    """
-    return msgspec.msgpack.encode(record)
-
-
-def decode_record(data):
-    """Decode a record of the log.
-
-    :param data: bytes.
-    :return: a :class:`Record`.
-    :raises msgspec.MsgspecError: if the bytes are no such record.
-    """
-    return msgspec.msgpack.decode(data, type=Record)
--- a/wasabistage/once/_ticket_policy.py
+++ b/wasabistage/once/_ticket_policy.py
@@ -6,7 +6,8 @@
 from wasabistage.declarations import OutagePolicy
 from wasabistage.exceptions import SettingError
 from wasabistage.once._home import HomePolicy, Phase
-from wasabistage.once._messages import IssueTickets, RecordKind, Verdict
+from wasabistage.once._messages import IssueTickets, Verdict
+from wasabistage.once._records import RecordKind
 from wasabistage.once._tickets import parse_ticket
 from wasabistage.utils import Sentinel
 
@@ -39,7 +40,7 @@
         first_use=600.0,
         memory=3600.0,
         max_unused=2000,
-        max_keys=50_000,
+        max_keys=20_000,
         max_waiting=16,
         max_body=64 << 10,
         outcome_bytes=16 << 20,
@@ -126,7 +127,7 @@
         :param ticket: a verified :class:`Ticket`.
         :return: ``True`` if it was unused.
         """
-        account, _ = self.unused_.pop(ticket.nonce, (None, 0.0))
+        account, _ = self.unused_.pop(ticket.text, (None, 0.0))
         if account is None:
             return False
         self._count_down(account)
@@ -139,16 +140,16 @@
         :return: a list of actions.
         """
         while self.unused_:
-            nonce, (account, ends) = next(iter(self.unused_.items()))
+            text, (account, ends) = next(iter(self.unused_.items()))
             if ends > now:
                 break
-            del self.unused_[nonce]
+            del self.unused_[text]
             self._count_down(account)
         return super().tick(now)
 
     def _issue(self, query, nonce, now):
         ticket = self.mint.issue(query.account, nonce, query.wall, now)
-        self.unused_[ticket.nonce] = (query.account, now + self.first_use)
+        self.unused_[ticket.text] = (query.account, now + self.first_use)
         self.unused_by_account_[query.account] += 1
         return ticket.text
 
