--- a/wasabistage/admission/_demand_table.py
+++ b/wasabistage/admission/_demand_table.py
@@ -7,7 +7,7 @@
 DEMAND_SECONDS = 3.0
 MAX_COUNTERS = 4096
 MAX_REPORTED = 64
-MIN_REPORTED_SLOTS = 0.01
+MIN_REPORTED_RATE = 0.1
 DEFAULT_SLOT_SECONDS_PER_TOKEN = 0.001
 SPEED_MEMORY = 0.98
 
@@ -69,12 +69,12 @@
         for service, account in self.rates:
             rate = self.rate((service, account), now)
             slots = rate * self._slot_seconds_per_token(service)
-            if slots >= MIN_REPORTED_SLOTS:
-                demands.append((slots, service, account, rate))
+            if rate >= MIN_REPORTED_RATE:
+                demands.append((slots, rate, service, account))
         demands.sort(reverse=True)
         return tuple(
             AccountDemand(service=service, account=account, rate=rate, slots=slots)
-            for slots, service, account, rate in demands[:MAX_REPORTED]
+            for slots, rate, service, account in demands[:MAX_REPORTED]
         )
 
     def _slot_seconds_per_token(self, service):
--- a/wasabistage/admission/_limits.py
+++ b/wasabistage/admission/_limits.py
@@ -20,7 +20,7 @@
     Grant,
     Refuse,
 )
-from wasabistage.admission._shares import apportion, fill_shares
+from wasabistage.admission._shares import SlotDivision, apportion
 from wasabistage.base import Policy
 from wasabistage.declarations import ClientAccount
 from wasabistage.exceptions import SettingError
@@ -29,7 +29,6 @@
 MIN_RETRY_AFTER = 0.5
 MAX_RETRY_AFTER = 30.0
 GOLDEN_RATIO = 0.6180339887498949
-MIN_WEIGHT = 0.05
 EQUAL_PART = 0.05
 UNLIMITED = ClientAccount(name="")
 
@@ -225,6 +224,9 @@
         for name in [name for name in self.buckets_ if name not in self.accounts_]:
             del self.buckets_[name]
 
+    def _weights(self):
+        return {name: account.weight for name, account in self.accounts_.items()}
+
     def _refuse(self, event, wait):
         self.refusals_ += 1
         spread = 1.0 + self.refusals_ * GOLDEN_RATIO % 1.0
@@ -251,8 +253,8 @@
         :return: a :class:`Share` with the accounts' declared weights.
         """
         equal = dict.fromkeys(self.entries_, 1.0)
-        weights = {name: a.weight for name, a in self.accounts_.items()}
-        return Share(slots=apportion(query.slots, equal)[self.entry], weights=weights)
+        slots = apportion(query.slots, equal)[self.entry]
+        return Share(slots=slots, weights=self._weights())
 
     def rate_at_entry(self, account, now):
         """Return an equal part of the rate."""
@@ -346,12 +348,16 @@
         equal = apportion(query.slots, self.table_.members)
         pool = sum(equal[name] for name in fresh)
         least = {name: min(1, equal[name]) for name in fresh}
-        parts = self._account_parts(query.service, fresh, pool)
-        wanted = {name: sum(parts[name].values()) for name in fresh}
+        division = SlotDivision(
+            pool, self.table_.slots_of(query.service, fresh), self._weights()
+        )
+        wanted = {name: division.slots(name) for name in fresh}
         above = {name: max(0.0, wanted[name] - least[name]) for name in fresh}
         extra = apportion(pool - sum(least.values()), above)
-        weights = {a: max(part, MIN_WEIGHT) for a, part in parts[self.entry].items()}
-        return Share(slots=least[self.entry] + extra[self.entry], weights=weights)
+        return Share(
+            slots=least[self.entry] + extra[self.entry],
+            weights=division.weights_at(self.entry),
+        )
 
     def rate_at_entry(self, account, now):
         """Return this entry's part of the rate, by demand."""
@@ -403,17 +409,3 @@
             parts[name] = equal_part * equal + (1 - equal_part) * by_demand
         self.parts_[account] = (self.table_.pool(fresh), parts)
         return self.parts_[account]
-
-    def _account_parts(self, service, fresh, slots):
-        """Divide slots over accounts, then each account's over entries."""
-        demands = self.table_.slots_of(service, fresh)
-        totals = {}
-        for by_account in demands.values():
-            for account, wanted in by_account.items():
-                totals[account] = totals.get(account, 0.0) + wanted
-        weights = {name: self.accounts_.get(name, UNLIMITED).weight for name in totals}
-        shares = fill_shares(slots, totals, weights)
-        return {
-            name: {a: shares[a] * wanted / totals[a] for a, wanted in mine.items()}
-            for name, mine in demands.items()
-        }
--- a/wasabistage/admission/_messages.py
+++ b/wasabistage/admission/_messages.py
@@ -120,7 +120,7 @@
 class WaitEstimate:
     """Decision: the predicted wait for a slot.
 
-    :param wait: seconds until a slot is granted.
+    :param wait: seconds until a slot is granted, for nine requests in ten.
     :param first_byte: seconds from the grant to the first byte.
     """
 
--- a/wasabistage/admission/_queueing.py
+++ b/wasabistage/admission/_queueing.py
@@ -125,9 +125,12 @@
         :return: an empty :class:`ServiceQueue`.
         """
 
-    def refuses_early(self):
-        """Tell whether requests that can't meet their deadline are refused."""
-        return False
+    def longest_wait_part(self):
+        """Return the part of the time left that a predicted wait may take.
+
+        :return: part, 0 to 1; ``None`` if nothing is refused for its wait.
+        """
+        return None
 
     def _queue(self, service):
         if service not in self.services_:
@@ -161,13 +164,15 @@
         if left <= 0:
             actions.append(self._refuse(event, EXPIRED, MIN_RETRY_AFTER))
             return True
-        if not self.refuses_early():
+        wait_part = self.longest_wait_part()
+        if wait_part is None:
             return False
         estimate = queue.estimate(event.rank, event.account, now)
-        needed = estimate.wait + estimate.first_byte
-        if estimate.wait <= 0 or needed <= left:
+        longest = wait_part * (left - estimate.first_byte)
+        if estimate.wait <= 0 or estimate.wait <= longest:
             return False
-        actions.append(self._refuse(event, DEADLINE_UNREACHABLE, needed - left))
+        excess = estimate.wait - longest
+        actions.append(self._refuse(event, DEADLINE_UNREACHABLE, excess))
         return True
 
     def _shed(self, loser, event, queue, now, actions):
--- a/wasabistage/admission/_rank_floors.py
+++ b/wasabistage/admission/_rank_floors.py
@@ -3,7 +3,8 @@
 from math import exp, sqrt
 
 CREDIT_SECONDS = 2.0
-DEMAND_SECONDS = 5.0
+DEMAND_SECONDS = 1.0
+USE_SECONDS = 3.0
 DEFAULT_SERVICE_SECONDS = 1.0
 RATE_MEMORY = 0.98
 
@@ -14,13 +15,25 @@
     :param floor: least share of the slots that the rank keeps, 0 to 1.
     """
 
-    __slots__ = ("floor", "running", "credit", "demand", "seconds", "tokens", "count")
+    __slots__ = (
+        "floor",
+        "running",
+        "credit",
+        "demand",
+        "use",
+        "wanted",
+        "seconds",
+        "tokens",
+        "count",
+    )
 
     def __init__(self, floor):
         self.floor = floor
         self.running = 0
         self.credit = 0.0
         self.demand = 0.0
+        self.use = 0.0
+        self.wanted = 0
         self.seconds = 0.0
         self.tokens = 0.0
         self.count = 0.0
@@ -54,12 +67,12 @@
 
     A rank with work earns credit at its floor's share of the slots and pays for the
     slot time it is granted; one that is owed credit goes before those that are not.
-    Otherwise the most urgent rank goes first. Lower ranks leave free as many slots
-    as a more urgent rank's recent demand is likely to need, up to its floor.
+    Otherwise the most urgent rank goes first. The others leave free as many slots as
+    its recent demand is likely to need, up to its floor.
 
     :param floors: least share by rank, 0 to 1, summing to at most 1.
-    :param headroom: slots kept free, in standard deviations of the demand of more
-        urgent ranks; 0 lends every idle slot.
+    :param headroom: slots kept free, in standard deviations of the demand of the most
+        urgent rank; 0 lends every idle slot.
     """
 
     def __init__(self, floors, headroom):
@@ -84,9 +97,11 @@
         if passed <= 0:
             return
         keep = exp(-passed / DEMAND_SECONDS)
+        keep_use = exp(-passed / USE_SECONDS)
         for rank, state in self.ranks.items():
-            wanted = state.running + queued[rank]
-            state.demand = keep * state.demand + (1 - keep) * wanted
+            state.wanted = min(state.running + queued[rank], self.slots)
+            state.demand = keep * state.demand + (1 - keep) * state.wanted
+            state.use = keep_use * state.use + (1 - keep_use) * state.wanted
             earning = state.floor * self.slots
             state.credit += earning * passed
             cap = CREDIT_SECONDS * earning if queued[rank] else 0.0
@@ -104,12 +119,13 @@
         for rank, state in self.ranks.items():
             if queued[rank] and state.credit > 0:
                 return rank
-        reserved = 0
-        for rank, state in self.ranks.items():
-            if queued[rank] and free > reserved:
-                return rank
-            reserved += max(0, self.likely_need(state) - state.running)
-        return None
+        first, *others = self.ranks
+        if queued[first]:
+            return first
+        kept = self.likely_need(self.ranks[first]) - self.ranks[first].running
+        if free <= kept:
+            return None
+        return next((rank for rank in others if queued[rank]), None)
 
     def likely_need(self, state):
         """Return the slots that a rank is likely to need, up to its floor.
@@ -155,5 +171,5 @@
             if other == rank:
                 continue
             bound = self.slots if other < rank else state.floor * self.slots
-            used += min(state.demand, bound)
+            used += min(state.use, bound, state.wanted + 1)
         return max(self.ranks[rank].floor * self.slots, self.slots - used)
--- a/wasabistage/admission/_ranked.py
+++ b/wasabistage/admission/_ranked.py
@@ -31,22 +31,28 @@
     Each service has its own slots and queues, so that overload of one never takes
     another's. Within a service the most urgent rank goes first, but a rank below
     its declared floor goes before ranks above theirs. Within a rank client accounts
-    share by weighted fairness on cost in tokens. A request whose predicted wait
-    exceeds its deadline is refused at arrival; at a full queue the newest request
+    share by weighted fairness on cost in tokens. A request whose predicted wait is
+    too long for its deadline is refused at arrival; at a full queue the newest request
     of the account with the most queued cost over weight is refused.
 
     :param rank_floors: least share of capacity by rank, 0 to 1; ``None`` for those
         of a deployment without declarations.
     :param max_queued: bound of the waiting requests of each rank of a service.
     :param headroom: slots that less urgent ranks leave free, in standard deviations
-        of the recent demand of more urgent ones, up to these ranks' floors; 0 lends
-        every idle slot.
+        of the recent demand of the most urgent one, up to its floor; 0 lends every
+        idle slot.
+    :param wait_part: part of the time left to its deadline that a request's
+        predicted wait may take at its arrival; shorter queues drain sooner after a
+        flood, and leave room for what the prediction misses.
     """
 
-    def __init__(self, *, rank_floors=None, max_queued=1000, headroom=2.0):
+    def __init__(
+        self, *, rank_floors=None, max_queued=1000, headroom=1.0, wait_part=0.3
+    ):
         super().__init__(max_queued=max_queued)
         self.rank_floors = rank_floors
         self.headroom = headroom
+        self.wait_part = wait_part
 
     def reset(self):
         """Check the arguments and forget all requests and learned rates.
@@ -62,15 +68,19 @@
             raise SettingError(
                 f"headroom is {self.headroom}", remedy="set it to 0 or more"
             )
+        if not 0 < self.wait_part <= 1:
+            raise SettingError(
+                f"wait_part is {self.wait_part}", remedy="set it above 0, at most 1"
+            )
         return self
 
     def make_queue(self):
         """Build the queue of a service."""
         return RankedServiceQueue(self.max_queued, self.floors_, self.headroom)
 
-    def refuses_early(self):
-        """Requests that can't meet their deadline are refused at arrival."""
-        return True
+    def longest_wait_part(self):
+        """Return ``wait_part``."""
+        return self.wait_part
 
     def _change_floors(self, event, now, actions):
         self.floors_ = check_floors(event.floors)
--- a/wasabistage/admission/_service_queue.py
+++ b/wasabistage/admission/_service_queue.py
@@ -8,7 +8,9 @@
 from wasabistage.admission._rank_floors import RankFloors
 from wasabistage.base import Rank
 
-RATIO_MEMORY = 0.95
+FIRST_BYTE_MEMORY = 0.95
+RATIO_STEP = 0.05
+RATIO_QUANTILE = 0.9
 MIN_RATIO = 0.5
 MAX_RATIO = 2.0
 UNKNOWN_WAIT = float("inf")
@@ -45,7 +47,7 @@
 
         :param seconds: that time.
         """
-        keep = RATIO_MEMORY if self.first_byte else 0.0
+        keep = FIRST_BYTE_MEMORY if self.first_byte else 0.0
         self.first_byte = keep * self.first_byte + (1 - keep) * seconds
 
     @abstractmethod
@@ -199,11 +201,15 @@
         self.floors.grant(rank, request.seconds)
         self.running += 1
         self._learn_wait(request, now)
+        if not self.queued[rank]:
+            self.ratio[rank] = 1.0
         return request
 
     def remove(self, request, now):
         """Remove a waiting request."""
         self.floors.advance(self.queued, now)
+        if request.deadline_at <= now:
+            self._learn_wait(request, now)
         self.lines[request.rank].remove(request)
         self.queued[request.rank] -= 1
 
@@ -235,11 +241,12 @@
         return state.slot_seconds(ahead, requests) / rate if rate else UNKNOWN_WAIT
 
     def _learn_wait(self, request, now):
-        """Correct the prediction by the ratio of actual to predicted wait."""
+        """Let the ratio of actual to predicted wait follow its 90th percentile."""
         predicted = request.predicted_wait
         if not 0 < predicted < UNKNOWN_WAIT:
             return
-        ratio = (now - request.arrived_at) / predicted
-        ratio = min(MAX_RATIO, max(MIN_RATIO, ratio))
-        old = self.ratio[request.rank]
-        self.ratio[request.rank] = RATIO_MEMORY * old + (1 - RATIO_MEMORY) * ratio
+        ratio = self.ratio[request.rank]
+        longer = now - request.arrived_at > predicted * ratio
+        step = RATIO_QUANTILE if longer else RATIO_QUANTILE - 1
+        ratio += RATIO_STEP * step
+        self.ratio[request.rank] = min(MAX_RATIO, max(MIN_RATIO, ratio))
--- a/wasabistage/admission/_shares.py
+++ b/wasabistage/admission/_shares.py
@@ -1,4 +1,6 @@
-"""Stateless arithmetic of shares."""
+"""Arithmetic of shares."""
+
+MIN_WEIGHT = 0.05
 
 
 def fill_shares(capacity, demands, weights):
@@ -45,3 +47,55 @@
     for name in names[:left]:
         shares[name] += 1
     return shares
+
+
+class SlotDivision:
+    """A service's slots divided over accounts, and each account's over entries.
+
+    :param slots: slots to divide.
+    :param demands: wanted slots by account by entry.
+    :param weights: declared weight by account; 1 where missing.
+    """
+
+    def __init__(self, slots, demands, weights):
+        self.demands = demands
+        self.weights = weights
+        self.totals = {}
+        for by_account in demands.values():
+            for account, wanted in by_account.items():
+                self.totals[account] = self.totals.get(account, 0.0) + wanted
+        self.shares = fill_shares(slots, self.totals, weights)
+        levels = (share / self._weight(name) for name, share in self.shares.items())
+        self.level = max(levels, default=0.0)
+
+    def slots(self, entry):
+        """Return the slots that an entry's accounts are due.
+
+        :param entry: name of the entry.
+        :return: slots, not rounded.
+        """
+        wanted = self.demands[entry].items()
+        return sum(self._part(account, amount) for account, amount in wanted)
+
+    def weights_at(self, entry):
+        """Return the accounts' weights at an entry.
+
+        An account that asks for less than its fair share has as weight what its
+        demand elsewhere leaves of that share, so that its bursts are served first.
+
+        :param entry: name of the entry.
+        :return: weight by account.
+        """
+        weights = {}
+        for account, wanted in self.demands[entry].items():
+            spare = self.level * self._weight(account) - self.totals[account]
+            weight = self._part(account, wanted) + max(0.0, spare)
+            weights[account] = max(weight, MIN_WEIGHT)
+        return weights
+
+    def _part(self, account, wanted):
+        total = self.totals[account]
+        return self.shares[account] * wanted / total if total else 0.0
+
+    def _weight(self, account):
+        return self.weights.get(account, 1.0)
