--- a/wasabistage/admission/_demand_messages.py
+++ b/wasabistage/admission/_demand_messages.py
@@ -80,10 +80,12 @@
 
     :param slots: slots that this entry may have in use.
     :param weights: weight by account at this entry.
+    :param saturated: accounts that ask for more than their fair share.
     """
 
     slots: int
     weights: dict[str, float] = field(default_factory=dict)
+    saturated: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/admission/_entry.py
+++ b/wasabistage/admission/_entry.py
@@ -92,7 +92,9 @@
     def _share(self, service, now):
         query = ShareQuery(service=service, slots=self.slots_[service])
         share = self.limiter_.decide(query, now)
-        weights = WeightsChanged(service=service, weights=share.weights)
+        weights = WeightsChanged(
+            service=service, weights=share.weights, saturated=share.saturated
+        )
         capacity = CapacityChanged(service=service, slots=share.slots)
         actions = self.queue_.observe(weights, now)
         actions += self.queue_.observe(capacity, now)
--- a/wasabistage/admission/_limits.py
+++ b/wasabistage/admission/_limits.py
@@ -357,6 +357,7 @@
         return Share(
             slots=least[self.entry] + extra[self.entry],
             weights=division.weights_at(self.entry),
+            saturated=division.saturated(),
         )
 
     def rate_at_entry(self, account, now):
--- a/wasabistage/admission/_messages.py
+++ b/wasabistage/admission/_messages.py
@@ -86,10 +86,12 @@
 
     :param service: name of the service.
     :param weights: weight by name of the account; others have weight 1.
+    :param saturated: accounts that ask for more than their fair share.
     """
 
     service: str
     weights: dict[str, float] = field(default_factory=dict)
+    saturated: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/admission/_queueing.py
+++ b/wasabistage/admission/_queueing.py
@@ -125,12 +125,17 @@
         :return: an empty :class:`ServiceQueue`.
         """
 
-    def longest_wait_part(self):
+    def refuses_early(self):
+        """Tell whether requests are refused for their predicted wait."""
+        return False
+
+    def longest_wait_part(self, saturated):
         """Return the part of the time left that a predicted wait may take.
 
-        :return: part, 0 to 1; ``None`` if nothing is refused for its wait.
+        :param saturated: whether the account asks for more than its fair share.
+        :return: part, 0 to 1.
         """
-        return None
+        return 1.0
 
     def _queue(self, service):
         if service not in self.services_:
@@ -164,10 +169,10 @@
         if left <= 0:
             actions.append(self._refuse(event, EXPIRED, MIN_RETRY_AFTER))
             return True
-        wait_part = self.longest_wait_part()
-        if wait_part is None:
+        if not self.refuses_early():
             return False
         estimate = queue.estimate(event.rank, event.account, now)
+        wait_part = self.longest_wait_part(event.account in queue.saturated)
         longest = wait_part * (left - estimate.first_byte)
         if estimate.wait <= 0 or estimate.wait <= longest:
             return False
@@ -218,7 +223,9 @@
         self._dispatch(queue, now, actions)
 
     def _change_weights(self, event, now, actions):
-        self._queue(event.service).set_weights(event.weights)
+        queue = self._queue(event.service)
+        queue.set_weights(event.weights)
+        queue.saturated = event.saturated
 
     def _dispatch(self, queue, now, actions):
         while (request := queue.pop(now)) is not None:
--- a/wasabistage/admission/_ranked.py
+++ b/wasabistage/admission/_ranked.py
@@ -42,8 +42,9 @@
         of the recent demand of the most urgent one, up to its floor; 0 lends every
         idle slot.
     :param wait_part: part of the time left to its deadline that a request's
-        predicted wait may take at its arrival; shorter queues drain sooner after a
-        flood, and leave room for what the prediction misses.
+        predicted wait may take when its account asks for more than its fair share;
+        otherwise the whole. A burst may use its deadline; a lasting overload is
+        refused early, so that its queues drain soon after it ends.
     """
 
     def __init__(
@@ -78,9 +79,13 @@
         """Build the queue of a service."""
         return RankedServiceQueue(self.max_queued, self.floors_, self.headroom)
 
-    def longest_wait_part(self):
-        """Return ``wait_part``."""
-        return self.wait_part
+    def refuses_early(self):
+        """Requests that can't meet their deadline are refused at arrival."""
+        return True
+
+    def longest_wait_part(self, saturated):
+        """Return ``wait_part`` for a saturated account, else the whole."""
+        return self.wait_part if saturated else 1.0
 
     def _change_floors(self, event, now, actions):
         self.floors_ = check_floors(event.floors)
--- a/wasabistage/admission/_service_queue.py
+++ b/wasabistage/admission/_service_queue.py
@@ -27,6 +27,7 @@
         self.slots = 0
         self.running = 0
         self.first_byte = 0.0
+        self.saturated = frozenset()
 
     def set_slots(self, slots):
         """Set the number of slots.
--- a/wasabistage/admission/_shares.py
+++ b/wasabistage/admission/_shares.py
@@ -93,6 +93,14 @@
             weights[account] = max(weight, MIN_WEIGHT)
         return weights
 
+    def saturated(self):
+        """Return the accounts that ask for more than their share.
+
+        :return: a frozenset of names.
+        """
+        shares = self.shares.items()
+        return frozenset(name for name, share in shares if share < self.totals[name])
+
     def _part(self, account, wanted):
         total = self.totals[account]
         return self.shares[account] * wanted / total if total else 0.0
