--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -203,7 +203,7 @@
     axes.set_xlim(0, 2.5)
     axes.set_xlabel("median over aim")
     axes.set_title(title)
-    drawing.savefig(path, dpi=110)
+    drawing.savefig(path, dpi=110, format="png")
     pyplot.close(drawing)
 
 
--- a/wasabistage/admission/_queueing.py
+++ b/wasabistage/admission/_queueing.py
@@ -97,6 +97,8 @@
 
     def observe(self, event, now):
         """Take in an event and say what to do."""
+        if isinstance(event, Cancelled):
+            self._forget_cancelled(event, now)
         actions = self._drop_expired(now)
         self.handlers_[type(event)](event, now, actions)
         return actions
@@ -200,16 +202,16 @@
         cost = request.cost if event.cost is None else event.cost
         self._release(request, cost, now, actions)
 
+    def _forget_cancelled(self, event, now):
+        """Remove a waiting request before it could be dropped as expired."""
+        request = self.requests_.get(event.request_id)
+        if request is not None and request.granted_at is None:
+            self._forget_waiting(request, self.services_[request.service], now)
+
     def _cancel(self, event, now, actions):
         request = self.requests_.get(event.request_id)
-        if request is None:
-            return
-        if request.granted_at is not None:
+        if request is not None:
             self._release(request, request.cost, now, actions)
-            return
-        queue = self.services_[request.service]
-        self._forget_waiting(request, queue, now)
-        self._dispatch(queue, now, actions)
 
     def _release(self, request, cost, now, actions):
         del self.requests_[request.request_id]
--- a/wasabistage/retries/_server_retries.py
+++ b/wasabistage/retries/_server_retries.py
@@ -81,7 +81,7 @@
         max_attempts=3,
         ratio=0.08,
         floor=0.1,
-        max_saved=10.0,
+        max_saved=20.0,
         base_delay=0.05,
         max_delay=2.0,
     ):
