--- a/wasabistage/admission/_demand_messages.py
+++ b/wasabistage/admission/_demand_messages.py
@@ -25,13 +25,11 @@
 class DemandReport:
     """Event: a peer's demand; also what :class:`SendReport` carries to the peers.
 
-    A digest of a cell of entries has the cell's name as ``entry``.
-
     :param entry: name of the entry instance, or of the cell.
     :param incarnation: number that grows with each start of this entry.
     :param sequence: number that grows with each report of an incarnation.
     :param heard: names of the peers whose reports the sender holds as fresh.
-    :param demands: the largest demands, at most ``MAX_REPORTED`` of them.
+    :param demands: the largest demands.
     """
 
     entry: str
@@ -45,8 +43,8 @@
 class EntriesChanged:
     """Event: the deployment's entry instances have changed.
 
-    :param members: number of entries by name: 1 for an entry, the size for a cell.
-        This entry's own name is among them.
+    :param members: number of equal parts by name of the entry, usually 1. This
+        entry's own name is among them.
     """
 
     members: dict[str, int]
--- a/wasabistage/admission/_demand_table.py
+++ b/wasabistage/admission/_demand_table.py
@@ -6,7 +6,6 @@
 
 DEMAND_SECONDS = 3.0
 MAX_COUNTERS = 4096
-MAX_REPORTED = 64
 MIN_REPORTED_RATE = 0.1
 DEFAULT_SLOT_SECONDS_PER_TOKEN = 0.001
 SPEED_MEMORY = 0.98
@@ -59,11 +58,12 @@
         rate, at = self.rates.get(key, (0.0, now))
         return rate * exp((at - now) / DEMAND_SECONDS)
 
-    def largest(self, now):
+    def largest(self, most, now):
         """Return what a report carries.
 
+        :param most: bound of the demands it carries.
         :param now: monotonic time, in seconds.
-        :return: at most ``MAX_REPORTED`` :class:`AccountDemand`, largest first.
+        :return: a tuple of :class:`AccountDemand`, largest first.
         """
         demands = []
         for service, account in self.rates:
@@ -74,7 +74,7 @@
         demands.sort(reverse=True)
         return tuple(
             AccountDemand(service=service, account=account, rate=rate, slots=slots)
-            for slots, rate, service, account in demands[:MAX_REPORTED]
+            for slots, rate, service, account in demands[:most]
         )
 
     def _slot_seconds_per_token(self, service):
--- a/wasabistage/admission/_limits.py
+++ b/wasabistage/admission/_limits.py
@@ -56,6 +56,7 @@
     :param incarnation: number that grows with each start of this entry.
     :param report_interval: time between reports, in seconds.
     :param stale_after: age at which a peer's report no longer counts, in seconds.
+    :param max_reported: demands in a report, the largest; the others count as none.
     """
 
     def __init__(
@@ -66,11 +67,13 @@
         incarnation=0,
         report_interval=0.5,
         stale_after=2.0,
+        max_reported=64,
     ):
         super().__init__(entry=entry, accounts=accounts)
         self.incarnation = incarnation
         self.report_interval = report_interval
         self.stale_after = stale_after
+        self.max_reported = max_reported
 
     def reset(self):
         """Check the arguments and forget all requests and demand.
@@ -84,6 +87,10 @@
                 "report_interval is not between 0 and stale_after",
                 remedy="set report_interval above 0 and below stale_after",
             )
+        if self.max_reported < 1:
+            raise SettingError(
+                f"max_reported is {self.max_reported}", remedy="set it to 1 or more"
+            )
         self.counter_ = DemandCounter()
         self.table_ = DemandTable(self.entry, self.stale_after)
         self.sequence_ = 0
@@ -98,12 +105,12 @@
         :param now: monotonic time, in seconds.
         :return: a list of at most one :class:`SendReport`.
         """
-        self.parts_.clear()
         if self.report_due_ is not None and now < self.report_due_:
             return []
+        self.parts_.clear()
         self.report_due_ = now + self.report_interval
         self.sequence_ += 1
-        demands = self.counter_.largest(now)
+        demands = self.counter_.largest(self.max_reported, now)
         report = self.table_.own_report(self.incarnation, self.sequence_, demands, now)
         return [SendReport(report=report)]
 
@@ -166,7 +173,7 @@
         self.parts_.clear()
 
     def _parts(self, account, now):
-        """Return the pool and its division by entry; kept until the next tick."""
+        """Return the pool and its division by entry; kept until the next report."""
         if account in self.parts_:
             return self.parts_[account]
         fresh = self.table_.fresh(now)
