--- a/wasabistage/admission/_entry.py
+++ b/wasabistage/admission/_entry.py
@@ -1,6 +1,7 @@
 """The whole admission of one entry instance: limits, slot shares and queues."""
 
 from wasabistage.admission._base import AdmissionPolicy
+from wasabistage.admission._common_limit import CommonLimit
 from wasabistage.admission._demand_messages import (
     AccountsChanged,
     DemandReport,
@@ -8,7 +9,7 @@
     Pass,
     ShareQuery,
 )
-from wasabistage.admission._limits import CommonLimit, ShareLimiter
+from wasabistage.admission._limits import ShareLimiter
 from wasabistage.admission._messages import (
     Arrive,
     Cancelled,
@@ -92,7 +93,9 @@
     def _share(self, service, now):
         query = ShareQuery(service=service, slots=self.slots_[service])
         share = self.limiter_.decide(query, now)
-        weights = WeightsChanged(service=service, weights=share.weights)
+        weights = WeightsChanged(
+            service=service, weights=share.weights, saturated=share.saturated
+        )
         capacity = CapacityChanged(service=service, slots=share.slots)
         actions = self.queue_.observe(weights, now)
         actions += self.queue_.observe(capacity, now)
--- a/wasabistage/admission/_queueing.py
+++ b/wasabistage/admission/_queueing.py
@@ -20,12 +20,10 @@
     Refuse,
     WeightsChanged,
 )
+from wasabistage.admission._retry_after import MIN_RETRY_AFTER, RetryAfter
 from wasabistage.exceptions import ConflictError, SettingError
 
 HEAP_SLACK = 64
-MIN_RETRY_AFTER = 0.5
-MAX_RETRY_AFTER = 30.0
-GOLDEN_RATIO = 0.6180339887498949
 
 
 class QueuedRequest:
@@ -82,7 +80,7 @@
             )
         self.requests_ = {}
         self.services_ = {}
-        self.refusals_ = 0
+        self.retry_after_ = RetryAfter()
         self.deadlines_ = []
         self.waiting_ = 0
         self.handlers_ = {
@@ -97,6 +95,8 @@
 
     def observe(self, event, now):
         """Take in an event and say what to do."""
+        if isinstance(event, Cancelled):
+            self._forget_cancelled(event, now)
         actions = self._drop_expired(now)
         self.handlers_[type(event)](event, now, actions)
         return actions
@@ -126,9 +126,17 @@
         """
 
     def refuses_early(self):
-        """Tell whether requests that can't meet their deadline are refused."""
+        """Tell whether requests are refused for their predicted wait."""
         return False
 
+    def longest_wait_part(self, saturated):
+        """Return the part of the time left that a predicted wait may take.
+
+        :param saturated: whether the account asks for more than its fair share.
+        :return: part, 0 to 1.
+        """
+        return 1.0
+
     def _queue(self, service):
         if service not in self.services_:
             self.services_[service] = self.make_queue()
@@ -164,10 +172,12 @@
         if not self.refuses_early():
             return False
         estimate = queue.estimate(event.rank, event.account, now)
-        needed = estimate.wait + estimate.first_byte
-        if estimate.wait <= 0 or needed <= left:
+        wait_part = self.longest_wait_part(event.account in queue.saturated)
+        longest = wait_part * (left - estimate.first_byte)
+        if estimate.wait <= 0 or estimate.wait <= longest:
             return False
-        actions.append(self._refuse(event, DEADLINE_UNREACHABLE, needed - left))
+        excess = estimate.wait - longest
+        actions.append(self._refuse(event, DEADLINE_UNREACHABLE, excess))
         return True
 
     def _shed(self, loser, event, queue, now, actions):
@@ -190,16 +200,16 @@
         cost = request.cost if event.cost is None else event.cost
         self._release(request, cost, now, actions)
 
+    def _forget_cancelled(self, event, now):
+        """Remove a waiting request before it could be dropped as expired."""
+        request = self.requests_.get(event.request_id)
+        if request is not None and request.granted_at is None:
+            self._forget_waiting(request, self.services_[request.service], now)
+
     def _cancel(self, event, now, actions):
         request = self.requests_.get(event.request_id)
-        if request is None:
-            return
-        if request.granted_at is not None:
+        if request is not None:
             self._release(request, request.cost, now, actions)
-            return
-        queue = self.services_[request.service]
-        self._forget_waiting(request, queue, now)
-        self._dispatch(queue, now, actions)
 
     def _release(self, request, cost, now, actions):
         del self.requests_[request.request_id]
@@ -213,7 +223,9 @@
         self._dispatch(queue, now, actions)
 
     def _change_weights(self, event, now, actions):
-        self._queue(event.service).set_weights(event.weights)
+        queue = self._queue(event.service)
+        queue.set_weights(event.weights)
+        queue.saturated = event.saturated
 
     def _dispatch(self, queue, now, actions):
         while (request := queue.pop(now)) is not None:
@@ -253,7 +265,5 @@
 
     def _refuse(self, request, reason, seconds, kind=Refuse):
         """Build a refusal whose retry-after is spread over callers."""
-        self.refusals_ += 1
-        spread = 1.0 + self.refusals_ * GOLDEN_RATIO % 1.0
-        seconds = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, seconds) * spread)
+        seconds = self.retry_after_.spread(seconds)
         return kind(request_id=request.request_id, reason=reason, retry_after=seconds)
