Order backend servers under leases that the log grants

Cause: weights must be changed by entry instances that may be paused, cut off or replaced, on servers that don't all check fencing, with at most two loads at once, and without a coordinator. Change: GrantFold gives slots by compare-and-set on the slot's last offset; a held slot passes on for the same server only, so that a successor first deals with the server that a vanished holder may yet order. RolloutPolicy reads a server before it orders it, sends only within send_time of the decision and order_time before the lease ends, releases on the server's own word, and waits lease + order_time before a takeover. VersionView names what new requests may use. Ruled out: renewals (one order fits well into a lease); expiry by wall clock; letting a slot pass to another server once its lease ended.

--- a/wasabistage/rollout/__init__.py
+++ b/wasabistage/rollout/__init__.py
@@ -1,1 +1,63 @@
-"""Fenced orders to backend servers: weights, adapters, roles."""
+"""Fenced orders to backend servers: weights, adapters, roles.
+
+Wiring: one task owns a :class:`RolloutPolicy`. It observes every record of the order
+stream (:class:`LogRecord`), the configuration (:class:`TargetsChanged`), what servers
+say that they run (:class:`ServerRuns`, from load reports and from :class:`ReadServer`),
+and its place in turn (:class:`TurnChanged`, such as its place by rendezvous hashing
+among the live instances). It carries out ``tick`` every 100 ms. For :class:`SendOrder`
+it connects first, then calls ``may_send(order, clock())`` and sends with no
+suspension point between, then observes :class:`OrderEnded`. Routing asks
+``decide(RoutableQuery(...))``; the weight version of the answer goes into the request's
+piece keys.
+
+An entry instance that finds the log trimmed starts with ``from_start=False`` and waits
+for a :class:`CarryRecord`; ``fold_.carry(record_id)`` builds one, and some entry must
+append it before half the log's horizon has passed.
+"""
+
+from wasabistage.rollout._fold import NO_OFFSET, GrantFold
+from wasabistage.rollout._messages import (
+    AppendEnded,
+    AppendRecord,
+    CarryRecord,
+    GrantRecord,
+    LogRecord,
+    OrderEnded,
+    ReadServer,
+    ReleaseRecord,
+    RoutableQuery,
+    RoutableServers,
+    SendOrder,
+    ServerRuns,
+    SlotState,
+    Target,
+    TargetsChanged,
+    TurnChanged,
+)
+from wasabistage.rollout._policy import AllAtOnce, OneByOne, RolloutPolicy
+from wasabistage.rollout._versions import NO_VERSION
+
+__all__ = [
+    "NO_OFFSET",
+    "NO_VERSION",
+    "AllAtOnce",
+    "AppendEnded",
+    "AppendRecord",
+    "CarryRecord",
+    "GrantFold",
+    "GrantRecord",
+    "LogRecord",
+    "OneByOne",
+    "OrderEnded",
+    "ReadServer",
+    "ReleaseRecord",
+    "RolloutPolicy",
+    "RoutableQuery",
+    "RoutableServers",
+    "SendOrder",
+    "ServerRuns",
+    "SlotState",
+    "Target",
+    "TargetsChanged",
+    "TurnChanged",
+]
--- /dev/null
+++ b/wasabistage/rollout/_policy.py
@@ -0,0 +1,393 @@
+"""Orders to backend servers under leases granted by the log."""
+
+import math
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from wasabistage.base import Policy
+from wasabistage.exceptions import SettingError
+from wasabistage.rollout._fold import GrantFold
+from wasabistage.rollout._messages import (
+    AppendEnded,
+    AppendRecord,
+    GrantRecord,
+    LogRecord,
+    OrderEnded,
+    ReadServer,
+    ReleaseRecord,
+    SendOrder,
+    ServerRuns,
+    TargetsChanged,
+    TurnChanged,
+)
+from wasabistage.rollout._versions import VersionView
+
+MAX_SENT_CLAIMS = 256
+UNLIMITED_SLOTS = 64
+
+
+class Progress(Enum):
+    """How far the order of a grant held here has come."""
+
+    READING = auto()
+    ORDERED = auto()
+    ENDED = auto()
+
+
+@dataclass
+class Hold:
+    """A grant held by this process; times are monotonic, in seconds."""
+
+    slot: int
+    server: str
+    fencing: int
+    send_until: float
+    lapses_at: float
+    taken_at: float
+    progress: Progress = Progress.READING
+    attempt: int = 0
+    asked_at: float = -math.inf
+    ordered_at: float = -math.inf
+    ended_at: float = -math.inf
+    released_at: float = -math.inf
+
+
+class RolloutPolicy(Policy):
+    """Brings every backend server to its declared target, a few at a time.
+
+    Each order needs a grant for one of ``slots`` slots. A holder counts its lease from
+    before its append, others from their reading of the record, so the holder's ends
+    first. It stops sending ``order_time`` before the end, so that an order that it did
+    send has ended by then. A successor waits ``order_time`` longer than the lease,
+    reads what the server runs, and corrects it.
+
+    :param instance: name of this instance.
+    :param incarnation: id of this process life.
+    :param slots: orders at a time over the whole deployment.
+    :param lease: time that a holder may act, in seconds.
+    :param order_time: longest time from the sending of an order to its end, in seconds.
+    :param send_time: longest time from the decision for an order to its sending, in
+        seconds.
+    :param stagger: wait per place before this instance begins, in seconds.
+    :param retry_time: wait until a server is asked again, in seconds.
+    :param append_time: wait for an append to show in the log before the next try, in
+        seconds.
+    :param keep_share: share of a model's reporting servers that go on serving new
+        requests while one of them is changed.
+    :param fresh_time: age up to which a server counts as reporting, in seconds.
+    :param serve_old: whether new requests may use servers that still report the
+        version declared before; each request then keeps to that one version.
+    :param from_start: whether the log is read from its first record.
+    """
+
+    def __init__(
+        self,
+        instance,
+        incarnation,
+        *,
+        slots=2,
+        lease=10.0,
+        order_time=3.0,
+        send_time=1.0,
+        stagger=0.5,
+        retry_time=0.5,
+        append_time=2.0,
+        keep_share=0.5,
+        fresh_time=10.0,
+        serve_old=False,
+        from_start=True,
+    ):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.slots = slots
+        self.lease = lease
+        self.order_time = order_time
+        self.send_time = send_time
+        self.stagger = stagger
+        self.retry_time = retry_time
+        self.append_time = append_time
+        self.keep_share = keep_share
+        self.fresh_time = fresh_time
+        self.serve_old = serve_old
+        self.from_start = from_start
+
+    def reset(self):
+        """Check the arguments and forget everything learned.
+
+        :return: the policy itself.
+        :raises SettingError: if an argument is out of range.
+        """
+        if not 0 < self.order_time < self.lease / 2:
+            raise SettingError(
+                "order_time must be positive and below half the lease",
+                remedy="raise the lease above twice the longest order",
+            )
+        self.fold_ = GrantFold(self.slot_count(), self.from_start).reset()
+        self.versions_ = VersionView(self.serve_old).reset()
+        self.place_ = 0
+        self.holds_ = {}
+        self.claims_ = {}
+        self.seen_at_ = {}
+        self.wanted_since_ = {}
+        self.next_append_ = -math.inf
+        self.counter_ = 0
+        return self
+
+    def slot_count(self):
+        """Return the number of slots.
+
+        :return: orders at a time over the whole deployment.
+        """
+        return self.slots
+
+    def observe(self, event, now):
+        """Learn from the log, the configuration, a server or an ended order.
+
+        :param event: :class:`LogRecord`, :class:`AppendEnded`,
+            :class:`TargetsChanged`, :class:`TurnChanged`, :class:`ServerRuns` or
+            :class:`OrderEnded`.
+        :param now: monotonic time, in seconds.
+        """
+        match event:
+            case LogRecord():
+                self._observe_record(event, now)
+            case AppendEnded():
+                self.next_append_ = min(self.next_append_, now + self.append_time)
+            case TargetsChanged():
+                if self.versions_.declare(event):
+                    self.wanted_since_ = {}
+            case TurnChanged():
+                self.place_ = event.place
+            case ServerRuns():
+                self.versions_.report(event)
+            case OrderEnded():
+                self._observe_ended(event, now)
+
+    def decide(self, query, now):
+        """Name the servers that a new request may use.
+
+        :param query: a :class:`RoutableQuery`.
+        :param now: monotonic time, in seconds.
+        :return: :class:`RoutableServers`, or :data:`NO_VERSION`.
+        """
+        return self.versions_.routable(query, self._being_ordered())
+
+    def tick(self, now):
+        """Go on with the orders held here and claim slots.
+
+        :param now: monotonic time, in seconds.
+        :return: a list of :class:`AppendRecord`, :class:`ReadServer` and
+            :class:`SendOrder`.
+        """
+        actions = []
+        for hold in list(self.holds_.values()):
+            actions += self._advance(hold, now)
+        if self.fold_.complete_ and now >= self.next_append_:
+            takeover = self._next_takeover(now)
+            claims = [takeover] if takeover else self._next_claims(now)
+            for claim in claims:
+                self.next_append_ = now + self.append_time
+                self._remember_claim(claim, now)
+                actions.append(AppendRecord(record=claim))
+        return actions
+
+    def may_send(self, order, now):
+        """Tell whether an order may leave now.
+
+        Call it after every suspension point and right before the send, without a
+        suspension point between. An order that was held up for ``send_time`` may not
+        leave any more, or it would meet the next attempt of the same grant.
+
+        :param order: the :class:`SendOrder`.
+        :param now: monotonic time, read for this call, in seconds.
+        :return: ``True`` if the grant is still held for long enough.
+        """
+        hold = self.holds_.get(order.fencing)
+        if hold is None or hold.progress is not Progress.ORDERED:
+            return False
+        if hold.attempt != order.attempt:
+            return False
+        return now <= min(hold.send_until, hold.ordered_at + self.send_time)
+
+    def _observe_ended(self, event, now):
+        hold = self.holds_.get(event.fencing)
+        if hold is not None and hold.attempt == event.attempt:
+            # What the server says afterwards counts, not the call's own answer.
+            hold.progress = Progress.READING
+            hold.ended_at = now
+            hold.asked_at = -math.inf
+
+    def _observe_record(self, event, now):
+        record = event.record
+        if not self.fold_.apply(event.offset, record):
+            self._drop_claim(record, now)
+            return
+        for slot, state in self.fold_.granted():
+            self.seen_at_.setdefault(state.fencing, now)
+            mine = state.grant.incarnation == self.incarnation
+            if mine and state.fencing not in self.holds_:
+                self._take_hold(slot, state, now)
+        held = {state.fencing for _, state in self.fold_.granted()}
+        self.holds_ = {f: hold for f, hold in self.holds_.items() if f in held}
+        self.seen_at_ = {f: at for f, at in self.seen_at_.items() if f in held}
+
+    def _drop_claim(self, record, now):
+        if getattr(record, "record_id", None) in self.claims_:
+            del self.claims_[record.record_id]
+            self.next_append_ = min(self.next_append_, now)
+
+    def _take_hold(self, slot, state, now):
+        # A claim that isn't remembered is so old that nothing may be sent for it.
+        started = self.claims_.pop(state.grant.record_id, -math.inf)
+        self.next_append_ = min(self.next_append_, now)
+        self.holds_[state.fencing] = Hold(
+            slot=slot,
+            server=state.grant.server,
+            fencing=state.fencing,
+            send_until=started + state.grant.lease - self.order_time,
+            lapses_at=started + state.grant.lease,
+            taken_at=now,
+        )
+
+    def _advance(self, hold, now):
+        """Return the next actions for a grant held here."""
+        if hold.progress is Progress.ORDERED:
+            if now - hold.ordered_at <= self.send_time + self.order_time:
+                return []
+            hold.progress = Progress.READING
+            hold.ended_at = now
+        if hold.progress is Progress.ENDED:
+            return self._release(hold, now)
+        runs = self.versions_.runs_.get(hold.server)
+        # What was read while the order was under way may be from before it.
+        since = max(hold.taken_at, hold.ended_at)
+        if runs is not None and runs.asked_at >= since and not runs.loading:
+            return self._compare(hold, runs, now)
+        if now > hold.lapses_at + self.order_time:
+            # Out of reach: nothing sent under this grant can be under way any more.
+            hold.progress = Progress.ENDED
+            return self._release(hold, now)
+        if now - hold.asked_at < self.retry_time:
+            return []
+        hold.asked_at = now
+        return [ReadServer(server=hold.server)]
+
+    def _compare(self, hold, runs, now):
+        target = self.versions_.targets_.get(hold.server)
+        if target is None or runs.runs == target or now > hold.send_until:
+            hold.progress = Progress.ENDED
+            return self._release(hold, now)
+        hold.progress = Progress.ORDERED
+        hold.ordered_at = now
+        hold.attempt += 1
+        order = SendOrder(
+            server=hold.server,
+            fencing=hold.fencing,
+            attempt=hold.attempt,
+            target=target,
+        )
+        return [order]
+
+    def _release(self, hold, now):
+        if now - hold.released_at < self.append_time:
+            return []
+        hold.released_at = now
+        record = ReleaseRecord(
+            record_id=self._record_id(), slot=hold.slot, grant=hold.fencing
+        )
+        return [AppendRecord(record=record)]
+
+    def _next_takeover(self, now):
+        for slot, state in self.fold_.granted():
+            if state.fencing in self.holds_:
+                continue
+            wait = state.grant.lease + self.order_time + self.place_ * self.stagger
+            if now > self.seen_at_[state.fencing] + wait:
+                return self._claim(slot, state, state.grant.server)
+        return None
+
+    def _next_claims(self, now):
+        free = [
+            slot
+            for slot in range(self.slot_count())
+            if self.fold_.state(slot).grant is None
+        ]
+        ordered = {state.grant.server for _, state in self.fold_.granted()}
+        claims = []
+        for server in self.versions_.targets_:
+            if len(claims) == len(free):
+                break
+            if server not in ordered and self._is_due(server, len(claims), now):
+                slot = free[len(claims)]
+                claims.append(self._claim(slot, self.fold_.state(slot), server))
+        return claims
+
+    def _is_due(self, server, claimed, now):
+        runs = self.versions_.runs_.get(server)
+        if runs is None or runs.runs == self.versions_.targets_[server]:
+            self.wanted_since_.pop(server, None)
+            return False
+        since = self.wanted_since_.setdefault(server, now)
+        if now - since < self.place_ * self.stagger:
+            return False
+        return self._keeps_capacity(server, claimed, now)
+
+    def _keeps_capacity(self, server, claimed, now):
+        busy = {state.grant.server for _, state in self.fold_.granted()}
+        if server in busy or not self.versions_.serves(server):
+            return True
+        peers = self.versions_.reporting_peers(server, now - self.fresh_time)
+        serving = sum(
+            name not in busy and self.versions_.serves(name) for name in peers
+        )
+        return serving - claimed - 1 >= math.floor(self.keep_share * len(peers))
+
+    def _being_ordered(self):
+        return {
+            hold.server
+            for hold in self.holds_.values()
+            if hold.progress is Progress.ORDERED
+        }
+
+    def _claim(self, slot, state, server):
+        return GrantRecord(
+            record_id=self._record_id(),
+            slot=slot,
+            server=server,
+            holder=self.instance,
+            incarnation=self.incarnation,
+            lease=self.lease,
+            supersedes=state.last,
+            config_version=self.versions_.config_version_,
+        )
+
+    def _remember_claim(self, claim, now):
+        self.claims_[claim.record_id] = now
+        if len(self.claims_) > MAX_SENT_CLAIMS:
+            del self.claims_[next(iter(self.claims_))]
+
+    def _record_id(self):
+        self.counter_ += 1
+        return f"{self.incarnation}/{self.counter_}"
+
+
+class OneByOne(RolloutPolicy):
+    """Baseline that changes one server after another."""
+
+    def slot_count(self):
+        """Return the number of slots.
+
+        :return: 1, whatever ``slots`` says.
+        """
+        return 1
+
+
+class AllAtOnce(RolloutPolicy):
+    """Baseline that changes every server at the same time."""
+
+    def slot_count(self):
+        """Return the number of slots.
+
+        :return: a large number, whatever ``slots`` says.
+        """
+        return UNLIMITED_SLOTS
--- /dev/null
+++ b/wasabistage/rollout/tests/test_policy.py
@@ -0,0 +1,199 @@
+import unittest
+
+from wasabistage.exceptions import SettingError
+from wasabistage.rollout import (
+    NO_VERSION,
+    AppendRecord,
+    GrantFold,
+    GrantRecord,
+    LogRecord,
+    ReleaseRecord,
+    RolloutPolicy,
+    RoutableQuery,
+    SendOrder,
+    ServerRuns,
+    Target,
+    TargetsChanged,
+    TurnChanged,
+)
+
+V1 = Target(model="x", version="v1")
+V2 = Target(model="x", version="v2")
+QUERY = RoutableQuery(model="x", servers=("m0", "m1"))
+
+
+def grant(number, supersedes=-1, slot=0, server="m0", config_version=0):
+    return GrantRecord(
+        record_id=str(number),
+        slot=slot,
+        server=server,
+        holder="a",
+        incarnation="1",
+        lease=10.0,
+        supersedes=supersedes,
+        config_version=config_version,
+    )
+
+
+def runs(server, target, at, loading=False):
+    return ServerRuns(server=server, runs=target, loading=loading, asked_at=at)
+
+
+def make(place=0, **arguments):
+    policy = RolloutPolicy("a", "1", **arguments).reset()
+    policy.observe(TurnChanged(place=place), 0.0)
+    policy.observe(TargetsChanged(config_version=1, targets={"m0": V2, "m1": V2}), 0.0)
+    return policy
+
+
+def granted(sent_at=0.0, read_at=0.5):
+    """Return a policy that holds a grant and has read the server's old version."""
+    policy = make()
+    policy.observe(runs("m0", V1, sent_at), sent_at)
+    (action,) = policy.tick(sent_at)
+    policy.observe(LogRecord(offset=7, record=action.record), read_at)
+    return policy
+
+
+class TestFold(unittest.TestCase):
+    def test_first_claim_in_the_log_wins(self):
+        fold = GrantFold().reset()
+        self.assertTrue(fold.apply(0, grant(1)))
+        self.assertFalse(fold.apply(1, grant(2)))
+        self.assertEqual(fold.state(0).fencing, 0)
+
+    def test_repeats_and_foreign_records_are_skipped(self):
+        fold = GrantFold().reset()
+        fold.apply(0, grant(1))
+        fold.apply(1, ReleaseRecord(record_id="r", slot=0, grant=0))
+        self.assertFalse(fold.apply(2, grant(1, supersedes=1)))
+        self.assertFalse(fold.apply(1, grant(3, supersedes=1)))
+        self.assertFalse(fold.apply(3, "unknown"))
+        self.assertEqual(fold.granted(), [])
+
+    def test_one_order_per_server_and_takeover_for_the_same_server_only(self):
+        fold = GrantFold().reset()
+        fold.apply(0, grant(1))
+        self.assertFalse(fold.apply(1, grant(2, slot=1)))
+        self.assertFalse(fold.apply(2, grant(3, supersedes=0, server="m1")))
+        self.assertTrue(fold.apply(3, grant(4, supersedes=0)))
+        self.assertFalse(fold.apply(4, ReleaseRecord(record_id="r", slot=0, grant=0)))
+        self.assertFalse(fold.apply(5, grant(5, slot=2, server="m2")))
+
+    def test_claim_on_an_older_configuration_is_overtaken(self):
+        fold = GrantFold().reset()
+        fold.apply(0, grant(1, config_version=4))
+        self.assertFalse(fold.apply(1, grant(2, slot=1, server="m1")))
+
+    def test_trimmed_log_is_taken_up_at_a_carry_record(self):
+        whole = GrantFold().reset()
+        whole.apply(0, grant(1))
+        late = GrantFold(from_start=False).reset()
+        records = [
+            (1, ReleaseRecord(record_id="r", slot=0, grant=0)),
+            (2, whole.carry("c")),
+            (3, grant(2, supersedes=1)),
+        ]
+        for offset, record in records:
+            whole.apply(offset, record)
+            late.apply(offset, record)
+        self.assertEqual(late.states_, whole.states_)
+        self.assertEqual(late.state(0).fencing, 3)
+
+
+class TestRollout(unittest.TestCase):
+    def test_bad_lease_is_refused(self):
+        with self.assertRaises(SettingError):
+            RolloutPolicy("a", "1", lease=1.0).reset()
+
+    def test_server_is_read_before_it_is_ordered(self):
+        policy = granted()
+        self.assertFalse(any(isinstance(a, SendOrder) for a in policy.tick(0.6)))
+        policy.observe(runs("m0", V1, 0.7), 0.7)
+        order = next(a for a in policy.tick(0.8) if isinstance(a, SendOrder))
+        self.assertEqual((order.fencing, order.target), (7, V2))
+
+    def order(self, policy, now):
+        policy.observe(runs("m0", V1, now), now)
+        return next(a for a in policy.tick(now) if isinstance(a, SendOrder))
+
+    def test_sending_ends_well_before_the_lease(self):
+        policy = granted(sent_at=100.0, read_at=104.0)
+        order = self.order(policy, 106.8)
+        self.assertTrue(policy.may_send(order, 107.0))
+        self.assertFalse(policy.may_send(order, 107.1))
+
+    def test_order_held_up_may_not_meet_the_next_attempt(self):
+        policy = granted()
+        first = self.order(policy, 1.0)
+        self.assertFalse(policy.may_send(first, 2.1))
+        self.assertEqual(policy.tick(5.0), [])
+        policy.tick(5.1)
+        second = self.order(policy, 5.2)
+        self.assertFalse(policy.may_send(first, 5.3))
+        self.assertTrue(policy.may_send(second, 5.3))
+
+    def test_overtaken_holder_may_not_send(self):
+        policy = granted()
+        order = self.order(policy, 0.9)
+        self.assertTrue(policy.may_send(order, 1.0))
+        successor = grant(9, supersedes=7, config_version=1)
+        policy.observe(LogRecord(offset=9, record=successor), 1.0)
+        self.assertFalse(policy.may_send(order, 1.0))
+
+    def test_matching_server_frees_the_slot(self):
+        policy = granted()
+        policy.observe(runs("m0", V2, 0.7), 0.7)
+        records = [a.record for a in policy.tick(0.8) if isinstance(a, AppendRecord)]
+        self.assertIsInstance(records[0], ReleaseRecord)
+
+    def test_successor_waits_lease_and_longest_order(self):
+        policy = make(place=1)
+        other = GrantRecord(
+            record_id="x",
+            slot=0,
+            server="m0",
+            holder="b",
+            incarnation="2",
+            lease=10.0,
+            supersedes=-1,
+        )
+        policy.observe(LogRecord(offset=0, record=other), 5.0)
+        self.assertEqual(policy.tick(18.4), [])
+        (action,) = policy.tick(18.6)
+        self.assertEqual(action.record.supersedes, 0)
+
+    def test_forgotten_claim_gives_no_right_to_send(self):
+        policy = make()
+        policy.observe(LogRecord(offset=3, record=grant(1, config_version=1)), 50.0)
+        policy.observe(runs("m0", V1, 50.0), 50.0)
+        self.assertFalse(any(isinstance(a, SendOrder) for a in policy.tick(50.0)))
+
+    def test_only_reported_declared_version_is_routable(self):
+        policy = make()
+        policy.observe(runs("m0", V1, 0.0), 0.0)
+        self.assertTrue(NO_VERSION.is_(policy.decide(QUERY, 0.0)))
+        policy.observe(runs("m1", V2, 0.1), 0.1)
+        answer = policy.decide(QUERY, 0.1)
+        self.assertEqual((answer.version, answer.servers), ("v2", ("m1",)))
+        policy.observe(runs("m1", V1, 0.0), 0.2)
+        self.assertEqual(policy.decide(QUERY, 0.2).servers, ("m1",))
+        policy.observe(runs("m1", V2, 0.3, loading=True), 0.3)
+        self.assertTrue(NO_VERSION.is_(policy.decide(QUERY, 0.3)))
+
+    def test_version_declared_before_is_named_apart_when_it_may_serve(self):
+        policy = make(serve_old=True)
+        v3 = Target(model="x", version="v3")
+        changed = TargetsChanged(config_version=2, targets={"m0": v3, "m1": v3})
+        policy.observe(changed, 1.0)
+        policy.observe(runs("m0", V2, 1.0), 1.0)
+        policy.observe(runs("m1", V1, 1.0), 1.0)
+        answer = policy.decide(QUERY, 1.0)
+        self.assertEqual((answer.version, answer.servers), ("v3", ()))
+        self.assertEqual((answer.old_version, answer.old_servers), ("v2", ("m0",)))
+
+    def test_role_change_keeps_a_majority_routable(self):
+        policy = make(keep_share=1.0)
+        policy.observe(runs("m0", Target(model="x", version="v2", role="p"), 0.0), 0.0)
+        policy.observe(runs("m1", V2, 0.0), 0.0)
+        self.assertEqual(policy.tick(0.1), [])
