--- a/wasabistage/sessions/__init__.py
+++ b/wasabistage/sessions/__init__.py
@@ -33,6 +33,7 @@
     parse_stream_id,
 )
 from wasabistage.sessions._stream_table import (
+    AHEAD,
     NO_STREAM,
     TRIMMED,
     StreamRead,
@@ -40,6 +41,7 @@
 )
 
 __all__ = [
+    "AHEAD",
     "NO_SESSION",
     "NO_STREAM",
     "TRIMMED",
--- a/wasabistage/sessions/_stream_table.py
+++ b/wasabistage/sessions/_stream_table.py
@@ -8,6 +8,7 @@
 
 NO_STREAM = Sentinel("NO_STREAM", "this account has no such stream here")
 TRIMMED = Sentinel("TRIMMED", "the items were dropped; ask the engine from position 0")
+AHEAD = Sentinel("AHEAD", "the position lies beyond the items that exist")
 RETRY_AFTER = 1.0  # seconds
 
 
@@ -18,6 +19,7 @@
     first: int = 0
     items: deque = field(default_factory=deque)
     size: int = 0
+    unread: int = 0
     read_to: int = 0
     ended: object = None
     touched_at: float = 0.0
@@ -107,8 +109,9 @@
             return NO_STREAM
         stream.items.append(data)
         stream.size += len(data)
+        stream.unread += len(data)
         stream.touched_at = now
-        return self._unread(stream) < self.max_unread
+        return stream.unread < self.max_unread
 
     def end(self, account, request_id, end, now):
         """Note the end mark of a stream.
@@ -130,16 +133,23 @@
         :param request_id: id of the request.
         :param position: index of the first wanted item.
         :param now: monotonic time, in seconds.
-        :return: a :class:`StreamRead`, :data:`NO_STREAM` or :data:`TRIMMED`.
+        :return: a :class:`StreamRead`, :data:`NO_STREAM`, :data:`TRIMMED` or
+            :data:`AHEAD`.
         """
         stream = self.streams_.get((account, request_id))
         if stream is None:
             return NO_STREAM
         if position < stream.first:
             return TRIMMED
+        wanted = stream.first + len(stream.items) - position
+        if wanted < 0:
+            return AHEAD
         stream.touched_at = now
-        items = tuple(stream.items)[position - stream.first :]
-        stream.read_to = max(stream.read_to, position + len(items))
+        # From the end, since a reader mostly wants the newest few.
+        items = tuple(stream.items[-index] for index in range(wanted, 0, -1))
+        # A read goes to the end, and what it skips counts as read as well.
+        stream.unread = 0
+        stream.read_to = position + wanted
         self._trim(stream)
         return StreamRead(position=position, items=items, end=stream.ended)
 
@@ -163,16 +173,7 @@
             if now - stream.touched_at > self.idle_time
         ]
 
-    def _unread(self, stream):
-        unread = stream.first + len(stream.items) - stream.read_to
-        if unread == len(stream.items):
-            return stream.size
-        return sum(len(stream.items[-index]) for index in range(1, unread + 1))
-
     def _trim(self, stream):
-        read = stream.size - self._unread(stream)
-        while read > self.keep_read and stream.first < stream.read_to:
-            size = len(stream.items.popleft())
+        while stream.size - stream.unread > self.keep_read:
+            stream.size -= len(stream.items.popleft())
             stream.first += 1
-            stream.size -= size
-            read -= size
--- a/wasabistage/sessions/tests/test_tables.py
+++ b/wasabistage/sessions/tests/test_tables.py
@@ -5,6 +5,7 @@
 
 from wasabistage.exceptions import BadRequestError, OverloadError, SettingError
 from wasabistage.sessions import (
+    AHEAD,
     NO_SESSION,
     NO_STREAM,
     TRIMMED,
@@ -79,6 +80,29 @@
         self.assertEqual((read.items, read.end), ((b"bb", b"cc"), "end"))
         self.assertTrue(TRIMMED.is_(table.read("a", "r", 0, 0.0)))
 
+    def test_position_beyond_the_items_changes_nothing(self):
+        table = self.make(max_unread=2)
+        table.append("a", "r", b"x", 0.0)
+        self.assertTrue(AHEAD.is_(table.read("a", "r", 7, 0.0)))
+        self.assertFalse(table.append("a", "r", b"y", 0.0))
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.lists(st.one_of(st.binary(max_size=5), st.integers(0, 30)), max_size=40))
+    def test_reads_give_the_items_or_say_why_not(self, steps):
+        table, truth = self.make(max_unread=12, keep_read=6), []
+        for step in steps:
+            if isinstance(step, bytes):
+                table.append("a", "r", step, 0.0)
+                truth.append(step)
+                continue
+            read = table.read("a", "r", step, 0.0)
+            if read:
+                self.assertEqual(read.items, tuple(truth[step:]))
+            stream = table.streams_["a", "r"]
+            unread = sum(map(len, truth[stream.read_to :]))
+            self.assertEqual(stream.unread, unread)
+            self.assertLessEqual(stream.size - unread, 6)
+
     def test_full_table_refuses_and_idle_streams_are_named(self):
         table = self.make(max_streams=1, idle_time=5.0)
         with self.assertRaises(OverloadError):
