Ask peers who leaves after a pause of this process; split long modules

Cause: a process that was paused while a backend server left would place new work there right after it goes on, with what it knew before. Change: a gap between ticks above pause_time makes BackendMembership emit AskSigns and answer NOT_FRESH until a peer told its words, for at most ask_time. Baselines, records and wire messages moved to modules of their own; no name changed. Seen failing: with the pause check off, the server that left is still in the answer (test_unasked_the_paused_process_would_use_what_has_left).

--- a/wasabistage/membership/__init__.py
+++ b/wasabistage/membership/__init__.py
@@ -9,7 +9,11 @@
 :class:`AddressPolicy`.
 
 The routing task owns a :class:`BackendMembership`. Peers' :class:`LeavingSign` words
-go to ``observe``; :class:`GossipSigns` of ``tick`` go to every peer.
+go to ``observe``; :class:`GossipSigns` of ``tick`` go to every peer. For
+:class:`AskSigns` it asks every peer, whose policy answers
+``decide(SignsQuery())``; it observes the words and then :class:`SignsTold`. Tick at
+least every second: a longer gap than ``pause_time`` counts as a pause, after which
+no new work is placed until a peer answered.
 
 The task that got ``SIGTERM`` drives a :class:`DrainPolicy`; see its module.
 """
@@ -25,17 +29,19 @@
 )
 from wasabistage.membership._backends import (
     NO_SERVER,
+    NOT_FRESH,
     BackendMembership,
-    GossipSigns,
-    LeavingSign,
     ListOnlyServers,
-    ServerCall,
-    ServerListing,
-    ServerReport,
-    ServerState,
-    SignSource,
-    UsableQuery,
-    UsableServers,
+)
+from wasabistage.membership._baselines import (
+    HeartbeatOnlyMembership,
+    ListOnlyMembership,
+)
+from wasabistage.membership._digests import (
+    CellDigest,
+    ServerWord,
+    encode_message,
+    rank_by_hash,
 )
 from wasabistage.membership._drain import (
     Admission,
@@ -51,14 +57,10 @@
     WorkLeft,
 )
 from wasabistage.membership._gossip import (
-    CellDigest,
     CellPlan,
     FullMesh,
     GossipCost,
     GossipPlan,
-    ServerWord,
-    encode_message,
-    rank_by_hash,
 )
 from wasabistage.membership._messages import (
     Heartbeat,
@@ -77,13 +79,27 @@
     ViewQuery,
     make_incarnation,
 )
-from wasabistage.membership._policy import (
-    HeartbeatOnlyMembership,
-    ListOnlyMembership,
-    MembershipPolicy,
+from wasabistage.membership._policy import MembershipPolicy
+from wasabistage.membership._server_messages import (
+    AskSigns,
+    GossipSigns,
+    LeavingSign,
+    ServerCall,
+    ServerListing,
+    ServerReport,
+    ServerState,
+    SignSource,
+    SignsQuery,
+    SignsTold,
+    UsableQuery,
+    UsableServers,
 )
 
 __all__ = [
+    "NOT_FRESH",
+    "AskSigns",
+    "SignsQuery",
+    "SignsTold",
     "Admission",
     "AdmitQuery",
     "CellDigest",
--- a/wasabistage/membership/_backends.py
+++ b/wasabistage/membership/_backends.py
@@ -2,124 +2,28 @@
 
 import math
 from dataclasses import dataclass, field
-from enum import StrEnum
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
+from wasabistage.membership._server_messages import (
+    AskSigns,
+    GossipSigns,
+    LeavingSign,
+    ServerCall,
+    ServerListing,
+    ServerReport,
+    ServerState,
+    SignSource,
+    SignsQuery,
+    SignsTold,
+    UsableServers,
+)
 from wasabistage.utils import Sentinel
 
+NOT_FRESH = Sentinel("NOT_FRESH", "this process was paused and asks its peers first")
 NO_SERVER = Sentinel("NO_SERVER", "no declared backend server can take new work")
 
 
-class SignSource(StrEnum):
-    """Who says that a backend server is leaving."""
-
-    LIST = "list"
-    REPORT = "report"
-
-
-class ServerState(StrEnum):
-    """What this instance believes about a backend server."""
-
-    READY = "ready"
-    LEAVING = "leaving"
-    SUSPECT = "suspect"
-
-
-@dataclass(frozen=True, kw_only=True, order=True)
-class LeavingSign:
-    """Event, wire message: one source's newest word on whether a server leaves.
-
-    A source stamps its own words, so entries may pass them on in any order and any
-    number of times: the highest stamp of a source wins.
-
-    :param server: name of the backend server.
-    :param source: who said it.
-    :param stamp: (life, number) of the source; compares in order of time.
-    :param leaving: what it said.
-    """
-
-    server: str
-    source: SignSource
-    stamp: tuple[str, int]
-    leaving: bool
-
-
-@dataclass(frozen=True, kw_only=True)
-class ServerListing:
-    """Event: the platform's list was read.
-
-    :param version: number of the list's state, counting up; its own time in
-        milliseconds does.
-    :param live: names of the backend servers that it shows as live.
-    :param leaving: names of those that it shows as leaving.
-    """
-
-    version: int
-    live: frozenset[str] = frozenset()
-    leaving: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, kw_only=True)
-class ServerReport:
-    """Event: a backend server reported its load.
-
-    :param server: name of the backend server.
-    :param life: id of its process life; sorts by start time.
-    :param sequence: counts up with each report of a life.
-    :param draining: whether it says that it is leaving.
-    """
-
-    server: str
-    life: str
-    sequence: int
-    draining: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class ServerCall:
-    """Event: a call to a backend server ended.
-
-    :param server: name of the backend server.
-    :param ok: whether the server answered.
-    """
-
-    server: str
-    ok: bool
-
-
-@dataclass(frozen=True, kw_only=True)
-class UsableQuery:
-    """Query: which of these servers may be given new work?
-
-    :param servers: names of the servers that could run the request.
-    """
-
-    servers: tuple[str, ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class UsableServers:
-    """Decision: servers that may be given new work.
-
-    :param ready: those without any doubt.
-    :param suspect: doubtful ones kept so that the choice is never empty.
-    """
-
-    ready: tuple[str, ...]
-    suspect: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True)
-class GossipSigns:
-    """Action: tell every peer entry instance these words.
-
-    :param signs: the words, at most ``max_gossip`` of the policy.
-    """
-
-    signs: tuple[LeavingSign, ...]
-
-
 @dataclass
 class ServerRecord:
     """What is known of one server; times are monotonic, in seconds."""
@@ -146,6 +50,9 @@
     :param regossip: time between repeats of the words that say leaving, in seconds.
     :param max_gossip: words in one message; the rest goes with the next.
     :param keep_share: share of the servers that doubts can't remove.
+    :param pause_time: time between ticks that means that this process was paused, in
+        seconds. What it knows may then be too old, so that it asks its peers first.
+    :param ask_time: longest wait for their answer, in seconds.
     """
 
     def __init__(
@@ -158,6 +65,8 @@
         regossip=1.0,
         max_gossip=64,
         keep_share=0.5,
+        pause_time=2.0,
+        ask_time=1.0,
     ):
         self.servers = servers
         self.silent_after = silent_after
@@ -166,6 +75,8 @@
         self.regossip = regossip
         self.max_gossip = max_gossip
         self.keep_share = keep_share
+        self.pause_time = pause_time
+        self.ask_time = ask_time
 
     def reset(self):
         """Check the arguments and forget everything learned.
@@ -181,6 +92,8 @@
         self.records_ = {name: ServerRecord() for name in self.servers}
         self.pending_ = {}
         self.next_gossip_ = -math.inf
+        self.last_tick_ = None
+        self.asked_until_ = -math.inf
         self.listed_ = 0
         self.unknown_ = 0
         return self
@@ -213,14 +126,21 @@
                 self._merge(event)
             case ServerCall():
                 self._observe_call(event, now)
+            case SignsTold():
+                self.asked_until_ = -math.inf
 
     def decide(self, query, now):
-        """Name the servers that may be given new work.
+        """Name the servers that may be given new work, or tell a peer who leaves.
 
-        :param query: a :class:`UsableQuery`.
+        :param query: a :class:`UsableQuery` or a peer's :class:`SignsQuery`.
         :param now: monotonic time, in seconds.
-        :return: :class:`UsableServers`, or :data:`NO_SERVER` with a reason.
+        :return: :class:`UsableServers`, :data:`NO_SERVER` with a reason or
+            :data:`NOT_FRESH`; for a peer :class:`GossipSigns`.
         """
+        if isinstance(query, SignsQuery):
+            return GossipSigns(signs=tuple(self._leaving_signs()))
+        if self._was_paused(now) or now < self.asked_until_:
+            return NOT_FRESH
         known = [name for name in query.servers if name in self.records_]
         staying = [name for name in known if not self.is_leaving(name)]
         if not staying:
@@ -238,18 +158,18 @@
         """Pass words on: new ones at once, those that say leaving repeatedly.
 
         :param now: monotonic time, in seconds.
-        :return: a list of :class:`GossipSigns`.
+        :return: a list of :class:`GossipSigns` and :class:`AskSigns`.
         """
+        actions = self._ask_after_pause(now)
         if now >= self.next_gossip_:
             self.next_gossip_ = now + self.regossip
-            for record in self.records_.values():
-                for sign in record.signs.values():
-                    if sign.leaving:
-                        self.pending_[sign.server, sign.source] = sign
+            for sign in self._leaving_signs():
+                self.pending_[sign.server, sign.source] = sign
         if not self.pending_:
-            return []
+            return actions
         keys = list(self.pending_)[: self.max_gossip]
-        return [GossipSigns(signs=tuple(self.pending_.pop(key) for key in keys))]
+        signs = tuple(self.pending_.pop(key) for key in keys)
+        return [*actions, GossipSigns(signs=signs)]
 
     def is_leaving(self, server):
         """Tell whether any source's newest word says that the server leaves.
@@ -273,6 +193,25 @@
             return ServerState.LEAVING
         return ServerState.SUSPECT if self._doubt(server, now) else ServerState.READY
 
+    def _was_paused(self, now):
+        return self.last_tick_ is not None and now - self.last_tick_ > self.pause_time
+
+    def _ask_after_pause(self, now):
+        paused = self._was_paused(now)
+        started = self.last_tick_ is None
+        self.last_tick_ = now
+        if paused:
+            self.asked_until_ = now + self.ask_time
+        return [AskSigns()] if paused or started else []
+
+    def _leaving_signs(self):
+        return [
+            sign
+            for record in self.records_.values()
+            for sign in record.signs.values()
+            if sign.leaving
+        ]
+
     def _observe_listing(self, listing):
         self.listed_ = len(listing.live) + len(listing.leaving)
         for name, record in self.records_.items():
--- a/wasabistage/membership/_policy.py
+++ b/wasabistage/membership/_policy.py
@@ -1,7 +1,6 @@
 """Which entry instances are alive, from heartbeats, the list and own calls."""
 
 import math
-from dataclasses import dataclass
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
@@ -21,34 +20,11 @@
     SendHeartbeats,
     ViewQuery,
 )
+from wasabistage.membership._records import MemberRecord
 
 USABLE_STATES = (MemberState.SERVING,)
 
 
-@dataclass
-class MemberRecord:
-    """What is known of one instance; times are monotonic, in seconds."""
-
-    instance: str
-    incarnation: str = ""
-    sequence: int = -1
-    failure_domain: str = ""
-    caller_address: str = ""
-    peer_address: str = ""
-    load: float = 0.0
-    phase: Phase = Phase.SERVING
-    config_version: int = 0
-    newest_offset: int = 0
-    heard_at: float = -math.inf
-    known_at: float = 0.0
-    refused_at: float = -math.inf
-    failures: int = 0
-    listed: bool = False
-    listed_leaving: bool = False
-    silent: frozenset[str] = frozenset()
-    state: MemberState | None = None
-
-
 class MembershipPolicy(Policy):
     """Join of the lagging list, direct heartbeats and the outcome of own calls.
 
@@ -383,25 +359,3 @@
         ]
         for instance in ended:
             del self.records_[instance]
-
-
-class ListOnlyMembership(MembershipPolicy):
-    """Baseline that believes the platform's list alone."""
-
-    def _state(self, record, now):
-        if not record.listed:
-            return MemberState.GONE
-        if record.listed_leaving:
-            return MemberState.DRAINING
-        return MemberState.SERVING
-
-
-class HeartbeatOnlyMembership(MembershipPolicy):
-    """Baseline with a single timeout and no witnesses, list or calls."""
-
-    def _state(self, record, now):
-        if now - max(record.heard_at, record.known_at) > self.suspect_after:
-            return MemberState.GONE
-        if record.phase is Phase.DRAINING:
-            return MemberState.DRAINING
-        return MemberState.SERVING
--- a/wasabistage/rollout/__init__.py
+++ b/wasabistage/rollout/__init__.py
@@ -15,6 +15,7 @@
 append it before half the log's horizon has passed.
 """
 
+from wasabistage.rollout._baselines import AllAtOnce, OneByOne
 from wasabistage.rollout._fold import NO_OFFSET, GrantFold
 from wasabistage.rollout._messages import (
     AppendEnded,
@@ -34,7 +35,7 @@
     TargetsChanged,
     TurnChanged,
 )
-from wasabistage.rollout._policy import AllAtOnce, OneByOne, RolloutPolicy
+from wasabistage.rollout._policy import RolloutPolicy
 from wasabistage.rollout._versions import NO_VERSION
 
 __all__ = [
--- a/wasabistage/rollout/_policy.py
+++ b/wasabistage/rollout/_policy.py
@@ -1,12 +1,11 @@
 """Orders to backend servers under leases granted by the log."""
 
 import math
-from dataclasses import dataclass
-from enum import Enum, auto
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
 from wasabistage.rollout._fold import GrantFold
+from wasabistage.rollout._holds import Hold, Progress
 from wasabistage.rollout._messages import (
     AppendEnded,
     AppendRecord,
@@ -23,33 +22,6 @@
 from wasabistage.rollout._versions import VersionView
 
 MAX_SENT_CLAIMS = 256
-UNLIMITED_SLOTS = 64
-
-
-class Progress(Enum):
-    """How far the order of a grant held here has come."""
-
-    READING = auto()
-    ORDERED = auto()
-    ENDED = auto()
-
-
-@dataclass
-class Hold:
-    """A grant held by this process; times are monotonic, in seconds."""
-
-    slot: int
-    server: str
-    fencing: int
-    send_until: float
-    lapses_at: float
-    taken_at: float
-    progress: Progress = Progress.READING
-    attempt: int = 0
-    asked_at: float = -math.inf
-    ordered_at: float = -math.inf
-    ended_at: float = -math.inf
-    released_at: float = -math.inf
 
 
 class RolloutPolicy(Policy):
@@ -369,25 +341,3 @@
     def _record_id(self):
         self.counter_ += 1
         return f"{self.incarnation}/{self.counter_}"
-
-
-class OneByOne(RolloutPolicy):
-    """Baseline that changes one server after another."""
-
-    def slot_count(self):
-        """Return the number of slots.
-
-        :return: 1, whatever ``slots`` says.
-        """
-        return 1
-
-
-class AllAtOnce(RolloutPolicy):
-    """Baseline that changes every server at the same time."""
-
-    def slot_count(self):
-        """Return the number of slots.
-
-        :return: a large number, whatever ``slots`` says.
-        """
-        return UNLIMITED_SLOTS
