--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -25,6 +25,7 @@
     FirstTokenEstimator,
     LinkQueue,
     LoadReport,
+    link_name,
 )
 from wasabistage.routing._health import (
     BaseHealthPolicy,
@@ -85,4 +86,5 @@
     "ServerSeen",
     "StickyRouter",
     "UNKNOWN_SERVER",
+    "link_name",
 ]
--- a/wasabistage/routing/_estimate.py
+++ b/wasabistage/routing/_estimate.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from wasabistage.base import Policy
+from wasabistage.cache import Tier
 from wasabistage.exceptions import SettingError
 from wasabistage.utils import Sentinel
 
@@ -79,7 +80,7 @@
 class FetchDone:
     """Pieces were moved from a store to a backend server.
 
-    :param store: name of the store, whose link bounds the rate.
+    :param store: name from :func:`link_name`; each tier has its own rate.
     :param size: bytes moved.
     :param seconds: time taken on the wire, queueing not included.
     """
@@ -93,7 +94,7 @@
 class LinkQueue:
     """What waits on a store's link ahead of a new fetch.
 
-    :param store: name of the store.
+    :param store: name from :func:`link_name`.
     :param size: bytes ahead of a new urgent fetch.
     """
 
@@ -144,6 +145,7 @@
     rate: float
     version: str = ""
     queued: float = 0.0
+    running: int = 0
     measured: float = float("-inf")
     heard: float = float("-inf")
     recent: OrderedDict = field(default_factory=OrderedDict)
@@ -160,15 +162,24 @@
     :param link_rate: first guess of a store link's rate, in bytes a second.
     :param overhead: fixed time to the first token, in seconds.
     :param gain: weight of the newest outcome, 0 to 1.
+    :param chunk_tokens: tokens of one prompt that an engine computes before another
+        prompt's turn; 0 for engines that compute prompts one after another.
     """
 
     def __init__(
-        self, *, prefill_rate=8000.0, link_rate=1.25e9, overhead=0.02, gain=0.15
+        self,
+        *,
+        prefill_rate=8000.0,
+        link_rate=1.25e9,
+        overhead=0.02,
+        gain=0.15,
+        chunk_tokens=1024,
     ):
         self.prefill_rate = prefill_rate
         self.link_rate = link_rate
         self.overhead = overhead
         self.gain = gain
+        self.chunk_tokens = chunk_tokens
 
     def reset(self):
         """Check the arguments and forget what was learned."""
@@ -177,10 +188,10 @@
                 raise SettingError(
                     f"{name} is not positive", remedy=f"set {name} above 0"
                 )
-        if self.overhead < 0 or not 0 < self.gain <= 1:
+        if self.overhead < 0 or self.chunk_tokens < 0 or not 0 < self.gain <= 1:
             raise SettingError(
-                "overhead or gain is out of range",
-                remedy="set overhead to 0 or more, and gain above 0, up to 1",
+                "overhead, chunk_tokens or gain is out of range",
+                remedy="set both to 0 or more, and gain above 0, up to 1",
             )
         self.servers_ = {}
         self.open_ = OrderedDict()
@@ -223,6 +234,7 @@
             return
         load.version = report.version
         load.queued = float(report.queued_tokens)
+        load.running = report.running
         load.measured = measured
         load.heard = now
         for request, dispatch in list(load.recent.items()):
@@ -231,7 +243,7 @@
 
     def _take_dispatch(self, event, now):
         load = self._server(event.server)
-        ahead = self.backlog(event.server, now)
+        ahead = self.ahead(event.server, event.tokens, now)
         dispatch = _OpenDispatch(event.server, event.tokens, now, ahead)
         self.open_[event.request] = dispatch
         load.recent[event.request] = dispatch
@@ -282,6 +294,24 @@
         drained = load.rate * max(0.0, now - load.measured)
         return max(0.0, load.queued + own - drained)
 
+    def ahead(self, server, tokens, now):
+        """Return the tokens computed before a new request's last one.
+
+        Engines that interleave prompts compute of each other prompt no more than of
+        the new one, so a short prompt does not wait for a long one.
+
+        :param server: name of the backend server.
+        :param tokens: prompt tokens of the new request.
+        :param now: monotonic time, in seconds.
+        :return: tokens, 0 or more.
+        """
+        backlog = self.backlog(server, now)
+        if not self.chunk_tokens:
+            return backlog
+        load = self._server(server)
+        others = max(1, load.running + len(load.recent))
+        return min(backlog, float(others * max(tokens, self.chunk_tokens)))
+
     def prefill_seconds(self, server, tokens):
         """Return the time that a server needs for some prompt tokens.
 
@@ -314,7 +344,7 @@
         if query.server not in self.servers_:
             return UNKNOWN_SERVER.because(f"no report of {query.server} yet")
         rate = self._server(query.server).rate
-        queue = self.backlog(query.server, now) / rate
+        queue = self.ahead(query.server, query.tokens, now) / rate
         fetch = 0.0
         if query.size:
             fetch = self.fetch_seconds(query.store, query.size, now)
@@ -322,6 +352,16 @@
         return Estimate(seconds=seconds, queue=queue, fetch=fetch)
 
 
+def link_name(store, tier):
+    """Return the name under which a store's tier is estimated.
+
+    :param store: name of the store.
+    :param tier: the :class:`wasabistage.cache.Tier` that holds the pieces.
+    :return: the name to give in :class:`FetchDone` and :class:`LinkQueue`.
+    """
+    return store if tier is Tier.MEMORY else f"{store}/disk"
+
+
 def _blend(old, new, gain):
     """Move a rate towards a new sample, by the time per unit that they stand for."""
     return 1.0 / ((1.0 - gain) / old + gain / new)
--- a/wasabistage/routing/_router.py
+++ b/wasabistage/routing/_router.py
@@ -6,7 +6,11 @@
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
-from wasabistage.routing._estimate import EstimateQuery, FirstTokenEstimator
+from wasabistage.routing._estimate import (
+    EstimateQuery,
+    FirstTokenEstimator,
+    link_name,
+)
 from wasabistage.routing._messages import Plan, RouteDecision
 from wasabistage.utils import Sentinel
 
@@ -167,7 +171,8 @@
         at_risk = min(reused, fetched * query.piece_tokens)
         expected = tokens + round(at_risk * (1.0 - stored.trust))
         size = fetched * query.piece_bytes
-        seconds = self._seconds(candidate, expected, now, stored.store, size)
+        link = link_name(stored.store, stored.tier)
+        seconds = self._seconds(candidate, expected, now, link, size)
         return _Option(
             seconds,
             candidate.server,
