Mend the estimator, and give slow fetches up

Cause: one bad sample stuck a server's learned rate at 674 of 8000 tokens/s; with the link at a tenth the p95 first token was 27% worse than plain recompute, since fetches begun on a wrong prediction were waited for to the end.

--- a/wasabistage/cache/_transfers.py
+++ b/wasabistage/cache/_transfers.py
@@ -261,6 +261,26 @@
             link.served[account] = link.served.get(account, 0) + size
         return chunk
 
+    def ahead(self, transfer):
+        """Return the bytes that go before a transfer's next byte.
+
+        :param transfer: id of the transfer.
+        :return: bytes; 0 if the transfer is not known.
+        """
+        state = self.transfers_.get(transfer)
+        if state is None:
+            return 0
+        return self._ahead(self.links_[state.offer.link], state)
+
+    def left(self, transfer):
+        """Return the bytes of a transfer that are not yet on their way.
+
+        :param transfer: id of the transfer.
+        :return: bytes; 0 if the transfer is not known.
+        """
+        state = self.transfers_.get(transfer)
+        return state.left if state else 0
+
     def backlog(self, link, kind):
         """Return the bytes that wait on a link.
 
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -11,18 +11,24 @@
   with each server's own reported version they become the :class:`Candidate` tuple.
   ``PrefixIndex.decide`` and ``StoreIndex.decide`` give ``held`` and ``stored``. Then
   ``router.decide(RouteQuery)``.
+- A fetch that runs longer than ``check_fetch_after``, and a prompt that waits for
+  staged pieces: ``router.estimator_.decide(FetchProgress)``; ``GIVE_UP`` means cancel
+  the transfer, verify and import the pieces that came, recompute the rest.
 - ``health.tick`` about once a second; its actions are logged and counted.
 """
 
 from wasabistage.routing._estimate import (
+    GIVE_UP,
     UNKNOWN_SERVER,
     Dispatched,
     DispatchEnded,
     Estimate,
     EstimateQuery,
     FetchDone,
+    FetchProgress,
     FirstToken,
     FirstTokenEstimator,
+    KeepFetching,
     LinkQueue,
     LoadReport,
     link_name,
@@ -62,6 +68,8 @@
     "Estimate",
     "EstimateQuery",
     "FetchDone",
+    "FetchProgress",
+    "GIVE_UP",
     "FirstToken",
     "FirstTokenEstimator",
     "Health",
@@ -69,6 +77,7 @@
     "HealthPolicy",
     "HealthQuery",
     "LeastLoadedRouter",
+    "KeepFetching",
     "LinkQueue",
     "LoadReport",
     "NO_SERVER",
--- a/wasabistage/routing/_estimate.py
+++ b/wasabistage/routing/_estimate.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from statistics import median
 
 from wasabistage.base import Policy
 from wasabistage.cache import Tier
@@ -11,11 +12,16 @@
 MAX_SERVERS = 4096
 MAX_LINKS = 4096
 MAX_OPEN_DISPATCHES = 4096
-MIN_LEARN_TOKENS = 64
+MIN_LEARN_TOKENS = 512
+MAX_RATIO = 4.0
 MIN_LEARN_BYTES = 65536
 MIN_SECONDS = 1e-6
+USUAL_PERIOD = 1.0
+MIN_CHECK_SECONDS = 0.05
+CHECK_SHARE = 0.5
 
 UNKNOWN_SERVER = Sentinel("UNKNOWN_SERVER")
+GIVE_UP = Sentinel("GIVE_UP")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -96,10 +102,13 @@
 
     :param store: name from :func:`link_name`.
     :param size: bytes ahead of a new urgent fetch.
+    :param rate: rate that the link's scheduler measures, in bytes a second; 0 if
+        unknown. No estimate takes the link for faster than that.
     """
 
     store: str
     size: int
+    rate: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -132,6 +141,34 @@
     fetch: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class FetchProgress:
+    """Asks whether an unfinished fetch is still better than recomputing.
+
+    :param server: name of the backend server.
+    :param store: name from :func:`link_name`.
+    :param ahead: bytes that go over the link before the fetch's next byte.
+    :param size: bytes of the fetch left.
+    :param tokens: prompt tokens in the pieces that are not yet there.
+    """
+
+    server: str
+    store: str
+    ahead: int
+    size: int
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class KeepFetching:
+    """The fetch goes on.
+
+    :param check_after: seconds after which to ask again.
+    """
+
+    check_after: float
+
+
 @dataclass
 class _OpenDispatch:
     server: str
@@ -143,6 +180,7 @@
 @dataclass
 class _ServerLoad:
     rate: float
+    learned: float = float("-inf")
     version: str = ""
     queued: float = 0.0
     running: int = 0
@@ -164,6 +202,7 @@
     :param gain: weight of the newest outcome, 0 to 1.
     :param chunk_tokens: tokens of one prompt that an engine computes before another
         prompt's turn; 0 for engines that compute prompts one after another.
+    :param half_life: seconds in which half of what was learned of a server fades.
     """
 
     def __init__(
@@ -174,16 +213,18 @@
         overhead=0.02,
         gain=0.15,
         chunk_tokens=1024,
+        half_life=30.0,
     ):
         self.prefill_rate = prefill_rate
         self.link_rate = link_rate
         self.overhead = overhead
         self.gain = gain
         self.chunk_tokens = chunk_tokens
+        self.half_life = half_life
 
     def reset(self):
         """Check the arguments and forget what was learned."""
-        for name in ("prefill_rate", "link_rate"):
+        for name in ("prefill_rate", "link_rate", "half_life"):
             if getattr(self, name) <= 0:
                 raise SettingError(
                     f"{name} is not positive", remedy=f"set {name} above 0"
@@ -195,6 +236,7 @@
             )
         self.servers_ = {}
         self.open_ = OrderedDict()
+        self.usual_, self.usual_at_ = self.prefill_rate, float("-inf")
         self.links_ = {}
         self.queues_ = {}
         return self
@@ -260,7 +302,9 @@
             return
         seconds = max(MIN_SECONDS, event.seconds - self.overhead)
         load = self._server(dispatch.server)
-        load.rate = _blend(load.rate, work / seconds, self.gain)
+        rate = self.rate(dispatch.server, now)
+        load.rate = _blend(rate, work / seconds, self.gain)
+        load.learned = now
 
     def _close(self, request):
         dispatch = self.open_.pop(request, None)
@@ -278,7 +322,30 @@
 
     def _take_queue(self, event, now):
         if event.store in self.queues_ or len(self.queues_) < MAX_LINKS:
-            self.queues_[event.store] = (event.size, now)
+            self.queues_[event.store] = (event.size, now, event.rate)
+
+    def rate(self, server, now):
+        """Return the rate at which a server is believed to compute prompts.
+
+        A rate learned long ago drifts back to the peers' median: a server that once
+        looked slow gets no work by which to prove otherwise.
+
+        :param server: name of the backend server.
+        :param now: monotonic time, in seconds.
+        :return: prompt tokens a second.
+        """
+        load = self._server(server)
+        if load.learned == float("-inf"):
+            return load.rate
+        kept = 0.5 ** (max(0.0, now - load.learned) / self.half_life)
+        return load.rate**kept * self._usual(now) ** (1.0 - kept)
+
+    def _usual(self, now):
+        """Return the servers' median rate, worked out once a second at most."""
+        if now - self.usual_at_ >= USUAL_PERIOD:
+            self.usual_ = median(item.rate for item in self.servers_.values())
+            self.usual_at_ = now
+        return self.usual_
 
     def backlog(self, server, now):
         """Return the prompt tokens that stand before a new request.
@@ -291,7 +358,7 @@
         own = sum(dispatch.tokens for dispatch in load.recent.values())
         if load.measured == float("-inf"):
             return float(own)
-        drained = load.rate * max(0.0, now - load.measured)
+        drained = self.rate(server, now) * max(0.0, now - load.measured)
         return max(0.0, load.queued + own - drained)
 
     def ahead(self, server, tokens, now):
@@ -312,14 +379,15 @@
         others = max(1, load.running + len(load.recent))
         return min(backlog, float(others * max(tokens, self.chunk_tokens)))
 
-    def prefill_seconds(self, server, tokens):
+    def prefill_seconds(self, server, tokens, now):
         """Return the time that a server needs for some prompt tokens.
 
         :param server: name of the backend server.
         :param tokens: prompt tokens.
+        :param now: monotonic time, in seconds.
         :return: seconds.
         """
-        return tokens / self._server(server).rate
+        return tokens / self.rate(server, now)
 
     def fetch_seconds(self, store, size, now):
         """Return the time for a fetch, waiting for the link included.
@@ -329,21 +397,38 @@
         :param now: monotonic time, in seconds.
         :return: seconds.
         """
-        rate = self.links_.get(store, self.link_rate)
-        queued, heard = self.queues_.get(store, (0, now))
+        rate = self._link_rate(store)
+        queued, heard, _ = self.queues_.get(store, (0, now, 0.0))
         waiting = max(0.0, queued - rate * (now - heard))
         return (waiting + size) / rate
 
+    def _link_rate(self, store):
+        rate = self.links_.get(store, self.link_rate)
+        _, _, measured = self.queues_.get(store, (0, 0.0, 0.0))
+        return min(rate, measured) if measured else rate
+
+    def _check_fetch(self, query, now):
+        fetch = (query.ahead + query.size) / self._link_rate(query.store)
+        recompute = self.prefill_seconds(query.server, query.tokens, now)
+        if fetch > recompute:
+            return GIVE_UP.because(
+                f"{fetch:.2f} s to fetch, {recompute:.2f} to compute"
+            )
+        return KeepFetching(check_after=max(MIN_CHECK_SECONDS, CHECK_SHARE * fetch))
+
     def decide(self, query, now):
-        """Answer an :class:`EstimateQuery`.
+        """Answer an :class:`EstimateQuery` or a :class:`FetchProgress`.
 
-        :param query: :class:`EstimateQuery`.
+        :param query: :class:`EstimateQuery` or :class:`FetchProgress`.
         :param now: monotonic time, in seconds.
-        :return: an :class:`Estimate`, or ``UNKNOWN_SERVER`` without a report.
+        :return: an :class:`Estimate`, or ``UNKNOWN_SERVER`` without a report;
+            :class:`KeepFetching`, or ``GIVE_UP`` where recomputing is faster.
         """
+        if isinstance(query, FetchProgress):
+            return self._check_fetch(query, now)
         if query.server not in self.servers_:
             return UNKNOWN_SERVER.because(f"no report of {query.server} yet")
-        rate = self._server(query.server).rate
+        rate = self.rate(query.server, now)
         queue = self.ahead(query.server, query.tokens, now) / rate
         fetch = 0.0
         if query.size:
@@ -363,5 +448,6 @@
 
 
 def _blend(old, new, gain):
-    """Move a rate towards a new sample, by the time per unit that they stand for."""
-    return 1.0 / ((1.0 - gain) / old + gain / new)
+    """Move a rate towards a new sample by their ratio, within a bounded step."""
+    ratio = min(max(new / old, 1.0 / MAX_RATIO), MAX_RATIO)
+    return old * ratio**gain
--- a/wasabistage/routing/_messages.py
+++ b/wasabistage/routing/_messages.py
@@ -79,6 +79,8 @@
     :param fetched: pieces fetched, the last of ``pieces``.
     :param tokens: prompt tokens expected to be computed.
     :param predicted_first_token: seconds.
+    :param check_fetch_after: seconds after which an unfinished fetch is to be asked
+        about with :class:`FetchProgress`; 0 without a fetch.
     :param alternatives: other servers, best first.
     """
 
@@ -90,4 +92,5 @@
     fetched: int = 0
     tokens: int = 0
     predicted_first_token: float = 0.0
+    check_fetch_after: float = 0.0
     alternatives: tuple[str, ...] = ()
--- a/wasabistage/routing/_router.py
+++ b/wasabistage/routing/_router.py
@@ -16,6 +16,7 @@
 
 MAX_STICKY_SESSIONS = 100_000
 MIN_WEIGHT = 0.01
+OVERRUN = 1.5
 
 NO_SERVER = Sentinel("NO_SERVER")
 
@@ -30,6 +31,7 @@
     fetched: int = 0
     store: str = ""
     tail: str = ""
+    check_after: float = 0.0
 
 
 class Router(Policy):
@@ -86,6 +88,7 @@
             fetched=best.fetched,
             tokens=best.tokens,
             predicted_first_token=best.seconds,
+            check_fetch_after=best.check_after,
             alternatives=tuple(option.server for option in options[1:]),
         )
 
@@ -111,7 +114,7 @@
         )
         estimate = self.estimator_.decide(query, now)
         if not estimate:
-            seconds = self.estimator_.prefill_seconds(candidate.server, tokens)
+            seconds = self.estimator_.prefill_seconds(candidate.server, tokens, now)
         else:
             seconds = estimate.seconds
         return seconds / max(candidate.weight, MIN_WEIGHT)
@@ -182,6 +185,7 @@
             fetched,
             stored.store,
             stored.tail,
+            OVERRUN * self.estimator_.fetch_seconds(link, size, now),
         )
 
 
