Let entries hear of each other's dispatches; eject by quick calls and by peers

Cause: seven entries that see only their own dispatches herd on late reports, and queueing was taken for slowness; an answered prompt was taken off the backlog twice. Change: PeerDispatched; dispatches count until a report includes them; a server is slow when the lower quartile of its times passes twice its peers' median; it fails when it fails twice as much as its peers; both benchmarks let entries hear each other. Ruled out: medians of both sides (ejected healthy servers at 5 s of lag), lower quartiles of both sides (a whole service turning slow ejected one). Seen failing with the mechanism off: queueing and whole-service tests with the median, fail-alike test without the comparison.

--- a/benchmarks/backends.py
+++ b/benchmarks/backends.py
@@ -28,6 +28,7 @@
     LeastLoadedRouter,
     LoadReport,
     NoEjection,
+    PeerDispatched,
     PredictiveRouter,
     RandomRouter,
     RoundRobinRouter,
@@ -47,6 +48,8 @@
 SPREAD_LOG_TOKENS = 0.8
 REPORT_PERIOD = 0.1
 FAIL_SECONDS = 0.01
+GOSSIP_PERIOD = 0.2
+GOSSIP_DELAY = 0.002
 FLAP_SECONDS = 5.0
 WARMING_SECONDS = 10.0
 WARMING_FACTOR = 0.5
@@ -84,7 +87,8 @@
     :param name: name in the table.
     :param router: router class.
     :param health: health policy class.
-    :param shared: whether entries tell each other the ends of calls.
+    :param shared: whether entries tell each other the ends of calls and what they
+        sent.
     """
 
     name: str
@@ -107,7 +111,7 @@
 )
 ARMS = (
     Arm(name="predictive + health"),
-    Arm(name="predictive + own health", shared=False),
+    Arm(name="predictive, no gossip", shared=False),
     Arm(name="predictive, no ejection", health=NoEjection),
     Arm(name="least loaded", router=LeastLoadedRouter, health=NoEjection),
     Arm(name="round robin", router=RoundRobinRouter, health=NoEjection),
@@ -182,6 +186,7 @@
         ]
         self.healths = [arm.health().reset() for _ in range(ENTRIES)]
         self.waits, self.requests, self.attempts, self.late = [], 0, 0, 0
+        self.unsaid = [dict.fromkeys(self.servers, 0) for _ in range(ENTRIES)]
         self.sent = dict.fromkeys(self.servers, 0)
         self.min_usable = SERVERS
 
@@ -200,6 +205,7 @@
         self.later(0.0, self.arrive)
         self.later(0.0, self.report)
         self.later(0.0, self.tick)
+        self.later(0.0, self.gossip)
         self.later(FAULT_AT, self.fault)
         while self.events and self.events[0][0] <= self.seconds + 30.0:
             self.now, _, action, arguments = heapq.heappop(self.events)
@@ -239,6 +245,23 @@
             self.min_usable = min(self.min_usable, usable + leaving)
         self.later(0.5, self.tick)
 
+    def gossip(self):
+        """Each entry tells the others what it sent since the last time."""
+        for entry, unsaid in enumerate(self.unsaid):
+            for server, tokens in unsaid.items():
+                if tokens and self.arm.shared:
+                    self.later(GOSSIP_DELAY, self.hear, entry, server, tokens)
+                unsaid[server] = 0
+        self.later(GOSSIP_PERIOD, self.gossip)
+
+    def hear(self, speaker, server, tokens):
+        """The other entries hear what one sent."""
+        lag = GOSSIP_DELAY + GOSSIP_PERIOD / 2
+        event = PeerDispatched(server=server, tokens=tokens, lag=lag)
+        for entry, router in enumerate(self.routers):
+            if entry != speaker:
+                router.observe(event, self.now)
+
     def report(self):
         """Send every server's load, with the lag."""
         for server in self.servers.values():
@@ -309,6 +332,7 @@
             request=f"{id(call)}/{call.attempts}", server=name, tokens=call.tokens
         )
         router.observe(sent, self.now)
+        self.unsaid[call.entry][name] += call.tokens
         server = self.servers[name]
         server.queue.append(call)
         self.start(server)
@@ -365,7 +389,7 @@
         if self.arm.shared:
             for place, health in enumerate(self.healths):
                 if place != entry:
-                    self.later(0.2, self.tell, health, ended)
+                    self.later(GOSSIP_PERIOD, self.tell, health, ended)
 
     def figures(self):
         """Return the figures of the run."""
--- a/benchmarks/returning.py
+++ b/benchmarks/returning.py
@@ -71,6 +71,7 @@
     LeastLoadedRouter,
     LinkQueue,
     LoadReport,
+    PeerDispatched,
     Plan,
     PredictiveRouter,
     RandomRouter,
@@ -96,6 +97,7 @@
 DECODE_SECONDS = 4.0
 REPORT_PERIOD = 0.5
 REPORT_LAG = 0.3
+GOSSIP_DELAY = 0.1
 EVENT_LOSS = 0.02
 CHUNK_SECONDS = 0.02
 LINK_POLL = 0.02
@@ -658,6 +660,7 @@
             request=request, server=decision.server, tokens=decision.tokens
         )
         self.routers[entry].observe(sent, self.now)
+        self.later(GOSSIP_DELAY, self.gossip, entry, sent)
         if staged and staged[0] == decision.server:
             self.use_staged(job, staged[2])
         elif decision.plan is Plan.FETCH:
@@ -666,6 +669,13 @@
         engine.queue.append(job)
         self.start(engine)
 
+    def gossip(self, speaker, sent):
+        """The other entries hear what one sent."""
+        event = PeerDispatched(server=sent.server, tokens=sent.tokens, lag=GOSSIP_DELAY)
+        for entry, router in enumerate(self.routers):
+            if entry != speaker:
+                router.observe(event, self.now)
+
     def use_staged(self, job, name):
         """Wait for staging that is not through, at the prompt's own rank."""
         self.tally.used += self.now >= self.warm
--- a/benchmarks/tests/test_returning.py
+++ b/benchmarks/tests/test_returning.py
@@ -34,9 +34,12 @@
         self.assertEqual(plain.fetch_link, 0)
 
     def test_only_the_baseline_link_lets_fetches_wait_behind_background(self):
-        slow = {"link_share": 0.3, "seed": 4}
-        self.assertGreater(run("first-come link", **slow).behind, 0)
-        self.assertEqual(run("predictive + export + staging", **slow).behind, 0)
+        behind = {"first-come link": 0, "predictive + export + staging": 0}
+        for name in behind:
+            for seed in range(1, 7):
+                behind[name] += run(name, seed=seed, link_share=0.3).behind
+        self.assertGreater(behind["first-come link"], 0)
+        self.assertEqual(behind["predictive + export + staging"], 0)
 
     def test_lost_store_is_survived(self):
         half = run("half the store gone")
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -4,6 +4,10 @@
 and gets every message over a bounded channel.
 
 - Load reports, dispatches, first tokens, ends, transfers go to ``router.observe``.
+- Every 0.2 s or so each entry instance tells its peers the tokens it
+  sent to each server since; they observe :class:`PeerDispatched`. The ends of calls
+  go to the peers' ``health.observe`` in the same message. Without this, reports
+  that lag by a second make routing worse than round robin.
 - Live list, refusals, call starts and ends go to ``health.observe``. A
   :class:`CallStarted` must be observed in the same step as the decision that led to
   it, so that a half-open server is not sent more than its probes.
@@ -31,6 +35,7 @@
     KeepFetching,
     LinkQueue,
     LoadReport,
+    PeerDispatched,
     link_name,
 )
 from wasabistage.routing._health import (
@@ -82,6 +87,7 @@
     "LoadReport",
     "NO_SERVER",
     "NoEjection",
+    "PeerDispatched",
     "Plan",
     "PredictiveRouter",
     "RandomRouter",
--- a/wasabistage/routing/_estimate.py
+++ b/wasabistage/routing/_estimate.py
@@ -12,6 +12,7 @@
 MAX_SERVERS = 4096
 MAX_LINKS = 4096
 MAX_OPEN_DISPATCHES = 4096
+MAX_RECENT_DISPATCHES = 1024
 MIN_LEARN_TOKENS = 512
 MAX_RATIO = 4.0
 MIN_LEARN_BYTES = 65536
@@ -58,6 +59,20 @@
     tokens: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class PeerDispatched:
+    """Another entry instance says what it sent to a backend server.
+
+    :param server: name of the backend server.
+    :param tokens: prompt tokens sent since that instance last said so.
+    :param lag: seconds since then, about the middle of that time.
+    """
+
+    server: str
+    tokens: int
+    lag: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class FirstToken:
     """The first token of an attempt arrived.
@@ -193,8 +208,10 @@
     """Estimates from load reports, own dispatches since, and what happened.
 
     The backlog of a server is its last report, drained at the learned rate since it
-    was measured, plus own dispatches that the report can't have seen. At a bound,
-    the oldest open dispatch, and news of further servers and links, are left out.
+    was measured, plus what this and other entry instances have sent since. A prompt
+    that got its first token still counts until the next report, as the drain does.
+    At a bound, the oldest dispatch, and news of further servers and links, are left
+    out.
 
     :param prefill_rate: first guess of prompt tokens computed a second.
     :param link_rate: first guess of a store link's rate, in bytes a second.
@@ -236,6 +253,7 @@
             )
         self.servers_ = {}
         self.open_ = OrderedDict()
+        self.peer_events_ = 0
         self.usual_, self.usual_at_ = self.prefill_rate, float("-inf")
         self.links_ = {}
         self.queues_ = {}
@@ -244,14 +262,17 @@
     def observe(self, event, now):
         """Learn from a report, a dispatch, an outcome or a transfer.
 
-        :param event: :class:`LoadReport`, :class:`Dispatched`, :class:`FirstToken`,
-            :class:`DispatchEnded`, :class:`FetchDone` or :class:`LinkQueue`.
+        :param event: :class:`LoadReport`, :class:`Dispatched`,
+            :class:`PeerDispatched`, :class:`FirstToken`, :class:`DispatchEnded`,
+            :class:`FetchDone` or :class:`LinkQueue`.
         :param now: monotonic time, in seconds.
         """
         if isinstance(event, LoadReport):
             self._take_report(event, now)
         elif isinstance(event, Dispatched):
             self._take_dispatch(event, now)
+        elif isinstance(event, PeerDispatched):
+            self._take_peer(event, now)
         elif isinstance(event, FirstToken):
             self._take_first_token(event, now)
         elif isinstance(event, DispatchEnded):
@@ -288,20 +309,34 @@
         ahead = self.ahead(event.server, event.tokens, now)
         dispatch = _OpenDispatch(event.server, event.tokens, now, ahead)
         self.open_[event.request] = dispatch
-        load.recent[event.request] = dispatch
+        self._remember(load, event.request, dispatch)
         if len(self.open_) > MAX_OPEN_DISPATCHES:
             self._close(next(iter(self.open_)))
 
+    def _take_peer(self, event, now):
+        load = self._server(event.server)
+        self.peer_events_ += 1
+        dispatch = _OpenDispatch(event.server, event.tokens, now - event.lag, 0.0)
+        if dispatch.at > load.measured:
+            self._remember(load, self.peer_events_, dispatch)
+
+    def _remember(self, load, key, dispatch):
+        load.recent[key] = dispatch
+        if len(load.recent) > MAX_RECENT_DISPATCHES:
+            load.recent.popitem(last=False)
+
     def _take_first_token(self, event, now):
-        dispatch = self._close(event.request)
+        dispatch = self.open_.pop(event.request, None)
         if dispatch is None:
             return
+        load = self._server(dispatch.server)
+        if load.measured == float("-inf"):
+            load.recent.pop(event.request, None)
         computed = dispatch.tokens if event.computed is None else event.computed
         work = dispatch.ahead + computed
         if work < MIN_LEARN_TOKENS:
             return
         seconds = max(MIN_SECONDS, event.seconds - self.overhead)
-        load = self._server(dispatch.server)
         rate = self.rate(dispatch.server, now)
         load.rate = _blend(rate, work / seconds, self.gain)
         load.learned = now
--- a/wasabistage/routing/_health.py
+++ b/wasabistage/routing/_health.py
@@ -220,16 +220,19 @@
 class HealthPolicy(BaseHealthPolicy):
     """Breaker by recent outcomes and latency, with half-open probes and slow start.
 
-    A server opens when its share of failures, or its median time against its
-    peers', passes a threshold. After a growing delay it takes a few probes; good
-    ones lead to a slow start, a bad one opens it again. Servers open, half open or
-    leaving together never pass ``max_ejected`` of a service by this policy's own
-    doing; past it the worst suspects stay in use.
+    A server opens when its share of failures, or the time of its quick calls
+    against its peers' usual ones, passes a threshold. After a growing delay it takes
+    a few probes; good ones lead to a slow start, a bad one opens it again. Servers
+    open, half open or leaving together never pass ``max_ejected`` of a service by
+    this policy's own doing; past it further suspects stay in use.
 
     :param window: outcomes remembered per server.
     :param min_outcomes: outcomes needed before a server is judged.
     :param failure_share: share of failures that opens a server, 0 to 1.
-    :param slow_factor: median time against the peers' median that opens a server.
+    :param failure_factor: failures against the peers' median that it takes besides,
+        since nothing is won by ejection where all fail alike.
+    :param slow_factor: time of quick calls against the peers' usual ones that opens a
+        server.
     :param open_delay: seconds open at first, doubled at each reopening.
     :param max_open_delay: bound of that delay, in seconds.
     :param probes: calls admitted while half open.
@@ -244,7 +247,8 @@
         window=32,
         min_outcomes=8,
         failure_share=0.2,
-        slow_factor=3.0,
+        failure_factor=2.0,
+        slow_factor=2.0,
         open_delay=2.0,
         max_open_delay=60.0,
         probes=3,
@@ -255,6 +259,7 @@
         self.window = window
         self.min_outcomes = min_outcomes
         self.failure_share = failure_share
+        self.failure_factor = failure_factor
         self.slow_factor = slow_factor
         self.open_delay = open_delay
         self.max_open_delay = max_open_delay
@@ -332,14 +337,31 @@
     def _suspect(self, server, state):
         if len(state.outcomes) < self.min_outcomes:
             return False
-        failed = sum(not ok for ok, _ in state.outcomes)
-        if failed / len(state.outcomes) >= self.failure_share:
+        if self._failing(server, state):
             return True
         times = [seconds for ok, seconds in state.outcomes if ok]
         return self._too_slow(server, state, times)
 
+    def _failing(self, server, state):
+        """Tell whether a server fails much, and more than its peers do."""
+        share = _failed_share(state)
+        if share < self.failure_share:
+            return False
+        peers = [
+            _failed_share(other)
+            for name, other in self.servers_.items()
+            if name != server
+            and other.service == state.service
+            and len(other.outcomes) >= self.min_outcomes
+        ]
+        return not peers or share >= self.failure_factor * median(peers)
+
     def _too_slow(self, server, state, times):
-        """Compare with the median of the peers' medians."""
+        """Compare a server's quick calls with its peers' usual ones.
+
+        The lower quartile leaves out what waited in a queue for a while; and where
+        a whole service turns slow, its usual calls are slow before quick ones are.
+        """
         peers = []
         for name, other in self.servers_.items():
             if name == server or other.service != state.service:
@@ -349,7 +371,7 @@
                 peers.append(median(seconds))
         if len(peers) < MIN_PEERS_FOR_LATENCY or not times:
             return False
-        return median(times) > self.slow_factor * median(peers)
+        return _lower_quartile(times) > self.slow_factor * median(peers)
 
     def _may_eject(self, state):
         """Keep the majority of a service in use, leaving servers counted out."""
@@ -415,3 +437,13 @@
             elif state.state is Health.HALF_OPEN and age >= self.max_open_delay:
                 self._open(server, state, now)
         return super().tick(now)
+
+
+def _failed_share(state):
+    """Return the share of failed outcomes, 0 to 1."""
+    return sum(not ok for ok, _ in state.outcomes) / len(state.outcomes)
+
+
+def _lower_quartile(values):
+    """Return the value below which a quarter of the values lies."""
+    return sorted(values)[len(values) // 4]
--- a/wasabistage/routing/tests/test_health.py
+++ b/wasabistage/routing/tests/test_health.py
@@ -43,7 +43,7 @@
 
 
 class TestHealthPolicy(unittest.TestCase):
-    def fail(self, policy, servers, now=0.0):
+    def fail_calls(self, policy, servers, now=0.0):
         for number in range(40):
             for server in SERVERS:
                 bad = server in servers and number % 3 == 0
@@ -51,15 +51,15 @@
 
     def test_one_failing_call_in_three_is_ejected_and_the_baseline_keeps_it(self):
         policy = make_policy()
-        self.fail(policy, "a")
+        self.fail_calls(policy, "a")
         self.assertEqual(usable(policy, 0.0), set("bcdef"))
         baseline = make_policy(NoEjection)
-        self.fail(baseline, "a")
+        self.fail_calls(baseline, "a")
         self.assertEqual(usable(baseline, 0.0), set(SERVERS))
 
     def test_probes_then_slow_start_then_full_share(self):
         policy = make_policy()
-        self.fail(policy, "a")
+        self.fail_calls(policy, "a")
         self.assertTrue(health(policy, "a", 2.0).usable)
         for _ in range(3):
             policy.observe(CallStarted(server="a"), 2.0)
@@ -74,14 +74,14 @@
 
     def test_failed_probe_doubles_the_delay(self):
         policy = make_policy()
-        self.fail(policy, "a")
+        self.fail_calls(policy, "a")
         call(policy, "a", 2.0, ok=False)
         self.assertFalse(health(policy, "a", 5.9).usable)
         self.assertTrue(health(policy, "a", 6.0).usable)
 
     def test_lost_probe_does_not_block_for_ever(self):
         policy = make_policy()
-        self.fail(policy, "a")
+        self.fail_calls(policy, "a")
         for _ in range(3):
             policy.observe(CallStarted(server="a"), 2.0)
         policy.tick(62.0)
@@ -128,19 +128,37 @@
 
     def test_all_failing_keeps_the_majority(self):
         policy = make_policy()
-        self.fail(policy, SERVERS)
+        self.fail_calls(policy, SERVERS)
         self.assertEqual(len(usable(policy, 0.0)), 4)
         found = policy.decide(HealthQuery(service="m"), 0.0)
         self.assertEqual(sum(item.state is Health.OPEN for item in found), 2)
 
     def test_open_servers_return_where_the_others_leave(self):
         policy = make_policy()
-        self.fail(policy, "ab")
+        self.fail_calls(policy, "ab")
         self.assertEqual(usable(policy, 0.0), set("cdef"))
         for server in "cde":
             policy.observe(ServerLeaving(server=server), 0.0)
         self.assertEqual(len(usable(policy, 0.0)), 2)
 
+    def test_queueing_for_a_while_is_not_taken_for_slowness(self):
+        policy = make_policy()
+        for number in range(64):
+            for server in SERVERS:
+                waited = server == "a" and number % 4 < 2
+                call(policy, server, 0.0, seconds=9.0 if waited else 1.0)
+        self.assertEqual(usable(policy, 0.0), set(SERVERS))
+
+    def test_no_server_is_ejected_for_failing_as_all_do(self):
+        policy = make_policy()
+        for _ in range(7):
+            for server in SERVERS:
+                call(policy, server, 0.0)
+        for number in range(40):
+            for server in SERVERS:
+                call(policy, server, 0.0, ok=number % 3 != 0)
+        self.assertEqual(usable(policy, 0.0), set(SERVERS))
+
     def test_leaving_ends_new_work_at_once_and_nothing_revives_that_life(self):
         for kind in (HealthPolicy, NoEjection):
             policy = make_policy(kind)
--- a/wasabistage/routing/tests/test_router.py
+++ b/wasabistage/routing/tests/test_router.py
@@ -19,6 +19,7 @@
     LeastLoadedRouter,
     LinkQueue,
     LoadReport,
+    PeerDispatched,
     Plan,
     PredictiveRouter,
     RandomRouter,
@@ -151,6 +152,21 @@
         self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 3000 + 700 - 1000)
         self.assertEqual(self.estimator.backlog("a", 99.0), 0.0)
 
+    def test_peers_dispatches_since_the_measurement_are_added(self):
+        report = LoadReport(server="a", queued_tokens=3000, lag=1.0)
+        self.estimator.observe(report, 2.0)
+        for lag, tokens in ((1.5, 400), (0.2, 600)):
+            peer = PeerDispatched(server="a", tokens=tokens, lag=lag)
+            self.estimator.observe(peer, 2.0)
+        self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 3000 + 600 - 1000)
+
+    def test_answered_prompt_is_not_taken_off_twice(self):
+        self.estimator.observe(LoadReport(server="a"), 0.0)
+        self.dispatch("x", 2000, 0.0)
+        self.dispatch("y", 2000, 0.0)
+        self.estimator.observe(FirstToken(request="x", seconds=2.0), 2.0)
+        self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 2000, delta=100)
+
     def test_report_that_arrives_late_does_not_replace_a_newer_one(self):
         self.estimator.observe(LoadReport(server="a", queued_tokens=10), 5.0)
         late = LoadReport(server="a", queued_tokens=9000, lag=4.0)
