Carry a server's backlog forward in the order of time

Change: the backlog is a level, drained up to each dispatch and then raised; a report sets it and replays the dispatches since; a failed attempt is taken off. Ruled out: decaying a late report to the mean of all servers (loses the dispatches that are known).

--- a/benchmarks/backends.py
+++ b/benchmarks/backends.py
@@ -371,8 +371,8 @@
         request = f"{id(call)}/{call.attempts}"
         wait = self.now + OVERHEAD - call.at
         event = DispatchEnded(request=request)
-        if ok and call.attempts == 1:
-            event = FirstToken(request=request, seconds=wait)
+        if ok:
+            event = FirstToken(request=request, seconds=wait, learn=call.attempts == 1)
         self.routers[call.entry].observe(event, self.now)
         usual = OVERHEAD + call.tokens / PREFILL_RATE
         ended = CallEnded(server=server.name, ok=ok, seconds=wait / usual)
--- a/benchmarks/returning.py
+++ b/benchmarks/returning.py
@@ -63,7 +63,6 @@
 from wasabistage.routing import (
     Candidate,
     Dispatched,
-    DispatchEnded,
     FetchDone,
     FetchProgress,
     FirstToken,
@@ -777,9 +776,12 @@
     def first_token(self, engine, job):
         """The first token is there; the answer follows."""
         turn, wait = job.turn, self.now + OVERHEAD - job.turn.at
-        event = DispatchEnded(request=job.request)
-        if not job.fetched:
-            event = FirstToken(request=job.request, seconds=wait, computed=job.computed)
+        event = FirstToken(
+            request=job.request,
+            seconds=wait,
+            computed=job.computed,
+            learn=not job.fetched,
+        )
         self.routers[job.entry].observe(event, self.now)
         self.publish(engine, job.keys)
         if turn.at >= self.warm:
--- a/wasabistage/routing/_estimate.py
+++ b/wasabistage/routing/_estimate.py
@@ -80,16 +80,19 @@
     :param request: id of the attempt.
     :param seconds: time since the dispatch, fetches not included.
     :param computed: prompt tokens that were computed, if the engine says so.
+    :param learn: ``False`` where the server had to wait for a fetch, so that the time
+        tells nothing of its rate.
     """
 
     request: str
     seconds: float
     computed: int | None = None
+    learn: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
 class DispatchEnded:
-    """An attempt ended or failed, with or without a first token.
+    """An attempt failed or was cancelled before its first token.
 
     :param request: id of the attempt.
     """
@@ -198,6 +201,8 @@
     learned: float = float("-inf")
     version: str = ""
     queued: float = 0.0
+    level: float = 0.0
+    level_at: float = float("-inf")
     running: int = 0
     measured: float = float("-inf")
     heard: float = float("-inf")
@@ -208,8 +213,8 @@
     """Estimates from load reports, own dispatches since, and what happened.
 
     The backlog of a server is its last report, drained at the learned rate since it
-    was measured, plus what this and other entry instances have sent since. A prompt
-    that got its first token still counts until the next report, as the drain does.
+    was measured, plus what this and other entry instances have sent since, in the
+    order of time, so that a server's idle time is not taken off later work.
     At a bound, the oldest dispatch, and news of further servers and links, are left
     out.
 
@@ -300,52 +305,64 @@
         load.running = report.running
         load.measured = measured
         load.heard = now
-        for request, dispatch in list(load.recent.items()):
+        for key, dispatch in list(load.recent.items()):
             if dispatch.at <= measured:
-                del load.recent[request]
+                del load.recent[key]
+        self._replay(load, self.rate(report.server, now))
+
+    def _replay(self, load, rate):
+        """Carry the reported backlog forward over the dispatches since."""
+        load.level, load.level_at = load.queued, load.measured
+        for dispatch in sorted(load.recent.values(), key=lambda item: item.at):
+            drained = rate * (dispatch.at - load.level_at)
+            load.level = max(0.0, load.level - drained) + dispatch.tokens
+            load.level_at = dispatch.at
 
     def _take_dispatch(self, event, now):
         load = self._server(event.server)
         ahead = self.ahead(event.server, event.tokens, now)
         dispatch = _OpenDispatch(event.server, event.tokens, now, ahead)
         self.open_[event.request] = dispatch
-        self._remember(load, event.request, dispatch)
+        self._remember(load, event.request, dispatch, now)
         if len(self.open_) > MAX_OPEN_DISPATCHES:
-            self._close(next(iter(self.open_)))
+            self.open_.popitem(last=False)
 
     def _take_peer(self, event, now):
         load = self._server(event.server)
         self.peer_events_ += 1
         dispatch = _OpenDispatch(event.server, event.tokens, now - event.lag, 0.0)
         if dispatch.at > load.measured:
-            self._remember(load, self.peer_events_, dispatch)
+            self._remember(load, self.peer_events_, dispatch, now)
 
-    def _remember(self, load, key, dispatch):
+    def _remember(self, load, key, dispatch, now):
+        load.level = self.backlog(dispatch.server, now) + dispatch.tokens
+        load.level_at = now
         load.recent[key] = dispatch
         if len(load.recent) > MAX_RECENT_DISPATCHES:
             load.recent.popitem(last=False)
 
     def _take_first_token(self, event, now):
         dispatch = self.open_.pop(event.request, None)
-        if dispatch is None:
+        if dispatch is None or not event.learn:
             return
-        load = self._server(dispatch.server)
-        if load.measured == float("-inf"):
-            load.recent.pop(event.request, None)
         computed = dispatch.tokens if event.computed is None else event.computed
         work = dispatch.ahead + computed
         if work < MIN_LEARN_TOKENS:
             return
         seconds = max(MIN_SECONDS, event.seconds - self.overhead)
+        load = self._server(dispatch.server)
         rate = self.rate(dispatch.server, now)
         load.rate = _blend(rate, work / seconds, self.gain)
         load.learned = now
 
     def _close(self, request):
+        """Forget an attempt that will not be computed."""
         dispatch = self.open_.pop(request, None)
-        if dispatch is not None:
-            self._server(dispatch.server).recent.pop(request, None)
-        return dispatch
+        if dispatch is None:
+            return
+        load = self._server(dispatch.server)
+        if load.recent.pop(request, None):
+            load.level = max(0.0, load.level - dispatch.tokens)
 
     def _take_fetch(self, event):
         if event.size < MIN_LEARN_BYTES or event.seconds <= 0:
@@ -390,11 +407,9 @@
         :return: tokens, 0 or more.
         """
         load = self._server(server)
-        own = sum(dispatch.tokens for dispatch in load.recent.values())
-        if load.measured == float("-inf"):
-            return float(own)
-        drained = self.rate(server, now) * max(0.0, now - load.measured)
-        return max(0.0, load.queued + own - drained)
+        if load.level <= 0.0:
+            return 0.0
+        return max(0.0, load.level - self.rate(server, now) * (now - load.level_at))
 
     def ahead(self, server, tokens, now):
         """Return the tokens computed before a new request's last one.
--- a/wasabistage/routing/tests/test_router.py
+++ b/wasabistage/routing/tests/test_router.py
@@ -11,6 +11,7 @@
     NO_SERVER,
     Candidate,
     Dispatched,
+    DispatchEnded,
     EstimateQuery,
     FetchDone,
     FetchProgress,
@@ -160,6 +161,17 @@
             self.estimator.observe(peer, 2.0)
         self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 3000 + 600 - 1000)
 
+    def test_idle_time_is_not_taken_off_later_work(self):
+        self.dispatch("x", 500, 9.9)
+        self.estimator.observe(LoadReport(server="a", lag=10.0), 10.0)
+        self.assertAlmostEqual(self.estimator.backlog("a", 10.0), 400, delta=1)
+
+    def test_failed_attempt_is_taken_off(self):
+        self.estimator.observe(LoadReport(server="a"), 0.0)
+        self.dispatch("x", 500, 0.0)
+        self.estimator.observe(DispatchEnded(request="x"), 0.0)
+        self.assertEqual(self.estimator.backlog("a", 0.0), 0.0)
+
     def test_answered_prompt_is_not_taken_off_twice(self):
         self.estimator.observe(LoadReport(server="a"), 0.0)
         self.dispatch("x", 2000, 0.0)
