--- a/benchmarks/backends.py
+++ b/benchmarks/backends.py
@@ -123,6 +123,7 @@
 class Call:
     """One request and its attempts."""
 
+    number: int
     at: float
     tokens: int
     entry: int
@@ -287,7 +288,7 @@
             self.later(self.arrivals.expovariate(RATE), self.arrive)
             tokens = self.arrivals.lognormvariate(MEAN_LOG_TOKENS, SPREAD_LOG_TOKENS)
             entry = self.arrivals.randrange(ENTRIES)
-            call = Call(self.now, max(1, int(tokens)), entry)
+            call = Call(self.order, self.now, max(1, int(tokens)), entry)
             self.requests += self.now >= FAULT_AT
             self.send(call)
 
@@ -329,7 +330,7 @@
             self.late += 1
         health.observe(CallStarted(server=name), self.now)
         sent = Dispatched(
-            request=f"{id(call)}/{call.attempts}", server=name, tokens=call.tokens
+            request=f"{call.number}/{call.attempts}", server=name, tokens=call.tokens
         )
         router.observe(sent, self.now)
         self.unsaid[call.entry][name] += call.tokens
@@ -368,7 +369,7 @@
         """A call has its first token or failed."""
         server.call = None
         server.done += ok * call.tokens
-        request = f"{id(call)}/{call.attempts}"
+        request = f"{call.number}/{call.attempts}"
         wait = self.now + OVERHEAD - call.at
         event = DispatchEnded(request=request)
         if ok:
--- a/wasabistage/cache/__init__.py
+++ b/wasabistage/cache/__init__.py
@@ -81,6 +81,9 @@
     StagingPolicy,
 )
 from wasabistage.cache._store_index import (
+    StoreIndex,
+)
+from wasabistage.cache._store_messages import (
     Committed,
     CommittedPrefix,
     Dropped,
@@ -91,26 +94,27 @@
     StoreFailed,
     StoreFault,
     StoreHolding,
-    StoreIndex,
     StoreReplied,
     Tier,
 )
 from wasabistage.cache._table import CompactTable
-from wasabistage.cache._transfers import (
-    LINK_IDLE,
-    QUEUE_FULL,
+from wasabistage.cache._transfer_messages import (
     Accepted,
-    BaseLinkScheduler,
     Chunk,
     ChunkMoved,
-    FifoLinkScheduler,
-    LinkScheduler,
     NextChunk,
     OfferTransfer,
     TransferCancelled,
     TransferKind,
     TransferPromoted,
 )
+from wasabistage.cache._transfers import (
+    LINK_IDLE,
+    QUEUE_FULL,
+    BaseLinkScheduler,
+    FifoLinkScheduler,
+    LinkScheduler,
+)
 
 __all__ = [
     "Accepted",
--- a/wasabistage/cache/_staging.py
+++ b/wasabistage/cache/_staging.py
@@ -5,7 +5,7 @@
 
 from wasabistage.base import Policy
 from wasabistage.cache._index import Holding
-from wasabistage.cache._store_index import StoreHolding, Tier
+from wasabistage.cache._store_messages import StoreHolding, Tier
 from wasabistage.exceptions import SettingError
 
 USED_GAIN = 0.05
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -24,34 +24,38 @@
 from wasabistage.routing._estimate import (
     GIVE_UP,
     UNKNOWN_SERVER,
-    Dispatched,
-    DispatchEnded,
-    Estimate,
-    EstimateQuery,
-    FetchDone,
-    FetchProgress,
-    FirstToken,
     FirstTokenEstimator,
-    KeepFetching,
-    LinkQueue,
-    LoadReport,
-    PeerDispatched,
     link_name,
 )
 from wasabistage.routing._health import (
     BaseHealthPolicy,
+    HealthPolicy,
+    NoEjection,
+)
+from wasabistage.routing._health_messages import (
     CallEnded,
     CallStarted,
     Health,
     HealthChanged,
-    HealthPolicy,
     HealthQuery,
-    NoEjection,
     ServerHealth,
     ServerLeaving,
     ServerRemoved,
     ServerSeen,
 )
+from wasabistage.routing._load import (
+    Dispatched,
+    DispatchEnded,
+    Estimate,
+    EstimateQuery,
+    FetchDone,
+    FetchProgress,
+    FirstToken,
+    KeepFetching,
+    LinkQueue,
+    LoadReport,
+    PeerDispatched,
+)
 from wasabistage.routing._messages import Candidate, Plan, RouteDecision, RouteQuery
 from wasabistage.routing._router import (
     NO_SERVER,
--- a/wasabistage/routing/_router.py
+++ b/wasabistage/routing/_router.py
@@ -6,11 +6,8 @@
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
-from wasabistage.routing._estimate import (
-    EstimateQuery,
-    FirstTokenEstimator,
-    link_name,
-)
+from wasabistage.routing._estimate import FirstTokenEstimator, link_name
+from wasabistage.routing._load import EstimateQuery
 from wasabistage.routing._messages import Plan, RouteDecision
 from wasabistage.utils import Sentinel
 
