--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -4,6 +4,10 @@
 and gets every message over a bounded channel.
 
 - Load reports, dispatches, first tokens, ends, transfers go to ``router.observe``.
+- Every 0.2 s or so each entry instance tells its peers the tokens it
+  sent to each server since; they observe :class:`PeerDispatched`. The ends of calls
+  go to the peers' ``health.observe`` in the same message. Without this, reports
+  that lag by a second make routing worse than round robin.
 - Live list, refusals, call starts and ends go to ``health.observe``. A
   :class:`CallStarted` must be observed in the same step as the decision that led to
   it, so that a half-open server is not sent more than its probes.
@@ -11,35 +15,47 @@
   with each server's own reported version they become the :class:`Candidate` tuple.
   ``PrefixIndex.decide`` and ``StoreIndex.decide`` give ``held`` and ``stored``. Then
   ``router.decide(RouteQuery)``.
+- A fetch that runs longer than ``check_fetch_after``, and a prompt that waits for
+  staged pieces: ``router.estimator_.decide(FetchProgress)``; ``GIVE_UP`` means cancel
+  the transfer, verify and import the pieces that came, recompute the rest.
 - ``health.tick`` about once a second; its actions are logged and counted.
 """
 
 from wasabistage.routing._estimate import (
+    GIVE_UP,
     UNKNOWN_SERVER,
-    Dispatched,
-    DispatchEnded,
-    Estimate,
-    EstimateQuery,
-    FetchDone,
-    FirstToken,
     FirstTokenEstimator,
-    LinkQueue,
-    LoadReport,
+    link_name,
 )
 from wasabistage.routing._health import (
     BaseHealthPolicy,
+    HealthPolicy,
+    NoEjection,
+)
+from wasabistage.routing._health_messages import (
     CallEnded,
     CallStarted,
     Health,
     HealthChanged,
-    HealthPolicy,
     HealthQuery,
-    NoEjection,
     ServerHealth,
     ServerLeaving,
     ServerRemoved,
     ServerSeen,
 )
+from wasabistage.routing._load import (
+    Dispatched,
+    DispatchEnded,
+    Estimate,
+    EstimateQuery,
+    FetchDone,
+    FetchProgress,
+    FirstToken,
+    KeepFetching,
+    LinkQueue,
+    LoadReport,
+    PeerDispatched,
+)
 from wasabistage.routing._messages import Candidate, Plan, RouteDecision, RouteQuery
 from wasabistage.routing._router import (
     NO_SERVER,
@@ -61,6 +77,8 @@
     "Estimate",
     "EstimateQuery",
     "FetchDone",
+    "FetchProgress",
+    "GIVE_UP",
     "FirstToken",
     "FirstTokenEstimator",
     "Health",
@@ -68,10 +86,12 @@
     "HealthPolicy",
     "HealthQuery",
     "LeastLoadedRouter",
+    "KeepFetching",
     "LinkQueue",
     "LoadReport",
     "NO_SERVER",
     "NoEjection",
+    "PeerDispatched",
     "Plan",
     "PredictiveRouter",
     "RandomRouter",
@@ -85,4 +105,5 @@
     "ServerSeen",
     "StickyRouter",
     "UNKNOWN_SERVER",
+    "link_name",
 ]
--- a/wasabistage/routing/_router.py
+++ b/wasabistage/routing/_router.py
@@ -6,12 +6,14 @@
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
-from wasabistage.routing._estimate import EstimateQuery, FirstTokenEstimator
+from wasabistage.routing._estimate import FirstTokenEstimator, link_name
+from wasabistage.routing._load import EstimateQuery
 from wasabistage.routing._messages import Plan, RouteDecision
 from wasabistage.utils import Sentinel
 
 MAX_STICKY_SESSIONS = 100_000
 MIN_WEIGHT = 0.01
+OVERRUN = 1.5
 
 NO_SERVER = Sentinel("NO_SERVER")
 
@@ -26,6 +28,7 @@
     fetched: int = 0
     store: str = ""
     tail: str = ""
+    check_after: float = 0.0
 
 
 class Router(Policy):
@@ -82,6 +85,7 @@
             fetched=best.fetched,
             tokens=best.tokens,
             predicted_first_token=best.seconds,
+            check_fetch_after=best.check_after,
             alternatives=tuple(option.server for option in options[1:]),
         )
 
@@ -107,7 +111,7 @@
         )
         estimate = self.estimator_.decide(query, now)
         if not estimate:
-            seconds = self.estimator_.prefill_seconds(candidate.server, tokens)
+            seconds = self.estimator_.prefill_seconds(candidate.server, tokens, now)
         else:
             seconds = estimate.seconds
         return seconds / max(candidate.weight, MIN_WEIGHT)
@@ -167,7 +171,8 @@
         at_risk = min(reused, fetched * query.piece_tokens)
         expected = tokens + round(at_risk * (1.0 - stored.trust))
         size = fetched * query.piece_bytes
-        seconds = self._seconds(candidate, expected, now, stored.store, size)
+        link = link_name(stored.store, stored.tier)
+        seconds = self._seconds(candidate, expected, now, link, size)
         return _Option(
             seconds,
             candidate.server,
@@ -177,6 +182,7 @@
             fetched,
             stored.store,
             stored.tail,
+            OVERRUN * self.estimator_.fetch_seconds(link, size, now),
         )
 
 
--- a/wasabistage/routing/tests/test_router.py
+++ b/wasabistage/routing/tests/test_router.py
@@ -7,16 +7,20 @@
 
 from wasabistage.cache import Holding, StoreHolding, Tier
 from wasabistage.routing import (
+    GIVE_UP,
     NO_SERVER,
     Candidate,
     Dispatched,
+    DispatchEnded,
     EstimateQuery,
     FetchDone,
+    FetchProgress,
     FirstToken,
     FirstTokenEstimator,
     LeastLoadedRouter,
     LinkQueue,
     LoadReport,
+    PeerDispatched,
     Plan,
     PredictiveRouter,
     RandomRouter,
@@ -149,6 +153,32 @@
         self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 3000 + 700 - 1000)
         self.assertEqual(self.estimator.backlog("a", 99.0), 0.0)
 
+    def test_peers_dispatches_since_the_measurement_are_added(self):
+        report = LoadReport(server="a", queued_tokens=3000, lag=1.0)
+        self.estimator.observe(report, 2.0)
+        for lag, tokens in ((1.5, 400), (0.2, 600)):
+            peer = PeerDispatched(server="a", tokens=tokens, lag=lag)
+            self.estimator.observe(peer, 2.0)
+        self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 3000 + 600 - 1000)
+
+    def test_idle_time_is_not_taken_off_later_work(self):
+        self.dispatch("x", 500, 9.9)
+        self.estimator.observe(LoadReport(server="a", lag=10.0), 10.0)
+        self.assertAlmostEqual(self.estimator.backlog("a", 10.0), 400, delta=1)
+
+    def test_failed_attempt_is_taken_off(self):
+        self.estimator.observe(LoadReport(server="a"), 0.0)
+        self.dispatch("x", 500, 0.0)
+        self.estimator.observe(DispatchEnded(request="x"), 0.0)
+        self.assertEqual(self.estimator.backlog("a", 0.0), 0.0)
+
+    def test_answered_prompt_is_not_taken_off_twice(self):
+        self.estimator.observe(LoadReport(server="a"), 0.0)
+        self.dispatch("x", 2000, 0.0)
+        self.dispatch("y", 2000, 0.0)
+        self.estimator.observe(FirstToken(request="x", seconds=2.0), 2.0)
+        self.assertAlmostEqual(self.estimator.backlog("a", 2.0), 2000, delta=100)
+
     def test_report_that_arrives_late_does_not_replace_a_newer_one(self):
         self.estimator.observe(LoadReport(server="a", queued_tokens=10), 5.0)
         late = LoadReport(server="a", queued_tokens=9000, lag=4.0)
@@ -163,11 +193,38 @@
             self.estimator.observe(
                 FirstToken(request=str(number), seconds=5.0), now + 5.0
             )
-        self.assertAlmostEqual(
-            self.estimator.prefill_seconds("a", 1000), 5.0, delta=0.2
-        )
+        found = self.estimator.prefill_seconds("a", 1000, 395.0)
+        self.assertAlmostEqual(found, 5.0, delta=0.2)
         self.assertEqual(len(self.estimator.open_), 0)
 
+    def test_one_bad_sample_moves_little_and_fades(self):
+        for server in "abc":
+            self.estimator.observe(LoadReport(server=server), 0.0)
+        self.dispatch("x", 600, 0.0)
+        self.estimator.observe(FirstToken(request="x", seconds=60.0), 60.0)
+        self.assertGreater(self.estimator.rate("a", 60.0), 700.0)
+        self.assertLess(self.estimator.rate("a", 60.0), 900.0)
+        self.assertAlmostEqual(self.estimator.rate("a", 600.0), 1000.0, delta=1.0)
+
+    def test_short_prompt_waits_for_turns_and_not_for_a_whole_long_one(self):
+        report = LoadReport(server="a", queued_tokens=90_000, running=2)
+        self.estimator.observe(report, 0.0)
+        self.assertEqual(self.estimator.ahead("a", 300, 0.0), 2048)
+        self.assertEqual(self.estimator.ahead("a", 80_000, 0.0), 90_000)
+        serial = FirstTokenEstimator(chunk_tokens=0).reset()
+        serial.observe(report, 0.0)
+        self.assertEqual(serial.ahead("a", 300, 0.0), 90_000)
+
+    def test_fetch_is_given_up_only_where_recomputing_is_faster(self):
+        progress = FetchProgress(
+            server="a", store="s", ahead=500, size=500, tokens=2000
+        )
+        self.estimator.observe(LinkQueue(store="s", size=0, rate=1000.0), 0.0)
+        keep = self.estimator.decide(progress, 0.0)
+        self.assertAlmostEqual(keep.check_after, 0.5)
+        self.estimator.observe(LinkQueue(store="s", size=0, rate=100.0), 1.0)
+        self.assertTrue(GIVE_UP.is_(self.estimator.decide(progress, 1.0)))
+
     def test_unknown_server_has_no_estimate(self):
         self.assertFalse(
             self.estimator.decide(EstimateQuery(server="z", tokens=1), 0.0)
