--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -51,6 +51,8 @@
 LIMIT_START = 10.0
 LIMIT_END = 40.0
 LIMIT_TOKENS = 50.0
+MOVE_AT = 20.0
+MOVE_WINDOW = 10.0
 CUT_OFF = (5, 6)
 POLICIES = {
     "fair, gossiped shares": (ShareLimiter, RankedFairQueue),
@@ -163,15 +165,19 @@
     :param limiters: a limiter for each entry, reset.
     :param rates: tokens a second asked for at each entry.
     :param cut: numbers of the entries that no report reaches or leaves.
+    :param moved: tokens a second asked for from ``MOVE_AT`` on, when the cut begins;
+        ``None`` for a cut from the start and steady demand.
     """
 
     step = 0.01
 
-    def __init__(self, limiters, rates, cut):
+    def __init__(self, limiters, rates, cut, moved=None):
         self.limiters = limiters
         self.rates = rates
         self.cut = cut
+        self.moved = moved
         self.count = 0
+        self.passed = []
 
     def run(self, random):
         """Play.
@@ -184,12 +190,26 @@
         for limiter in self.limiters:
             limiter.observe(EntriesChanged(members=names), 0.0)
             limiter.observe(AccountsChanged(accounts={"account": account}), 0.0)
-        passed = 0.0
-        for step in range(int(LIMIT_END / self.step)):
+        for step in range(round(LIMIT_END / self.step)):
             now = step * self.step
-            tokens = self.one_step(random, now, step % 10 == 0)
-            passed += tokens if now >= LIMIT_START else 0.0
-        return passed / (LIMIT_END - LIMIT_START)
+            if self.moved and now >= MOVE_AT:
+                self.rates = self.moved
+            self.passed.append(self.one_step(random, now, step % 10 == 0))
+        return self.passed_between(LIMIT_START, LIMIT_END)
+
+    def passed_between(self, start, end):
+        """Return the rate that passed in a span of time.
+
+        :param start: start of the span, in seconds.
+        :param end: end of the span, in seconds.
+        :return: tokens a second.
+        """
+        span = self.passed[round(start / self.step) : round(end / self.step)]
+        return sum(span) / (end - start)
+
+    def is_cut(self, number, now):
+        """Tell whether an entry is cut off now."""
+        return number in self.cut and (self.moved is None or now >= MOVE_AT)
 
     def one_step(self, random, now, ticks):
         """Play one step of time.
@@ -209,10 +229,10 @@
     def tick(self, number, limiter, now):
         """Tick a limiter and carry its report to those that it reaches."""
         for action in limiter.tick(now):
-            if not isinstance(action, SendReport) or number in self.cut:
+            if not isinstance(action, SendReport) or self.is_cut(number, now):
                 continue
             for other, peer in enumerate(self.limiters):
-                if other != number and other not in self.cut:
+                if other != number and not self.is_cut(other, now):
                     peer.observe(action.report, now)
 
     def ask(self, limiter, random, now):
@@ -268,6 +288,28 @@
             figures.add(scenario, policy, f"{name}, used", passed / LIMIT, aim)
 
 
+def measure_move(figures, seed):
+    """Add how the limit is held while demand moves, with and without a cut.
+
+    :param figures: a :class:`Figures`.
+    :param seed: seed.
+    """
+    before = [LIMIT] * 5 + [0.0, 0.0]
+    after = [LIMIT] * 5 + [2 * LIMIT, 2 * LIMIT]
+    for scenario, cut in (("demand moves", ()), ("demand moves at a cut", CUT_OFF)):
+        limiters = [ShareLimiter(entry=f"entry-{n}").reset() for n in range(ENTRIES)]
+        loop = LimitLoop(limiters, before, cut, after)
+        loop.run(Random(f"{seed} {scenario}"))
+        worst = max(
+            loop.passed_between(MOVE_AT + offset, MOVE_AT + offset + 1.0)
+            for offset in range(int(MOVE_WINDOW))
+        )
+        window = loop.passed_between(MOVE_AT, MOVE_AT + MOVE_WINDOW)
+        name = "passed / limit, 10 s after"
+        figures.add(scenario, "gossip", name, window / LIMIT, Aim(at_most=1.1))
+        figures.add(scenario, "gossip", "passed / limit, worst 1 s", worst / LIMIT)
+
+
 def measure_slots(figures, seed):
     """Add how far the entries' slot shares together differ from the slots.
 
@@ -294,6 +336,7 @@
     for repeat in range(seed, seed + repeats):
         measure_fairness(figures, repeat)
         measure_limit(figures, repeat)
+        measure_move(figures, repeat)
         measure_slots(figures, repeat)
     return figures
 
