--- a/wasabistage/entry/_admission.py
+++ b/wasabistage/entry/_admission.py
@@ -23,8 +23,10 @@
 )
 from wasabistage.entry._task import LATER, Task
 from wasabistage.membership import MemberState
+from wasabistage.observe import make_logger
 
 TICK_SECONDS = 0.1
+log = make_logger("admission")
 LIVE_STATES = (MemberState.SERVING, MemberState.DRAINING, MemberState.SUSPECT)
 
 
@@ -132,6 +134,12 @@
                     if reply is not None:
                         reply.set(action)
                 case Refuse():
+                    reason = action.reason.name.lower()
+                    self.metrics.count("request.refused", label=reason)
+                    log.info(
+                        "a request was refused",
+                        extra={"request_id": action.request_id, "reason": reason},
+                    )
                     reply = self.waiting.pop(action.request_id, None)
                     if reply is not None:
                         reply.fail(action.as_error())
--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -10,7 +10,7 @@
     "request.answered": ("counter", "requests answered whole"),
     "request.failed": ("counter", "requests answered with an error, by kind"),
     "request.first_token": ("timer", "milliseconds to the first token, by rank"),
-    "request.refused": ("counter", "requests refused before they ran, by rank"),
+    "request.refused": ("counter", "requests refused before they ran, by reason"),
     "request.retried": ("counter", "attempts after the first"),
     "prompt.tokens": ("counter", "prompt tokens received"),
     "prompt.recomputed": ("counter", "prompt tokens that an engine computed"),
