Carry the order slots forward before the log trims them

Cause: the log keeps records for a limited time, and an entry that starts later must fold the same slots as the others. Change: tick appends a CarryRecord every carry_time, mostly from one instance; a reader of a trimmed log takes one only if it covers every record it misses (first_offset replaces from_start).

--- a/wasabistage/rollout/__init__.py
+++ b/wasabistage/rollout/__init__.py
@@ -10,9 +10,9 @@
 ``decide(RoutableQuery(...))``; the weight version of the answer goes into the request's
 piece keys.
 
-An entry instance that finds the log trimmed starts with ``from_start=False`` and waits
-for a :class:`CarryRecord`; ``fold_.carry(record_id)`` builds one, and some entry must
-append it before half the log's horizon has passed.
+An entry instance that finds the log trimmed passes the offset from which it reads as
+``first_offset``; its policy claims nothing until a :class:`CarryRecord` covers the
+rest. Every ``carry_time`` some instance's ``tick`` appends one.
 """
 
 from wasabistage.rollout._baselines import AllAtOnce, OneByOne
--- a/wasabistage/rollout/_fold.py
+++ b/wasabistage/rollout/_fold.py
@@ -21,13 +21,13 @@
     and only then frees the slot for another one.
 
     :param slots: orders at a time over the whole deployment.
-    :param from_start: whether the log is read from its first record. If it was
-        trimmed, nothing counts until a :class:`CarryRecord` is read.
+    :param first_offset: offset from which the log is read. If it was trimmed, nothing
+        counts until a :class:`CarryRecord` is read that covers what is missing.
     """
 
-    def __init__(self, slots=2, from_start=True):
+    def __init__(self, slots=2, first_offset=0):
         self.slots = slots
-        self.from_start = from_start
+        self.first_offset = first_offset
 
     def reset(self):
         """Check the arguments and forget every record.
@@ -42,7 +42,7 @@
         self.states_ = {}
         self.offset_ = NO_OFFSET
         self.config_version_ = 0
-        self.complete_ = self.from_start
+        self.complete_ = self.first_offset == 0
         self.waiting_ = []
         self.ids_ = {}
         return self
@@ -129,7 +129,7 @@
         return True
 
     def _apply_carry(self, record):
-        if self.complete_:
+        if self.complete_ or record.as_of + 1 < self.first_offset:
             return False
         self.states_ = dict(record.slots)
         self.config_version_ = record.config_version
--- a/wasabistage/rollout/_policy.py
+++ b/wasabistage/rollout/_policy.py
@@ -9,6 +9,7 @@
 from wasabistage.rollout._messages import (
     AppendEnded,
     AppendRecord,
+    CarryRecord,
     GrantRecord,
     LogRecord,
     OrderEnded,
@@ -49,7 +50,9 @@
     :param fresh_time: age up to which a server counts as reporting, in seconds.
     :param serve_old: whether new requests may use servers that still report the
         version declared before; each request then keeps to that one version.
-    :param from_start: whether the log is read from its first record.
+    :param carry_time: time between records that carry the slots forward, in seconds;
+        well below half the time that the log keeps records.
+    :param first_offset: offset from which the log is read; above 0 if it was trimmed.
     """
 
     def __init__(
@@ -67,7 +70,8 @@
         keep_share=0.5,
         fresh_time=10.0,
         serve_old=False,
-        from_start=True,
+        carry_time=600.0,
+        first_offset=0,
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -81,7 +85,8 @@
         self.keep_share = keep_share
         self.fresh_time = fresh_time
         self.serve_old = serve_old
-        self.from_start = from_start
+        self.carry_time = carry_time
+        self.first_offset = first_offset
 
     def reset(self):
         """Check the arguments and forget everything learned.
@@ -94,7 +99,7 @@
                 "order_time must be positive and below half the lease",
                 remedy="raise the lease above twice the longest order",
             )
-        self.fold_ = GrantFold(self.slot_count(), self.from_start).reset()
+        self.fold_ = GrantFold(self.slot_count(), self.first_offset).reset()
         self.versions_ = VersionView(self.serve_old).reset()
         self.place_ = 0
         self.holds_ = {}
@@ -102,6 +107,7 @@
         self.seen_at_ = {}
         self.wanted_since_ = {}
         self.next_append_ = -math.inf
+        self.carry_due_ = None
         self.counter_ = 0
         return self
 
@@ -151,7 +157,7 @@
         :return: a list of :class:`AppendRecord`, :class:`ReadServer` and
             :class:`SendOrder`.
         """
-        actions = []
+        actions = self._carry(now)
         for hold in list(self.holds_.values()):
             actions += self._advance(hold, now)
         if self.fold_.complete_ and now >= self.next_append_:
@@ -191,6 +197,8 @@
 
     def _observe_record(self, event, now):
         record = event.record
+        if isinstance(record, CarryRecord):
+            self._plan_carry(now)
         if not self.fold_.apply(event.offset, record):
             self._drop_claim(record, now)
             return
@@ -203,6 +211,18 @@
         self.holds_ = {f: hold for f, hold in self.holds_.items() if f in held}
         self.seen_at_ = {f: at for f, at in self.seen_at_.items() if f in held}
 
+    def _plan_carry(self, now):
+        # Later places wait longer, so that mostly one instance writes.
+        self.carry_due_ = now + self.carry_time + self.place_ * self.append_time
+
+    def _carry(self, now):
+        if self.carry_due_ is None:
+            self._plan_carry(now)
+        if not self.fold_.complete_ or now < self.carry_due_:
+            return []
+        self._plan_carry(now)
+        return [AppendRecord(record=self.fold_.carry(self._record_id()))]
+
     def _drop_claim(self, record, now):
         if getattr(record, "record_id", None) in self.claims_:
             del self.claims_[record.record_id]
--- a/wasabistage/rollout/tests/test_policy.py
+++ b/wasabistage/rollout/tests/test_policy.py
@@ -88,7 +88,7 @@
     def test_trimmed_log_is_taken_up_at_a_carry_record(self):
         whole = GrantFold().reset()
         whole.apply(0, grant(1))
-        late = GrantFold(from_start=False).reset()
+        late = GrantFold(first_offset=1).reset()
         records = [
             (1, ReleaseRecord(record_id="r", slot=0, grant=0)),
             (2, whole.carry("c")),
@@ -100,6 +100,15 @@
         self.assertEqual(late.states_, whole.states_)
         self.assertEqual(late.state(0).fencing, 3)
 
+    def test_carry_record_from_before_a_missing_record_is_not_taken(self):
+        whole = GrantFold().reset()
+        carry = whole.carry("c")
+        late = GrantFold(first_offset=1).reset()
+        late.apply(1, carry)
+        late.apply(2, grant(2))
+        self.assertFalse(late.complete_)
+        self.assertEqual(late.granted(), [])
+
 
 class TestRollout(unittest.TestCase):
     def test_bad_lease_is_refused(self):
@@ -163,6 +172,16 @@
         (action,) = policy.tick(18.6)
         self.assertEqual(action.record.supersedes, 0)
 
+    def test_slots_are_carried_forward_by_one_instance(self):
+        first, second = make(carry_time=60.0), make(place=1, carry_time=60.0)
+        for policy in (first, second):
+            self.assertEqual(policy.tick(0.0), [])
+        (action,) = first.tick(60.0)
+        self.assertEqual(second.tick(60.0), [])
+        for policy in (first, second):
+            policy.observe(LogRecord(offset=4, record=action.record), 60.5)
+            self.assertEqual(policy.tick(64.0), [])
+
     def test_forgotten_claim_gives_no_right_to_send(self):
         policy = make()
         policy.observe(LogRecord(offset=3, record=grant(1, config_version=1)), 50.0)
