--- a/wasabistage/admission/__init__.py
+++ b/wasabistage/admission/__init__.py
@@ -33,6 +33,7 @@
 from wasabistage.admission._base import AdmissionPolicy
 from wasabistage.admission._baselines import FirstComeFirstServed, StrictPriority
 from wasabistage.admission._common_limit import CommonLimit
+from wasabistage.admission._delays import DelayedRequests, HoldQuery
 from wasabistage.admission._demand_messages import (
     AccountDemand,
     AccountsChanged,
@@ -78,6 +79,7 @@
     "CapacityChanged",
     "CommonLimit",
     "DEADLINE_UNREACHABLE",
+    "DelayedRequests",
     "DemandReport",
     "Drop",
     "EXPIRED",
@@ -88,6 +90,7 @@
     "FirstComeFirstServed",
     "FloorsChanged",
     "Grant",
+    "HoldQuery",
     "NO_CAPACITY",
     "NO_ESTIMATE",
     "Pass",
--- a/wasabistage/admission/_common_limit.py
+++ b/wasabistage/admission/_common_limit.py
@@ -17,11 +17,13 @@
     Refuse,
 )
 from wasabistage.admission._retry_after import MIN_RETRY_AFTER, RetryAfter
-from wasabistage.base import Policy
+from wasabistage.base import Policy, Rank
 from wasabistage.declarations import ClientAccount
 from wasabistage.exceptions import SettingError
 
 BURST_SECONDS = 1.0
+URGENT_OVERDRAFT_SECONDS = 1.0
+URGENT_EXTRA_REQUESTS = 1
 UNLIMITED = ClientAccount(name="")
 
 
@@ -137,7 +139,7 @@
 
     def _arrive(self, event, now):
         account = self.accounts_.get(event.account, UNLIMITED)
-        wait = self._wait(account, event.cost, now)
+        wait = self._wait(account, event, now)
         if wait > 0:
             return [self._refuse(event, wait)]
         if account.rate:
@@ -147,10 +149,16 @@
         self.requests_[event.request_id] = RunningRequest(event, now)
         return [Pass(request_id=event.request_id)]
 
-    def _wait(self, account, cost, now):
-        """Return the seconds until a request fits; 0 when it does now."""
+    def _wait(self, account, event, now):
+        """Return the seconds until a request fits; 0 when it does now.
+
+        Urgent work may overdraw: an account's own long prompts must not keep its
+        purchases out.
+        """
+        urgent = event.rank is Rank.URGENT
         if account.concurrency:
             allowed = self.concurrency_at_entry(account, now)
+            allowed += URGENT_EXTRA_REQUESTS if urgent else 0
             if self.running_.get(account.name, 0) >= allowed:
                 return MIN_RETRY_AFTER
         if not account.rate:
@@ -161,7 +169,8 @@
             bucket = TokenBucket(rate * BURST_SECONDS, now)
             self.buckets_[account.name] = bucket
         bucket.fill(rate, now)
-        needed = min(cost, rate * BURST_SECONDS)
+        needed = min(event.cost, rate * BURST_SECONDS)
+        needed -= rate * URGENT_OVERDRAFT_SECONDS if urgent else 0.0
         return (needed - bucket.tokens) / rate if bucket.tokens < needed else 0.0
 
     def _finish(self, event, now):
--- a/wasabistage/admission/_entry.py
+++ b/wasabistage/admission/_entry.py
@@ -2,6 +2,7 @@
 
 from wasabistage.admission._base import AdmissionPolicy
 from wasabistage.admission._common_limit import CommonLimit
+from wasabistage.admission._delays import DelayedRequests, HoldQuery
 from wasabistage.admission._demand_messages import (
     AccountsChanged,
     DemandReport,
@@ -29,12 +30,14 @@
 
     :param limiter: a :class:`CommonLimit`; ``None`` for :class:`ShareLimiter`.
     :param queue: an :class:`AdmissionPolicy`; ``None`` for :class:`RankedFairQueue`.
+    :param delays: a :class:`DelayedRequests`; ``None`` for one with defaults.
     :param share_interval: time between changes of the slot shares, in seconds.
     """
 
-    def __init__(self, *, limiter=None, queue=None, share_interval=0.5):
+    def __init__(self, *, limiter=None, queue=None, delays=None, share_interval=0.5):
         self.limiter = limiter
         self.queue = queue
+        self.delays = delays
         self.share_interval = share_interval
 
     def reset(self):
@@ -53,6 +56,7 @@
             raise SettingError("limiter is no CommonLimit", remedy="pass one")
         self.limiter_ = limiter.reset()
         self.queue_ = queue.reset()
+        self.delays_ = (self.delays or DelayedRequests()).reset()
         self.slots_ = {}
         self.share_due_ = None
         return self
@@ -69,6 +73,8 @@
             return self._share(event.service, now)
         if isinstance(event, (Finished, Cancelled)):
             self.limiter_.observe(event, now)
+        if isinstance(event, Cancelled):
+            self.delays_.observe(event, now)
         return self._told(self.queue_.observe(event, now), now)
 
     def decide(self, query, now):
@@ -82,12 +88,16 @@
             self.share_due_ = now + self.share_interval
             for service in self.slots_:
                 actions += self._share(service, now)
+        for event in self.delays_.due(now):
+            actions += self._arrive(event, now)
         return actions + self._told(self.queue_.tick(now), now)
 
     def _arrive(self, event, now):
-        limited = self.limiter_.observe(event, now)
-        if not isinstance(limited[0], Pass):
-            return limited
+        (limited,) = self.limiter_.observe(event, now)
+        if not isinstance(limited, Pass):
+            query = HoldQuery(event=event, wait=limited.retry_after)
+            return [] if self.delays_.decide(query, now) else [limited]
+        self.delays_.release(event.request_id)
         return self._told(self.queue_.observe(event, now), now)
 
     def _share(self, service, now):
