Tell a shutdown when the once-only calls have ended

Cause: a drain must wait for running calls and for their outcomes in the log. Change: OnceCoordinator.is_drained().

--- a/wasabistage/once/_coordinator.py
+++ b/wasabistage/once/_coordinator.py
@@ -127,6 +127,15 @@
         actions = self.batcher_.tick(now) + self._read(now) + follow
         return actions + super().tick(now)
 
+    def is_drained(self):
+        """Tell whether every call has ended and its records are in the log.
+
+        A shutdown waits for it, within its bound: with the log down the records
+        stay where they are.
+        """
+        idle = all(policy.is_idle() for policy in self.policies_)
+        return idle and self.batcher_.decide(None, 0.0) == 0
+
     def _route(self, event, now):
         if parse_ticket(event.key.key):
             self.tickets_.observe(event, now)
--- a/wasabistage/once/_home.py
+++ b/wasabistage/once/_home.py
@@ -110,6 +110,11 @@
         self.kept_bytes_ = 0
         return self
 
+    def is_idle(self):
+        """Tell whether no call runs and no attempt waits here."""
+        runs = any(work.phase == Phase.RUNNING for work in self.works_.values())
+        return not (runs or self.busy_ or self.forwards_ or self.lookups_)
+
     @abstractmethod
     def arrive(self, call, now):
         """Handle an attempt.
--- a/wasabistage/once/tests/test_policies.py
+++ b/wasabistage/once/tests/test_policies.py
@@ -133,6 +133,18 @@
         self.a.see(ReadFailed())
         self.assertEqual(self.kinds(), [RecordKind.INTENT, RecordKind.OUTCOME])
 
+    def test_drained_once_the_outcome_is_in_the_log(self):
+        key = self.a.ticket()
+        self.assertTrue(self.a.policy.is_drained())
+        self.a.call(key)
+        self.assertFalse(self.a.policy.is_drained())
+        self.a.policy.observe(
+            OutcomeArrived(key=key, attempt="r1", outcome=OUTCOME, wall=WALL), NOW
+        )
+        self.assertFalse(self.a.policy.is_drained())
+        self.a.see(ReadFailed())
+        self.assertTrue(self.a.policy.is_drained())
+
     def test_other_entry_forwards_and_passes_the_reply_on(self):
         key = self.a.ticket()
         (action,) = self.b.call(key)
