--- a/wasabistage/cache/__init__.py
+++ b/wasabistage/cache/__init__.py
@@ -47,8 +47,6 @@
     NOT_WORTH,
     BacklogChanged,
     BaseExportPolicy,
-    CopyWhole,
-    CutoffExportPolicy,
     Export,
     ExportAll,
     ExportPolicy,
@@ -56,7 +54,6 @@
     GivenUp,
     NoExport,
     Returned,
-    SessionEvicted,
 )
 from wasabistage.cache._index import (
     CacheEvent,
@@ -135,8 +132,6 @@
     "CommittedPiece",
     "CommittedPrefix",
     "CompactTable",
-    "CopyWhole",
-    "CutoffExportPolicy",
     "Dropped",
     "Export",
     "ExportAll",
@@ -166,7 +161,6 @@
     "RequestRecords",
     "Returned",
     "ServerGone",
-    "SessionEvicted",
     "SessionPrefix",
     "StageQuery",
     "StageUsed",
--- a/wasabistage/cache/_export.py
+++ b/wasabistage/cache/_export.py
@@ -2,7 +2,6 @@
 
 from abc import abstractmethod
 from bisect import bisect_left
-from collections import OrderedDict
 from dataclasses import dataclass
 
 from wasabistage.base import Policy
@@ -13,7 +12,6 @@
 PRIOR_RETURNS = 1.0
 PRIOR_LOST = 1.0
 DECAY = 0.999
-MAX_SKIPPED = 65536
 
 NOT_WORTH = Sentinel("NOT_WORTH")
 BACKLOG_FULL = Sentinel("BACKLOG_FULL")
@@ -49,16 +47,6 @@
     size: int
 
 
-@dataclass(frozen=True, kw_only=True)
-class SessionEvicted:
-    """An engine evicted a session's pieces, or it was exported in another way.
-
-    :param session: session key.
-    """
-
-    session: str
-
-
 @dataclass(frozen=True, kw_only=True)
 class ExportQuery:
     """Asks whether a session's new pieces should be exported.
@@ -91,16 +79,6 @@
     value: float
 
 
-@dataclass(frozen=True, kw_only=True)
-class CopyWhole:
-    """Action: copy what the engine still holds of a session that was skipped.
-
-    :param session: session key.
-    """
-
-    session: str
-
-
 class BaseExportPolicy(Policy):
     """Base of the export policies.
 
@@ -225,79 +203,3 @@
         if value < price and query.history_tokens < self.floor_tokens:
             return NOT_WORTH.because(f"value {value:.2f} is below price {price:.2f}")
         return Export(session=query.session, value=value)
-
-
-class CutoffExportPolicy(ExportPolicy):
-    """Stops at a cut-off backlog and later copies whole what was skipped.
-
-    Kept beside :class:`ExportPolicy` for comparison. At the bound of skipped
-    sessions the oldest is given up.
-
-    :param max_backlog: see :class:`BaseExportPolicy`.
-    :param price: see :class:`ExportPolicy`.
-    :param full_price: see :class:`ExportPolicy`.
-    :param floor_tokens: see :class:`ExportPolicy`.
-    :param cutoff_threshold: share of the backlog at which export stops.
-    :param restart_threshold: share below which skipped sessions are copied whole.
-    """
-
-    def __init__(
-        self,
-        *,
-        max_backlog=1 << 30,
-        price=0.5,
-        full_price=20.0,
-        floor_tokens=32768,
-        cutoff_threshold=0.5,
-        restart_threshold=0.1,
-    ):
-        super().__init__(
-            max_backlog=max_backlog,
-            price=price,
-            full_price=full_price,
-            floor_tokens=floor_tokens,
-        )
-        self.cutoff_threshold = cutoff_threshold
-        self.restart_threshold = restart_threshold
-
-    def reset(self):
-        """Check the arguments and forget the skipped sessions."""
-        if not 0 <= self.restart_threshold < self.cutoff_threshold <= 1:
-            raise SettingError(
-                "restart_threshold is not below cutoff_threshold",
-                remedy="set 0 <= restart_threshold < cutoff_threshold <= 1",
-            )
-        self.cut_ = False
-        self.skipped_ = OrderedDict()
-        return super().reset()
-
-    def observe(self, event, now):
-        """See :meth:`ExportPolicy.observe`; also follows the thresholds."""
-        super().observe(event, now)
-        if isinstance(event, BacklogChanged):
-            if self.backlog_ >= self.cutoff_threshold * self.max_backlog:
-                self.cut_ = True
-            elif self.backlog_ <= self.restart_threshold * self.max_backlog:
-                self.cut_ = False
-        elif isinstance(event, SessionEvicted):
-            self.skipped_.pop(event.session, None)
-
-    def _judge(self, query, now):
-        if not self.cut_:
-            return super()._judge(query, now)
-        self.skipped_[query.session] = None
-        self.skipped_.move_to_end(query.session)
-        if len(self.skipped_) > MAX_SKIPPED:
-            self.skipped_.popitem(last=False)
-        return BACKLOG_FULL.because("export is cut off until the backlog has drained")
-
-    def tick(self, now):
-        """Ask for whole copies, newest first, once the backlog has drained.
-
-        :param now: monotonic time, in seconds.
-        :return: a list of at most one :class:`CopyWhole`.
-        """
-        if self.cut_ or not self.skipped_:
-            return []
-        session, _ = self.skipped_.popitem(last=True)
-        return [CopyWhole(session=session)]
