--- a/standins/_engine_state.py
+++ b/standins/_engine_state.py
@@ -144,6 +144,15 @@
             event for due, event in self.events if due <= now and event["seq"] >= start
         ]
 
+    def newest_visible(self):
+        """Return the sequence number up to which events are due.
+
+        :return: a number, also of an event that was dropped.
+        """
+        now = trio.current_time()
+        waiting = [event["seq"] for due, event in self.events if due > now]
+        return min(waiting) - 1 if waiting else self.sequence
+
     def cached_prefix(self, keys, salt):
         """Count the leading pieces that the cache holds.
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -338,6 +338,7 @@
         start = int(request.args.get("from", 0))
         return {
             "incarnation": state.incarnation,
+            "newest": state.newest_visible(),
             "events": state.visible_events(start),
         }
 
--- a/wasabistage/cache/__init__.py
+++ b/wasabistage/cache/__init__.py
@@ -58,6 +58,7 @@
 from wasabistage.cache._index import (
     CacheEvent,
     CacheListing,
+    CacheQuiet,
     Holding,
     LongestPrefix,
     PrefixIndex,
@@ -125,6 +126,7 @@
     "BaseLinkScheduler",
     "CacheEvent",
     "CacheListing",
+    "CacheQuiet",
     "Chunk",
     "ChunkMoved",
     "CommitRecord",
--- a/wasabistage/cache/_index.py
+++ b/wasabistage/cache/_index.py
@@ -46,6 +46,20 @@
     keys: tuple[str, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class CacheQuiet:
+    """A backend server was asked for events and named its newest one.
+
+    :param server: name of the backend server.
+    :param incarnation: random id of that server process's life.
+    :param sequence: number of its newest published event.
+    """
+
+    server: str
+    incarnation: str
+    sequence: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class PrefixOutcome:
     """How many of the expected pieces an engine really reused.
@@ -168,12 +182,14 @@
     def observe(self, event, now):
         """Take in an event, a listing, an outcome or a departure.
 
-        :param event: :class:`CacheEvent`, :class:`CacheListing`,
-            :class:`PrefixOutcome` or :class:`ServerGone`.
+        :param event: :class:`CacheEvent`, :class:`CacheQuiet`,
+            :class:`CacheListing`, :class:`PrefixOutcome` or :class:`ServerGone`.
         :param now: monotonic time, in seconds.
         """
         if isinstance(event, CacheEvent):
             self._take_event(event, now)
+        elif isinstance(event, CacheQuiet):
+            self._take_quiet(event, now)
         elif isinstance(event, CacheListing):
             self._take_listing(event, now)
         elif isinstance(event, PrefixOutcome):
@@ -214,6 +230,13 @@
             state.journal.popleft()
         self._apply(state, event)
 
+    def _take_quiet(self, event, now):
+        """Refresh a server's age; an event that never came shows here as a gap."""
+        state = self._state(event, now)
+        if state is not None and event.sequence > state.sequence:
+            self.gaps_ += 1
+            state.doubtful = True
+
     def _apply(self, state, event):
         for key in event.removed:
             state.pieces.pop(short_key(key), None)
--- a/wasabistage/cache/_transfers.py
+++ b/wasabistage/cache/_transfers.py
@@ -45,6 +45,7 @@
     virtual: float = 0.0
     budget: float = 0.0
     filled: float = 0.0
+    measured: bool = False
 
 
 class BaseLinkScheduler(Policy):
@@ -115,7 +116,10 @@
             link.waiting[name] = transfer
         if event.size >= MIN_CHUNK_BYTES and event.seconds > 0:
             sample = event.size / event.seconds
-            link.rate += RATE_GAIN * (sample - link.rate)
+            # The first measurement replaces the guess, which may be far off.
+            gain = RATE_GAIN if link.measured else 1.0
+            link.rate += gain * (sample - link.rate)
+            link.measured = True
 
     def decide(self, query, now):
         """Answer an :class:`OfferTransfer` or a :class:`NextChunk`.
@@ -203,6 +207,15 @@
         state = self.transfers_.get(transfer)
         return state.left if state else 0
 
+    def rate(self, link):
+        """Return the rate measured on a link.
+
+        :param link: name of the link.
+        :return: bytes a second; 0 while nothing was moved.
+        """
+        state = self.links_.get(link)
+        return state.rate if state is not None and state.measured else 0.0
+
     def backlog(self, link, kind):
         """Return the bytes that wait on a link.
 
--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -9,7 +9,7 @@
 
 from wasabistage.base import Ran
 from wasabistage.entry._accounts import AccountDirectory
-from wasabistage.entry._cache import SessionAnnounced
+from wasabistage.entry._cache_messages import SessionAnnounced
 from wasabistage.entry._calls import resolve_completion, resolve_plain
 from wasabistage.entry._completions import Completion
 from wasabistage.entry._frames import error_body
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -6,15 +6,21 @@
 import trio
 
 from wasabistage.admission import Arrive
-from wasabistage.cache import BYTES_PER_TOKEN, TransferCancelled, piece_keys
+from wasabistage.cache import (
+    BYTES_PER_TOKEN,
+    Tier,
+    TransferCancelled,
+    piece_keys,
+)
 from wasabistage.entry._attempts import run_attempts
-from wasabistage.entry._cache import (
+from wasabistage.entry._cache import text_piece_bytes
+from wasabistage.entry._cache_messages import (
+    AskProgress,
     Fetched,
     FetchPieces,
     FindPieces,
     Prompt,
     TurnEnded,
-    text_piece_bytes,
 )
 from wasabistage.entry._gossip import StreamResumed
 from wasabistage.entry._relay import EngineStream
@@ -29,16 +35,19 @@
     WasabistageError,
 )
 from wasabistage.platform import EngineRequest
-from wasabistage.routing import FetchDone, FirstToken, Plan
+from wasabistage.routing import (
+    FetchDone,
+    FetchProgress,
+    FirstToken,
+    Plan,
+    link_name,
+)
 from wasabistage.sessions import engine_stream_id, make_stream_id, parse_stream_id
 
 STREAM_RANDOM_BYTES = 16
 ATTEMPT_BYTES = 8
 LEAST_PREDICTION_SECONDS = 0.01
-#: Longest wait for a fetch, as a multiple of the time to compute it instead.
-FETCH_PATIENCE = 1.0
 LEAST_FETCH_SECONDS = 0.05
-PREFILL_RATE_GUESS = 20_000.0
 ENGINE_OPTIONS = ("temperature", "top_p", "seed", "stop")
 
 
@@ -274,7 +283,7 @@
         self.context.metrics.time("request.first_token", seconds, rank)
 
     async def _fetch(self, served, decision):
-        """Import stored pieces, for at most as long as computing them would take."""
+        """Import stored pieces."""
         prompt = served.prompt
         first = decision.pieces - decision.fetched
         question = FetchPieces(
@@ -285,22 +294,45 @@
             first=first,
             pieces=decision.pieces,
         )
-        saved = decision.fetched * prompt.model.piece_tokens / PREFILL_RATE_GUESS
-        patience = max(LEAST_FETCH_SECONDS, FETCH_PATIENCE * saved)
         reply = Reply()
-        fetched = Fetched()
-        with trio.move_on_after(patience):
-            self.cache.post(question, reply)
-            fetched = await reply.wait()
-        if not reply.done.is_set() and reply.tag is not None:
-            self.cache.tell(TransferCancelled(transfer=reply.tag))
+        self.cache.post(question, reply)
+        try:
+            fetched = await self._wait_fetch(reply, decision, prompt)
+        except trio.Cancelled:
+            self._cancel_fetch(reply)
+            raise
         served.expected = first + fetched.pieces
         if fetched.size:
-            self.routing.tell(
-                FetchDone(
-                    store=decision.store, size=fetched.size, seconds=fetched.seconds
-                )
+            done = FetchDone(
+                store=link_name(decision.store, Tier.MEMORY),
+                size=fetched.size,
+                seconds=fetched.seconds,
+            )
+            self.routing.tell(done)
+
+    async def _wait_fetch(self, reply, decision, prompt):
+        """Wait for a fetch as long as it is better than recomputing."""
+        wait = max(LEAST_FETCH_SECONDS, decision.check_fetch_after)
+        while True:
+            with trio.move_on_after(wait):
+                return await reply.wait()
+            progress = await self.cache.ask(AskProgress(transfer=reply.tag or ""))
+            question = FetchProgress(
+                server=decision.server,
+                store=link_name(decision.store, Tier.MEMORY),
+                ahead=progress.ahead,
+                size=progress.left,
+                tokens=progress.pieces * prompt.model.piece_tokens,
             )
+            answer = await self.routing.ask(question)
+            if not answer:
+                self._cancel_fetch(reply)
+                return Fetched(pieces=decision.fetched - progress.pieces)
+            wait = answer.check_after
+
+    def _cancel_fetch(self, reply):
+        if not reply.done.is_set() and reply.tag is not None:
+            self.cache.tell(TransferCancelled(transfer=reply.tag))
 
     def _engine_request(self, served):
         completion, prompt = served.completion, served.prompt
--- a/wasabistage/entry/_gossip.py
+++ b/wasabistage/entry/_gossip.py
@@ -1,18 +1,25 @@
 """The task that knows the other entries and talks to them."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
 from wasabistage.admission import DemandReport
 from wasabistage.cache import Committed
 from wasabistage.entry._task import Task
-from wasabistage.entry._wire import GOSSIP, Gossip, GossipReply
+from wasabistage.entry._wire import (
+    GOSSIP,
+    SIGNS,
+    Gossip,
+    GossipReply,
+    SignsAsk,
+)
 from wasabistage.exceptions import UnavailableError, WasabistageError
 from wasabistage.membership import (
     AddressPolicy,
     AddressQuery,
+    AskSigns,
     HeartbeatQuery,
     InstanceListing,
     LeavingSign,
@@ -25,10 +32,12 @@
     Phase,
     SendHeartbeats,
     ServerListing,
+    SignsTold,
     ViewQuery,
 )
 from wasabistage.observe import make_logger
 from wasabistage.platform import HttpListClient, LiveList
+from wasabistage.routing import PeerDispatched
 from wasabistage.utils import Watched
 
 TICK_SECONDS = 0.1
@@ -148,6 +157,7 @@
         self.demand = None
         self.resumed = {}
         self.commits = {}
+        self.dispatched = {}
         self.load = 0.0
         self.phase = Phase.SERVING
         self.config = ReportConfig(version=0, next_offset=0)
@@ -156,9 +166,12 @@
     async def start(self):
         """Begin to tick, to read the list and to greet the seeds."""
         timers = self.context.timers
+        self._greet_seeds()
         self._refresh_view()
         self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
         self.nursery.start_soon(timers.run_subscription, LIST_SECONDS, self._read_list)
+
+    def _greet_seeds(self):
         for address in self.context.settings.peers:
             self.nursery.start_soon(self._send, address, self._gossip())
 
@@ -208,6 +221,11 @@
                 self.commits[message.store, message.tail] = message
                 while len(self.commits) > MAX_COMMITS:
                     self.commits.pop(next(iter(self.commits)))
+            case PeerDispatched():
+                self._note_dispatched(message)
+            case AskSigns():
+                for address in self._peer_addresses():
+                    self.nursery.start_soon(self._ask_signs, address)
             case ReportLoad():
                 self.load = message.load
             case ReportConfig():
@@ -218,6 +236,18 @@
             case SendNow():
                 self._send_all(self._peer_addresses())
 
+    def _note_dispatched(self, message):
+        known = self.dispatched.get(message.server)
+        tokens = message.tokens + (known.tokens if known else 0)
+        self.dispatched[message.server] = replace(message, tokens=tokens)
+
+    async def _ask_signs(self, address):
+        try:
+            told = await self.context.peers.call(address, SIGNS, SignsAsk())
+        except WasabistageError:
+            return
+        self.listeners.on_signs(told)
+
     def _tick(self, now):
         actions = self.policy.tick(now)
         changed = [item for item in actions if isinstance(item, MemberChanged)]
@@ -248,6 +278,7 @@
         self.demand = None
         self.resumed.clear()
         self.commits.clear()
+        self.dispatched.clear()
 
     def _gossip(self):
         heartbeat = self._heartbeat(self.context.timers.now())
@@ -257,6 +288,7 @@
             demand=self.demand,
             resumed=tuple(self.resumed),
             commits=tuple(self.commits.values()),
+            dispatched=tuple(self.dispatched.values()),
         )
 
     def _heartbeat(self, now):
@@ -387,6 +419,17 @@
             self.streams.tell(StreamResumed(stream_id=stream_id))
         for commit in gossip.commits:
             self.cache.tell(commit)
+        for dispatched in gossip.dispatched:
+            self.routing.tell(dispatched)
+
+    def on_signs(self, told):
+        """Hand on a peer's answer about leaving backend servers.
+
+        :param told: a :class:`wasabistage.entry._wire.SignsAnswer`.
+        """
+        for sign in told.signs:
+            self.routing.tell(sign)
+        self.routing.tell(SignsTold())
 
     def on_heartbeat(self, heartbeat):
         """Hand on a peer's heartbeat.
--- a/wasabistage/entry/_process.py
+++ b/wasabistage/entry/_process.py
@@ -25,8 +25,16 @@
 from wasabistage.entry._status import StatusAnswerer
 from wasabistage.entry._streams import StreamsTask
 from wasabistage.entry._timer import TrioTimerService
-from wasabistage.entry._wire import CONFIG, GOSSIP, ONCE, STATUS, TRACE
-from wasabistage.membership import make_incarnation
+from wasabistage.entry._wire import (
+    CONFIG,
+    GOSSIP,
+    ONCE,
+    SIGNS,
+    STATUS,
+    TRACE,
+    SignsAnswer,
+)
+from wasabistage.membership import SignsQuery, make_incarnation
 from wasabistage.observe import Tracer, make_log_handler, make_logger, make_metrics
 from wasabistage.platform import HttpLogClient, make_http_client
 from wasabistage.utils import Watched
@@ -171,11 +179,16 @@
         server = PeerServer(settings.peer_listen, settings.peer_key)
         server.serve(GOSSIP, self.gossip.answer_peer)
         server.serve(CONFIG, self.config.answer_peer)
+        server.serve(SIGNS, self._answer_signs)
         server.serve(ONCE, self.once.answer_peer)
         server.serve(STATUS, self.status.status)
         server.serve(TRACE, self.status.trace)
         return server
 
+    async def _answer_signs(self, question):
+        gossip = await self.routing.ask(SignsQuery())
+        return SignsAnswer(signs=gossip.signs)
+
     def _server_config(self):
         settings = self.context.settings
         config = Config()
--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -6,18 +6,22 @@
 import trio
 
 from wasabistage.base import Rank
-from wasabistage.cache import CacheEvent, ServerGone
+from wasabistage.cache import CacheEvent, CacheQuiet, ServerGone
 from wasabistage.declarations import ServiceKind
 from wasabistage.entry._admission import SlotsOfService
+from wasabistage.entry._gossip import SendNow
 from wasabistage.entry._task import Task
 from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import UnavailableError, WasabistageError
 from wasabistage.membership import (
+    AskSigns,
     BackendMembership,
     GossipSigns,
     LeavingSign,
     ServerCall,
     ServerListing,
+    SignsQuery,
+    SignsTold,
     UsableQuery,
 )
 from wasabistage.membership import ServerReport as MembershipReport
@@ -31,12 +35,13 @@
     Dispatched,
     DispatchEnded,
     FetchDone,
+    FetchProgress,
     FirstToken,
     HealthPolicy,
     HealthQuery,
     LeastLoadedRouter,
-    LinkQueue,
     LoadReport,
+    PeerDispatched,
     PredictiveRouter,
     RouteQuery,
     ServerRemoved,
@@ -45,6 +50,7 @@
 
 TICK_SECONDS = 0.25
 EVENTS_SECONDS = 0.2
+DISPATCHED_SECONDS = 0.25
 PLAIN_VERSION = "plain"
 MODEL_PREFIX = "model:"
 PLAIN_PREFIX = "service:"
@@ -180,6 +186,8 @@
         self.facts = {}
         self.deployment = None
         self.gossip = None
+        self.sent = {}
+        self.told_at = 0.0
 
     async def start(self):
         """Begin to poll the load reports and the cache events."""
@@ -235,6 +243,13 @@
                     removed=tuple(event["removed"]),
                 )
             )
+        self.cache.tell(
+            CacheQuiet(
+                server=server.name,
+                incarnation=answer["incarnation"],
+                sequence=answer["newest"],
+            )
+        )
 
     async def handle(self, message, reply):
         """Handle a message; see :meth:`Task.handle`."""
@@ -249,8 +264,15 @@
                 return self._choose(message, now)
             case AttemptEnded():
                 self._end_attempt(message, now)
-            case FirstToken() | FetchDone():
+            case FirstToken() | FetchDone() | PeerDispatched():
                 self.router.observe(message, now)
+                self.plain_router.observe(message, now)
+            case FetchProgress():
+                return self.router.estimator_.decide(message, now)
+            case SignsQuery():
+                return self.membership.decide(message, now)
+            case SignsTold():
+                self.membership.observe(message, now)
             case AskServers():
                 return self._describe(now)
             case FreshRequest():
@@ -275,14 +297,29 @@
 
     def _tick(self, now):
         for action in self.membership.tick(now):
-            if isinstance(action, GossipSigns) and self.gossip is not None:
+            if isinstance(action, GossipSigns):
                 for sign in action.signs:
                     self.gossip.tell(sign)
+            elif isinstance(action, AskSigns):
+                self.gossip.tell(action)
+        self._tell_dispatched(now)
         for change in self.health.tick(now):
             facts = {"server": change.server, "state": str(change.state)}
             log.info("a backend server changed", extra=facts)
         self._tell_slots(now)
 
+    def _tell_dispatched(self, now):
+        """Tell the peers what was sent since, so that late reports cause no herd."""
+        if not self.sent or now - self.told_at < DISPATCHED_SECONDS:
+            return
+        lag = (now - self.told_at) / 2
+        for server, tokens in self.sent.items():
+            event = PeerDispatched(server=server, tokens=tokens, lag=lag)
+            self.gossip.tell(event)
+        self.sent.clear()
+        self.told_at = now
+        self.gossip.tell(SendNow())
+
     def _tell_slots(self, now):
         for service in self.deployment.services.values():
             names = self._fit(service)
@@ -368,8 +405,8 @@
         query = self._route_query(message, candidates)
         router = self.plain_router if message.prompt is None else self.router
         if message.found is not None:
-            for store, size in message.found.queues.items():
-                router.observe(LinkQueue(store=store, size=size), now)
+            for queue in message.found.queues:
+                router.observe(queue, now)
         decision = router.decide(query, now)
         if not decision:
             raise no_server(message.service, decision.reason)
@@ -459,6 +496,8 @@
             ),
             now,
         )
+        sent = self.sent.get(decision.server, 0)
+        self.sent[decision.server] = sent + max(1, decision.tokens)
 
     def _end_attempt(self, message, now):
         ended = DispatchEnded(request=message.attempt)
--- a/wasabistage/entry/_wire.py
+++ b/wasabistage/entry/_wire.py
@@ -9,6 +9,7 @@
 from wasabistage.membership import Heartbeat, LeavingSign
 from wasabistage.observe import SpanRecord
 from wasabistage.once import Reply as OnceReply
+from wasabistage.routing import PeerDispatched
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -20,6 +21,7 @@
     :param demand: its demand, if due.
     :param resumed: identifiers of streams that callers resumed here lately.
     :param commits: commit records written lately.
+    :param dispatched: prompt tokens sent lately, by backend server.
     """
 
     heartbeat: Heartbeat
@@ -27,6 +29,7 @@
     demand: DemandReport | None = None
     resumed: tuple[str, ...] = ()
     commits: tuple[Committed, ...] = ()
+    dispatched: tuple[PeerDispatched, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -39,6 +42,21 @@
     heartbeat: Heartbeat
 
 
+@dataclass(frozen=True, kw_only=True)
+class SignsAsk:
+    """Asks a peer which backend servers leave, after a pause of this process."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class SignsAnswer:
+    """A peer's words on leaving backend servers.
+
+    :param signs: the words.
+    """
+
+    signs: tuple[LeavingSign, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class ConfigAsk:
     """Asks a peer for its folded configuration state."""
@@ -192,6 +210,7 @@
 
 
 GOSSIP = PeerMethod(name="Gossip", request=Gossip, reply=GossipReply)
+SIGNS = PeerMethod(name="Signs", request=SignsAsk, reply=SignsAnswer)
 CONFIG = PeerMethod(name="Config", request=ConfigAsk, reply=ConfigTold)
 ONCE = PeerMethod(name="Once", request=OnceForward, reply=OnceAnswered)
 STATUS = PeerMethod(name="Status", request=StatusAsk, reply=StatusTold)
--- a/wasabistage/routing/_estimate.py
+++ b/wasabistage/routing/_estimate.py
@@ -219,8 +219,10 @@
             return
         if event.store not in self.links_ and len(self.links_) >= MAX_LINKS:
             return
-        rate = self.links_.get(event.store, self.link_rate)
-        self.links_[event.store] = _blend(rate, event.size / event.seconds, self.gain)
+        sample = event.size / event.seconds
+        # The first measurement replaces the guess, which may be far off.
+        rate = self.links_.get(event.store, sample)
+        self.links_[event.store] = _blend(rate, sample, self.gain)
 
     def _take_queue(self, event, now):
         if event.store in self.queues_ or len(self.queues_) < MAX_LINKS:
@@ -238,14 +240,20 @@
         """
         load = self._server(server)
         if load.learned == float("-inf"):
-            return load.rate
+            # The peers say more of a server that has done nothing than a guess.
+            return self._usual(now)
         kept = 0.5 ** (max(0.0, now - load.learned) / self.half_life)
         return load.rate**kept * self._usual(now) ** (1.0 - kept)
 
     def _usual(self, now):
         """Return the servers' median rate, worked out once a second at most."""
         if now - self.usual_at_ >= USUAL_PERIOD:
-            self.usual_ = median(item.rate for item in self.servers_.values())
+            learned = [
+                item.rate
+                for item in self.servers_.values()
+                if item.learned > float("-inf")
+            ]
+            self.usual_ = median(learned) if learned else self.prefill_rate
             self.usual_at_ = now
         return self.usual_
 
