Keep each server's median time until its next outcome

Cause: every ended call worked out the medians of all peers again. Change: the median is kept with the outcomes and dropped with a new one.

--- a/wasabistage/routing/_health.py
+++ b/wasabistage/routing/_health.py
@@ -33,6 +33,26 @@
     probing: int = 0
     probed: int = 0
     outcomes: deque = field(default_factory=deque)
+    usual: float | None = None
+
+    def add(self, event, window):
+        """Remember an outcome, at most ``window`` of them."""
+        self.outcomes.append((event.ok, event.seconds))
+        if len(self.outcomes) > window:
+            self.outcomes.popleft()
+        self.usual = None
+
+    def clear(self):
+        """Forget the outcomes."""
+        self.outcomes.clear()
+        self.usual = None
+
+    def usual_seconds(self, min_outcomes):
+        """Return the median time of good calls, 0 for too few."""
+        if self.usual is None:
+            seconds = [item for ok, item in self.outcomes if ok]
+            self.usual = median(seconds) if len(seconds) >= min_outcomes else 0.0
+        return self.usual
 
 
 class BaseHealthPolicy(Policy):
@@ -207,9 +227,7 @@
         state = self.servers_.get(event.server)
         if state is None:
             return
-        state.outcomes.append((event.ok, event.seconds))
-        if len(state.outcomes) > self.window:
-            state.outcomes.popleft()
+        state.add(event, self.window)
         if state.state is Health.HALF_OPEN:
             self._end_probe(event, state, now)
         elif state.state in (Health.CLOSED, Health.SLOW_START):
@@ -222,14 +240,14 @@
             return
         state.probed += 1
         if state.probed >= self.probes:
-            state.outcomes.clear()
+            state.clear()
             self._enter(event.server, Health.SLOW_START, now)
 
     def _open(self, server, state, now):
         delay = self.open_delay * 2 ** min(state.opened, MAX_BACKOFF_STEPS)
         state.retry_at = now + min(delay, self.max_open_delay)
         state.opened += 1
-        state.outcomes.clear()
+        state.clear()
         self._enter(server, Health.OPEN, now)
 
     def _suspect(self, server, state):
@@ -260,13 +278,12 @@
         The lower quartile leaves out what waited in a queue for a while; and where
         a whole service turns slow, its usual calls are slow before quick ones are.
         """
-        peers = []
-        for name, other in self.servers_.items():
-            if name == server or other.service != state.service:
-                continue
-            seconds = [item for ok, item in other.outcomes if ok]
-            if len(seconds) >= self.min_outcomes:
-                peers.append(median(seconds))
+        others = [
+            other.usual_seconds(self.min_outcomes)
+            for name, other in self.servers_.items()
+            if name != server and other.service == state.service
+        ]
+        peers = [seconds for seconds in others if seconds > 0.0]
         if len(peers) < MIN_PEERS_FOR_LATENCY or not times:
             return False
         return _lower_quartile(times) > self.slow_factor * median(peers)
