--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -19,6 +19,8 @@
     :ivar fail_one_in: every N-th request is answered with 500; 0 for none.
     :ivar cut_after: an answer stream is cut after this many tokens; 0 for never.
     :ivar cross_ids: answer streams carry a foreign request id.
+    :ivar late_effect: seconds after which an append to the log takes effect though
+        503 was answered at once; 0 for none.
     """
 
     down: bool = False
@@ -28,6 +30,7 @@
     fail_one_in: int = 0
     cut_after: int = 0
     cross_ids: bool = False
+    late_effect: float = 0.0
 
 
 def install_faults(app):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -86,6 +86,10 @@
     :ivar drain_timeout: entries' drain bound, in seconds.
     :ivar timing: further lines of the entries' ``[timing]`` section.
     :ivar link_rate: bytes a second of the stores' links; 0 takes the declared rate.
+    :ivar servers: names of the backend servers to keep; empty for all.
+    :ivar stores: names of the stores to keep; ``None`` for all.
+    :ivar without: mechanism that the entries run without, a name of
+        :mod:`standins.unsafe_entry`; empty for none.
     """
 
     folder: Path = ROOT / "examples" / "padavu"
@@ -94,6 +98,9 @@
     drain_timeout: int = 20
     timing: str = ""
     link_rate: float = 0.0
+    servers: tuple = ()
+    stores: tuple | None = None
+    without: str = ""
 
 
 class Fleet:
@@ -126,10 +133,21 @@
         def local(item):
             return replace(item, address=item.address.replace(LOOPBACK, self.host))
 
+        def kept(items, names):
+            return {key: local(items[key]) for key in items if key in names}
+
+        options = self.options
+        servers = kept(deployment.servers, options.servers or deployment.servers)
+        stores = deployment.stores if options.stores is None else options.stores
         return replace(
             deployment,
-            servers={key: local(item) for key, item in deployment.servers.items()},
-            stores={key: local(item) for key, item in deployment.stores.items()},
+            services={
+                name: service
+                for name, service in deployment.services.items()
+                if any(_serves_it(item, service) for item in servers.values())
+            },
+            servers=servers,
+            stores=kept(deployment.stores, stores),
             weight_store=local(deployment.weight_store),
         )
 
@@ -242,7 +260,10 @@
                 timing=self.options.timing,
             )
             path.write_text(text, encoding="utf-8")
-            arguments = [sys.executable, "-m", "wasabistage", "entry", str(path)]
+            command = ["wasabistage", "entry"]
+            if self.options.without:
+                command = ["standins.unsafe_entry", self.options.without]
+            arguments = [sys.executable, "-m", *command, str(path)]
             url = f"http://{self.entry_address(index)}/v1/entries"
             self.processes[name] = FleetProcess(name, arguments, url)
 
@@ -480,6 +501,11 @@
         self.put("livelist", "/witness/instances", body)
 
 
+def _serves_it(server, service):
+    """Tell whether a backend server serves a service."""
+    return service.name in server.services or service.model in server.models
+
+
 def _own_loopback():
     """Return a loopback address that no other fleet on this machine uses."""
     pid = os.getpid()
--- a/standins/log.py
+++ b/standins/log.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass, field
 
 import trio
-from quart import request
+from quart import Response, request
 from quart_trio import QuartTrio
 
-from standins._faults import install_faults
+from standins._faults import DOWN_STATUS, install_faults
 
 READ_LIMIT = 1000
 LONGEST_WAIT_SECONDS = 10.0
@@ -93,6 +93,9 @@
     async def append(name):
         body = await request.get_json()
         stream = streams.setdefault(name, Stream())
+        if faults.late_effect:
+            app.nursery.start_soon(_append_late, stream, body, faults.late_effect)
+            return Response("answer lost", DOWN_STATUS)
         return {"offsets": stream.append(body["records"])}
 
     @app.get("/streams/<name>/records")
@@ -114,3 +117,8 @@
         return {"first": stream.first}
 
     return app
+
+
+async def _append_late(stream, body, seconds):
+    await trio.sleep(seconds)
+    stream.append(body["records"])
--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -111,6 +111,19 @@
         guarded.__name__ = handler.__name__
         return guarded
 
+    def count_work(self):
+        """Count what is under way, for the status.
+
+        :return: numbers by metric name; all are 0 while nothing runs.
+        """
+        admitted = self.plain.admission.policy.limiter_.running_
+        return {
+            "work.requests": self.running,
+            "work.streams": len(self.completions.open_streams),
+            "work.admitted": sum(admitted.values()),
+            "work.attempts": len(self.once.attempts),
+        }
+
     def check_open(self):
         """Refuse new requests while closed or full.
 
--- a/wasabistage/entry/_status.py
+++ b/wasabistage/entry/_status.py
@@ -49,7 +49,7 @@
             running=self.app.running,
             members=tuple(_member(item) for item in self.gossip.view.value.members),
             servers=tuple(_server(*item) for item in servers),
-            metrics=dict(self.context.metrics.values),
+            metrics={**self.context.metrics.values, **self.app.count_work()},
         )
 
     async def trace(self, question):
