Keep undeclared paths out of reach, and heal answers whose engine breaks off

Causes, each seen in a process test: - A declared wildcard path with dot segments ('/open/../balance') was cleaned by the HTTP client into another path ('/balance'), so a caller reached calls that the wildcard does not declare; a decoded '?' or '#' raised in the client, which in the task of non-idempotent calls ends the whole entry. - A connection error in the middle of an engine's answer was not translated into a typed one, so the entry cut its caller's answer in place of resuming it. - A caller whose engine had died resumed until its attempts were spent. Ruled out: the declared path check (it compares the path before it is cleaned). Change: dot segments, backslashes and control characters are refused; the rest is escaped, so that the server decodes the same path. Errors while frames are read are typed. An engine that refuses both resumes is reported as not found, after which the client sends the whole prompt again, as after two refused resumes.

--- a/wasabistage/client/_client.py
+++ b/wasabistage/client/_client.py
@@ -15,6 +15,7 @@
 )
 from wasabistage.client._events import AnswerEnd, AnswerError, read_events
 from wasabistage.exceptions import (
+    IntegrityError,
     NotFoundError,
     OutcomeUnknownError,
     WasabistageError,
@@ -34,6 +35,10 @@
 DEADLINE_SECONDS = 60.0
 KEY_HEADER = "Idempotency-Key"
 INQUIRY_HEADER = "Idempotency-Inquiry"
+#: Refused resumes, at one entry and another, before the prompt is sent again.
+MOST_REFUSED_RESUMES = 2
+#: Errors within a stream after which the prompt is sent again from its start.
+RESTART_KINDS = (IntegrityError.kind, NotFoundError.kind)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -353,6 +358,7 @@
         self.stream_id = ""
         self.assembler = None
         self.end = None
+        self.refused_resumes = 0
 
     @property
     def position(self):
@@ -400,12 +406,17 @@
 
     def _refused(self, response, resume):
         failed = from_response(response)
-        if resume and isinstance(failed.error, NotFoundError):
+        if not resume:
+            return failed
+        self.refused_resumes += 1
+        lost = isinstance(failed.error, NotFoundError)
+        if lost or self.refused_resumes >= MOST_REFUSED_RESUMES:
             return self._restart(failed)
         return failed
 
     def _restart(self, failed):
         """Give the stream up and let the prompt be sent again."""
+        self.refused_resumes = 0
         self.stream_id = ""
         self.assembler = None
         return FailedAttempt(failure=Failure.LOST, error=failed.error)
@@ -432,7 +443,7 @@
             event.message, remedy="resume the stream", ran="unknown"
         )
         failed = FailedAttempt(failure=Failure.LOST, error=error)
-        if event.kind == "integrity":
+        if event.kind in RESTART_KINDS:
             return self._restart(failed)
         return failed
 
--- a/wasabistage/entry/_calls.py
+++ b/wasabistage/entry/_calls.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 
 from wasabistage.declarations import Call, Model, Service, ServiceKind
-from wasabistage.exceptions import NotFoundError
+from wasabistage.exceptions import BadRequestError, NotFoundError
 
 WILDCARD = "/*"
+DOT_SEGMENTS = (".", "..")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -59,7 +60,9 @@
     :param path: path within the service, with the leading slash.
     :return: a :class:`ResolvedCall`.
     :raises NotFoundError: if it is not declared.
+    :raises BadRequestError: if the path could mean another one at the server.
     """
+    check_path(path)
     service = deployment.services.get(service_name)
     if service is None or service.kind is not ServiceKind.PLAIN:
         raise NotFoundError(
@@ -86,3 +89,17 @@
         stem = pattern[: -len(WILDCARD)]
         return path == stem or path.startswith(stem + "/")
     return path == pattern
+
+
+def check_path(path):
+    """Refuse a path that a client or server may turn into an undeclared one.
+
+    :param path: path of a request, decoded.
+    :raises BadRequestError: if it has dot segments, backslashes or control characters.
+    """
+    dots = any(part in DOT_SEGMENTS for part in path.split("/"))
+    if dots or "\\" in path or not path.isprintable():
+        raise BadRequestError(
+            "the path has dot segments, backslashes or control characters",
+            remedy="send the plain path of the call",
+        )
--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -1,6 +1,7 @@
 """Serves calls of plain services: method, path and body are passed whole."""
 
 from dataclasses import dataclass, field
+from urllib.parse import quote
 
 import httpx
 import trio
@@ -198,7 +199,7 @@
             scheme="http",
             host=server.address.rpartition(":")[0],
             port=int(server.address.rpartition(":")[2]),
-            path=call.path,
+            path=safe_path(call.path),
             query=call.query or None,
         )
         timeout = httpx.Timeout(
@@ -231,6 +232,15 @@
         )
 
 
+def safe_path(path):
+    """Escape a decoded path so that the server decodes it to the same one.
+
+    :param path: path of a request, decoded.
+    :return: the escaped path; ``%``, ``?`` and ``#`` can't change its meaning.
+    """
+    return quote(path, safe="/:@!$&'()*+,;=~")
+
+
 def pick_headers(headers, names):
     """Keep the named headers only.
 
--- a/wasabistage/entry/_relay.py
+++ b/wasabistage/entry/_relay.py
@@ -6,6 +6,7 @@
 from wasabistage.entry._frames import format_end, format_error, format_token
 from wasabistage.exceptions import (
     IntegrityError,
+    NotFoundError,
     OutcomeUnknownError,
     UnavailableError,
     WasabistageError,
@@ -93,8 +94,9 @@
                     yield event
                 return
             except WasabistageError as error:
-                if not await self._recover(error):
-                    yield format_error(error, self.check.position)
+                final = await self._recover(error)
+                if final is not None:
+                    yield format_error(final, self.check.position)
                     return
 
     async def _checked(self):
@@ -150,18 +152,32 @@
             raise step.error()
 
     async def _recover(self, error):
-        """Open the stream again after an error, a bounded number of times."""
+        """Open the stream again after an error, a bounded number of times.
+
+        :return: ``None`` if it is open again, else the error for the caller.
+        """
         if self.handed_over or isinstance(error, UnavailableError):
-            return False
+            return error
+        refusal = None
         while self.resumes < MOST_RESUMES:
             self.resumes += 1
             await trio.sleep(RESUME_DELAY_SECONDS)
             try:
                 await self.reopen()
-                return True
-            except WasabistageError:
-                continue
-        return False
+                return None
+            except WasabistageError as again:
+                refusal = again
+        if isinstance(refusal, (NotFoundError, UnavailableError)):
+            return _lost()
+        return error
+
+
+def _lost():
+    return NotFoundError(
+        "the engine no longer has the stream",
+        remedy="send the whole prompt again",
+        ran=Ran.UNKNOWN,
+    )
 
 
 def _handover():
--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/platform/_engine.py
@@ -304,6 +304,18 @@
 
 
 async def _frames(answer):
+    try:
+        async for frame in _read_frames(answer):
+            yield frame
+    except httpx.HTTPError as error:
+        raise OutcomeUnknownError(
+            f"the engine broke off its answer: {type(error).__name__}",
+            remedy="resume the stream, or send the prompt again",
+            ran=Ran.UNKNOWN,
+        ) from error
+
+
+async def _read_frames(answer):
     position = -1
     done = False
     async for line in answer.aiter_lines():
