Give operators their commands; write a log line and whole spans per request

Cause: only `entry` could be run from the command line; a request's way could not be followed into a backend server; the logs held no line of a request, and an exception's message could repeat what a caller sent. Ruled out: Fire's own parsing of values (it reads 0012 as a number and warns of an IP number's syntax) and its pager (another process); its errors for unknown names, which do not name the nearest one. Arguments are checked first, Fire then runs the command with texts only. Change: check, publish, diff, status, trace, key, version; settings [operator] by the same checks as those of an entry; publish asks running entries for their folded state first and can wait until in force everywhere. A span for the choice of a server, for appends and for resumes; traceparent goes to backend servers. Log lines hold no message of an exception. The metric order.sent was declared and never emitted: removed; request.refused and once.joined were declared and are emitted now.

--- a/wasabistage/entry/_admission.py
+++ b/wasabistage/entry/_admission.py
@@ -22,6 +22,7 @@
     ShareLimiter,
 )
 from wasabistage.entry._task import LATER, Task
+from wasabistage.exceptions import WasabistageError
 from wasabistage.membership import MemberState
 
 TICK_SECONDS = 0.1
@@ -151,6 +152,9 @@
         except trio.Cancelled:
             self.tell(Cancelled(request_id=arrive.request_id))
             raise
+        except WasabistageError:
+            self.metrics.count("request.refused", label=arrive.rank.name.lower())
+            raise
         return Slot(self, arrive.request_id)
 
 
--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -2,8 +2,9 @@
 
 import json
 import secrets
+from contextlib import aclosing
 
-from quart import Response, make_response, request
+from quart import Response, g, make_response, request
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
@@ -20,6 +21,11 @@
     PlainCall,
     pick_headers,
 )
+from wasabistage.entry._request_log import (
+    RequestRecord,
+    describe_failure,
+    status_of,
+)
 from wasabistage.entry._schemas import (
     CompletionBody,
     EntriesQuery,
@@ -94,23 +100,42 @@
         return app
 
     def guard(self, handler):
-        """Count a handler's requests and refuse them beyond the bound.
+        """Count and log a handler's requests and refuse them beyond the bound.
 
         :param handler: asynchronous view function.
         :return: an asynchronous view function.
         """
 
         async def guarded(**arguments):
-            self.check_open()
-            self.running += 1
+            now = self.context.timers.now
+            record = RequestRecord(request_id=new_request_id(), started=now())
+            g.record = record
             try:
-                return await handler(**arguments)
-            finally:
-                self.running -= 1
+                answer = await self.run_bounded(handler, arguments)
+            except BaseException as error:
+                record.write(now(), *describe_failure(error, translate_http_error))
+                raise
+            if not record.streaming:
+                record.write(now(), status_of(answer))
+            return answer
 
         guarded.__name__ = handler.__name__
         return guarded
 
+    async def run_bounded(self, handler, arguments):
+        """Run a handler, unless too many requests run.
+
+        :param handler: asynchronous view function.
+        :param arguments: its arguments.
+        :return: what it returns.
+        """
+        self.check_open()
+        self.running += 1
+        try:
+            return await handler(**arguments)
+        finally:
+            self.running -= 1
+
     def check_open(self):
         """Refuse new requests while closed or full.
 
@@ -141,7 +166,9 @@
             )
         if self.directory.deployment is not deployment:
             self.directory = AccountDirectory(deployment)
-        return self.directory.authenticate(request.headers.get("Authorization"))
+        account = self.directory.authenticate(request.headers.get("Authorization"))
+        g.record.account = account.name
+        return account
 
     async def get_entries(self):
         """Answer which entries to use, with tickets if asked for."""
@@ -183,22 +210,55 @@
         account = self.authenticate()
         body = parse_body(CompletionBody, await request.get_data())
         deployment = self.context.config.value.deployment
-        request_id = new_request_id()
-        self.context.metrics.count("request.received")
-        accepted = self.context.tracer.accept(request.headers)
-        with self.context.tracer.hop("request", request_id, accepted) as parent:
+        record = g.record
+        with self.hop() as parent:
+            resolved = resolve_completion(deployment, body.model, body.call)
+            record.note_call(resolved)
             completion = Completion(
-                request_id=request_id,
+                request_id=record.request_id,
                 account=account,
-                resolved=resolve_completion(deployment, body.model, body.call),
+                resolved=resolved,
                 body=body,
                 parent=parent,
             )
             served = await self.completions.open(completion)
+        stream = served.stream
+        record.server = stream.server.name
         events = self.completions.relay(served)
         if not body.stream:
-            return await answer_whole(events, request_id, served.stream.stream_id)
-        return await stream_response(events, request_id, served.stream.stream_id)
+            return await answer_whole(events, record.request_id, stream.stream_id)
+        events = self.watch(events, record, stream)
+        return await stream_response(events, record.request_id, stream.stream_id)
+
+    def hop(self):
+        """Count the current request and measure it.
+
+        :return: a context manager of the context of its span.
+        """
+        self.context.metrics.count("request.received")
+        accepted = self.context.tracer.accept(request.headers)
+        return self.context.tracer.hop("request", g.record.request_id, accepted)
+
+    def watch(self, events, record, stream):
+        """Pass the events of a stream on and log its request at the end.
+
+        :param events: asynchronous iterator of bytes.
+        :param record: the :class:`RequestRecord`.
+        :param stream: the :class:`wasabistage.entry._relay.EngineStream`.
+        :return: asynchronous iterator of bytes.
+        """
+        record.streaming = True
+        return self._watch(events, record, stream)
+
+    async def _watch(self, events, record, stream):
+        try:
+            # The inner iterator must end with this one, not with its collection.
+            async with aclosing(events):
+                async for event in events:
+                    yield event
+        finally:
+            kind = "ok" if stream.whole else "cut"
+            record.write(self.context.timers.now(), 200, kind)
 
     async def get_stream(self, stream_id):
         """Resume a stream from a position."""
@@ -207,23 +267,27 @@
         token = ResumeToken(
             request_id=stream_id, position=query.position, digest=query.digest or ""
         )
-        stream = await self.completions.resume(account, stream_id, token)
+        record = g.record
+        with self.hop():
+            stream = await self.completions.resume(account, stream_id, token)
+        record.server = stream.server.name
         events = self.completions.relay_resumed(stream)
-        return await stream_response(events, new_request_id(), stream_id)
+        events = self.watch(events, record, stream)
+        return await stream_response(events, record.request_id, stream_id)
 
     async def call_service(self, service, path):
         """Pass a call to a plain service."""
         account = self.authenticate()
         body = await request.get_data()
         deployment = self.context.config.value.deployment
-        request_id = new_request_id()
-        self.context.metrics.count("request.received")
-        accepted = self.context.tracer.accept(request.headers)
-        with self.context.tracer.hop("request", request_id, accepted) as parent:
+        record = g.record
+        with self.hop() as parent:
+            resolved = resolve_plain(deployment, service, request.method, "/" + path)
+            record.note_call(resolved)
             call = PlainCall(
-                request_id=request_id,
+                request_id=record.request_id,
                 account=account,
-                resolved=resolve_plain(deployment, service, request.method, "/" + path),
+                resolved=resolved,
                 path="/" + path,
                 query=request.query_string,
                 body=body,
@@ -232,7 +296,8 @@
                 parent=parent,
             )
             answer = await self.run_call(call)
-        headers = {**answer.headers, "X-Request-Id": request_id}
+        record.server = answer.server
+        headers = {**answer.headers, "X-Request-Id": record.request_id}
         return Response(answer.body, answer.status, headers)
 
     async def run_call(self, call):
@@ -299,7 +364,8 @@
     async def answer_error(self, error):
         """Answer a typed error."""
         self.context.metrics.count("request.failed", label=error.kind)
-        headers = {}
+        record = g.get("record")
+        headers = {"X-Request-Id": record.request_id} if record else {}
         if error.retry_after is not None:
             headers["Retry-After"] = f"{max(1, round(error.retry_after))}"
         return {"error": error_body(error)}, error.status, headers
@@ -310,11 +376,13 @@
 
     async def answer_fault(self, error):
         """Answer a fault of this program without showing its inside."""
-        log.exception("a request failed by a fault of this program")
+        record = g.get("record")
+        facts = {"request_id": record.request_id} if record else {}
+        log.exception("a request failed by a fault of this program", extra=facts)
         fault = WasabistageError(
             "the request failed by a fault of the system",
-            remedy="retry, and report the time of this answer",
-            ran="unknown",
+            remedy="retry, and report the X-Request-Id of this answer",
+            ran=Ran.UNKNOWN,
         )
         return await self.answer_error(fault)
 
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -211,8 +211,10 @@
         server = chosen.server.name
         facts = {"server": server, "plan": str(chosen.decision.plan)}
         try:
-            with hop("engine", completion.request_id, completion.parent, **facts):
-                await self._begin(served, chosen)
+            with hop(
+                "engine", completion.request_id, completion.parent, **facts
+            ) as inner:
+                await self._begin(served, chosen, inner)
         except BaseException as error:
             self._end_attempt(served, good=False)
             await served.stream.close()
@@ -257,12 +259,12 @@
             expected=chosen.decision.pieces,
         )
 
-    async def _begin(self, served, chosen):
+    async def _begin(self, served, chosen, inner):
         decision, prompt = chosen.decision, served.prompt
         if decision.plan is Plan.FETCH:
             await self._fetch(served, decision)
         started = self.context.timers.now()
-        await served.stream.begin(self._engine_request(served))
+        await served.stream.begin(self._engine_request(served, inner))
         seconds = self.context.timers.now() - started
         tokens = max(1, prompt.tokens - decision.pieces * prompt.model.piece_tokens)
         self.routing.tell(
@@ -302,7 +304,7 @@
                 )
             )
 
-    def _engine_request(self, served):
+    def _engine_request(self, served, inner):
         completion, prompt = served.completion, served.prompt
         body = completion.body
         options = {
@@ -321,6 +323,7 @@
             piece_tokens=prompt.model.piece_tokens,
             priority=int(prompt.rank),
             options=options,
+            trace=self.context.tracer.inject(inner),
         )
 
     async def relay(self, served):
--- a/wasabistage/entry/_once.py
+++ b/wasabistage/entry/_once.py
@@ -1,6 +1,7 @@
 """The task that runs non-idempotent calls at most once."""
 
 import secrets
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -105,6 +106,7 @@
     :ivar forwarded: whether a peer waits for it.
     :ivar inquire: whether the caller only asks what became of the key.
     :ivar deadline: monotonic time after which nobody waits, in seconds.
+    :ivar handled: whether it was dispatched here or sent to the key's home.
     """
 
     call: PlainCall
@@ -112,6 +114,7 @@
     forwarded: bool
     inquire: bool
     deadline: float
+    handled: bool = False
 
 
 class OnceTask(Task):
@@ -245,6 +248,7 @@
                     self._start_dispatch(action)
                 case ForwardToHome():
                     attempt = self.attempts[action.attempt]
+                    attempt.handled = True
                     self.nursery.start_soon(self._forward, action, attempt)
                 case OnceReply():
                     self._reply(action)
@@ -255,6 +259,8 @@
             return
         if action.verdict is Verdict.UNKNOWN:
             self.metrics.count("once.unknown")
+        if action.outcome is not None and not (attempt.handled or attempt.inquire):
+            self.metrics.count("once.joined")
         if attempt.forwarded:
             attempt.reply.set(OnceAnswered(reply=action))
         elif action.outcome is not None:
@@ -287,7 +293,8 @@
             for item in action.records
         ]
         try:
-            await self.context.log.append(STREAM, records)
+            with self._append_hops(action.records):
+                await self.context.log.append(STREAM, records)
             event = AppendConfirmed(batch=action.batch)
         except UnavailableError:
             event = AppendFailed(batch=action.batch)
@@ -297,6 +304,18 @@
             self.metrics.count("log.failures")
         self.tell(event)
 
+    @contextmanager
+    def _append_hops(self, records):
+        """Measure an append for each request that waits here for one of its keys."""
+        keys = {item.key for item in records}
+        with ExitStack() as hops:
+            for attempt in self.attempts.values():
+                call = attempt.call
+                if CallKey(account=call.account.name, key=call.key) in keys:
+                    hop = self.context.tracer.hop
+                    hops.enter_context(hop("log.append", call.request_id, call.parent))
+            yield
+
     async def _read(self, start):
         try:
             page = await self.context.log.read(STREAM, start)
@@ -310,13 +329,18 @@
     def _start_dispatch(self, action):
         self.metrics.count("once.dispatched")
         attempt = self.attempts[action.attempt]
+        attempt.handled = True
         self.nursery.start_soon(self._dispatch, action, attempt.call)
 
     async def _dispatch(self, action, call):
         hop = self.context.tracer.hop("once.dispatch", call.request_id, call.parent)
         with hop as parent:
             event = await self._send(action, replace(call, parent=parent))
-        facts = {"account": action.key.account, "outcome": type(event).__name__}
+        facts = {
+            "request_id": call.request_id,
+            "account": action.key.account,
+            "outcome": type(event).__name__,
+        }
         log.info("a non-idempotent call ended", extra=facts)
         self.tell(event)
 
--- a/wasabistage/entry/_peers.py
+++ b/wasabistage/entry/_peers.py
@@ -81,8 +81,10 @@
     :param loop: the event loop.
     :param context: dict with the ``message`` and perhaps the ``exception``.
     """
-    reason = context.get("exception") or context.get("message")
-    log.error("asyncio left an error unhandled", extra={"reason": str(reason)})
+    error = context.get("exception")
+    # An exception's message may repeat what was sent.
+    reason = type(error).__name__ if error else str(context.get("message"))
+    log.error("asyncio left an error unhandled", extra={"reason": reason})
 
 
 class PeerServer:
--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -61,11 +61,13 @@
     :param status: HTTP status.
     :param headers: headers that may be passed on.
     :param body: body, bytes.
+    :param server: backend server that answered; empty if it is not known.
     """
 
     status: int
     headers: dict
     body: bytes
+    server: str = ""
 
 
 class PlainServer:
@@ -158,7 +160,8 @@
             tried=tried,
             rank=call.resolved.call.rank,
         )
-        return (await self.routing.ask(question)).server
+        with self.context.tracer.hop("routing", call.request_id, call.parent):
+            return (await self.routing.ask(question)).server
 
     async def dispatch(self, call, server, patience=None):
         """Send a call to one backend server, once.
@@ -175,8 +178,10 @@
         started = self.context.timers.now()
         hop = self.context.tracer.hop
         try:
-            with hop("service", call.request_id, call.parent, server=server.name):
-                answer = await self._send(call, server, patience)
+            with hop(
+                "service", call.request_id, call.parent, server=server.name
+            ) as inner:
+                answer = await self._send(call, server, patience, inner)
             good = answer.status < FIRST_SERVER_ERROR
         finally:
             ended = AttemptEnded(
@@ -188,8 +193,8 @@
             self.routing.tell(ended)
         return answer
 
-    async def _send(self, call, server, patience):
-        headers = dict(call.headers)
+    async def _send(self, call, server, patience, inner):
+        headers = {**call.headers, **self.context.tracer.inject(inner)}
         headers["X-Request-Id"] = call.request_id
         headers["X-Client-Account"] = call.account.name
         if call.key:
@@ -228,6 +233,7 @@
             status=answer.status_code,
             headers=pick_headers(answer.headers, PASSED_ANSWER_HEADERS),
             body=answer.content,
+            server=server.name,
         )
 
 
--- a/wasabistage/observe/_logs.py
+++ b/wasabistage/observe/_logs.py
@@ -2,10 +2,13 @@
 
 import json
 import sys
+import traceback
 from datetime import UTC, datetime
 
 import logbook
 
+MOST_CAUSES = 5
+MOST_FRAMES = 12
 LEVELS = {
     "debug": logbook.DEBUG,
     "info": logbook.INFO,
@@ -40,10 +43,28 @@
         }
         line.update(record.extra)
         if record.exc_info:
-            line["error"] = record.formatted_exception
+            line["error"] = describe_exception(record.exc_info)
         return json.dumps(line, ensure_ascii=True, default=str)
 
 
+def describe_exception(exc_info):
+    """Describe where an exception came from, without its message.
+
+    A message may repeat what a caller sent.
+
+    :param exc_info: type, exception and traceback.
+    :return: a string: the types of the exception and of its causes, innermost last,
+        each with the places that it passed.
+    """
+    parts, error = [], exc_info[1]
+    while error is not None and len(parts) < MOST_CAUSES:
+        frames = traceback.extract_tb(error.__traceback__)[-MOST_FRAMES:]
+        places = [f"{frame.filename}:{frame.lineno}" for frame in frames]
+        parts.append(" ".join([type(error).__name__, *places]))
+        error = error.__cause__ or error.__context__
+    return "; caused by ".join(parts)
+
+
 def make_log_handler(instance, level="info", path="-"):
     """Build the handler that writes the logs of one process.
 
--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -28,7 +28,6 @@
     "config.alarm": ("counter", "log records that were skipped as bad"),
     "peer.calls": ("counter", "calls sent to other entries"),
     "peer.failures": ("counter", "calls to other entries that failed"),
-    "order.sent": ("counter", "orders sent to backend servers"),
     "log.appends": ("counter", "append calls to the log service"),
     "log.failures": ("counter", "calls to the log service that failed"),
     "task.failure": ("counter", "messages whose handling failed, by task"),
@@ -141,7 +140,18 @@
 
     :return: Markdown.
     """
-    lines = ["# Metrics", "", "Sent to statsd by each entry instance.", ""]
+    lines = [
+        "# Metrics",
+        "",
+        "Each entry instance sends them to statsd, if its settings name an address,",
+        "as `PREFIX.NAME`. A meaning that ends in *by rank*, *by kind* or *by task*",
+        "has that as the last part of the name: `request.failed.overload`.",
+        "`wasabistage status --json` shows the same counters and gauges of each entry;",
+        "of a timer it shows how often it was measured.",
+        "",
+        "This page is generated; `python -m wasabistage.observe` prints it.",
+        "",
+    ]
     lines += ["| name | kind | meaning |", "|---|---|---|"]
     for name, (kind, meaning) in sorted(METRICS.items()):
         lines.append(f"| `{name}` | {kind} | {meaning} |")
--- a/wasabistage/observe/_traces.py
+++ b/wasabistage/observe/_traces.py
@@ -21,6 +21,7 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 REQUEST_ATTRIBUTE = "request_id"
+TRACE_HEADER = "traceparent"
 SPANS_PER_REQUEST = 64
 PROPAGATOR = TraceContextTextMapPropagator()
 
@@ -173,11 +174,12 @@
         """Build the headers that carry a context to the next hop.
 
         :param context: what :meth:`hop` yielded.
-        :return: a dict of headers.
+        :return: a dict of headers; ``traceparent`` alone, as further ones hold what
+            the caller wrote.
         """
         carrier = {}
         PROPAGATOR.inject(carrier, context=context)
-        return carrier
+        return {key: carrier[key] for key in (TRACE_HEADER,) if key in carrier}
 
     def close(self):
         """Write out and close."""
--- a/wasabistage/operators/_publish.py
+++ b/wasabistage/operators/_publish.py
@@ -34,6 +34,18 @@
     """
     options.setdefault("id", secrets.token_hex(PUBLICATION_ID_BYTES))
     policy = PublishPolicy(deployment, **options).reset()
+    return await run_publication(log, policy, timers, states)
+
+
+async def run_publication(log, policy, timers, states=()):
+    """Carry the actions of a publication out until its outcome is known.
+
+    :param log: a :class:`wasabistage.platform.LogClient`.
+    :param policy: a :class:`wasabistage.declarations.PublishPolicy`.
+    :param timers: a timer service.
+    :param states: folded states that running entries told.
+    :return: the outcome; see :func:`publish_deployment`.
+    """
     for state in states:
         policy.observe(PeerState(state=state), timers.now())
     while True:
--- a/wasabistage/operators/_status.py
+++ b/wasabistage/operators/_status.py
@@ -1,11 +1,13 @@
-"""Asks running entries for their status and their spans."""
+"""Asks running entries for their status, their spans and their configuration."""
 
 import trio
 import trio_asyncio
 
 from wasabistage.entry import (
+    CONFIG,
     STATUS,
     TRACE,
+    ConfigAsk,
     PeerClient,
     StatusAsk,
     TraceAsk,
@@ -39,6 +41,17 @@
     return sorted(spans, key=lambda span: span.start)
 
 
+async def read_states(addresses, peer_key):
+    """Ask entries for the configuration that they folded from the log.
+
+    :param addresses: peer addresses, ``IP:PORT``.
+    :param peer_key: the deployment's peer key.
+    :return: list of :class:`wasabistage.declarations.ConfigState`, of those who know.
+    """
+    told = await _ask_all(addresses, peer_key, CONFIG, ConfigAsk())
+    return [item.state for item in told if item is not None and item.state]
+
+
 async def _ask_all(addresses, peer_key, method, question):
     answers = [None] * len(addresses)
 
--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/platform/_engine.py
@@ -36,6 +36,7 @@
     :param piece_tokens: tokens in one piece.
     :param priority: lower is served first.
     :param options: further options passed on, such as ``temperature``.
+    :param trace: headers that carry the trace context.
     """
 
     stream_id: str
@@ -48,6 +49,7 @@
     piece_tokens: int = 0
     priority: int = 1
     options: dict = field(default_factory=dict)
+    trace: dict = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -170,6 +172,7 @@
             "piece_tokens": request.piece_tokens,
         }
         headers = {
+            **request.trace,
             "X-Request-Id": request.stream_id,
             "X-Priority": str(request.priority),
         }
--- a/wasabistage/settings/_entry.py
+++ b/wasabistage/settings/_entry.py
@@ -17,15 +17,13 @@
     Text,
     choice,
     describe_model,
-    read_ini,
-    suggest,
-    validate_section,
 )
-from wasabistage.exceptions import SettingError
+from wasabistage.settings._operator import EXAMPLE as OPERATOR_EXAMPLE
+from wasabistage.settings._operator import SECTIONS as OPERATOR_SECTIONS
+from wasabistage.settings._reading import check_peer_key, demand_good, read_settings
 
 KIB = 1 << 10
 MIB = 1 << 20
-SHORTEST_PEER_KEY = 16  # characters
 #: The least that a file must hold; stands in the reference page.
 EXAMPLE = """\
 [entry]
@@ -223,54 +221,11 @@
     :return: a tuple of :class:`EntrySettings`, or ``None``, and the sorted list of
         every :class:`wasabistage.declarations.Problem`.
     """
-    sections, problems = read_ini(path)
-    # A file that can't be read has one problem; missing sections would be noise.
-    if not sections:
-        return None, problems
-    values = {}
-    found = {section.header: section for section in sections}
-    for header, section in found.items():
-        if header not in SECTIONS:
-            problems.append(_unknown(section))
-            continue
-        model, faults = validate_section(section, SECTIONS[header])
-        problems.extend(faults)
-        values.update(model.model_dump() if model else {})
-    problems.extend(_missing(str(path), found))
-    if not problems:
-        problems.extend(_check_relations(str(path), values))
-    if problems:
-        return None, sorted(problems)
-    return EntrySettings(**values), []
-
-
-def _unknown(section):
-    return Problem(
-        file=section.file,
-        line=section.line,
-        what=f"unknown section [{ascii(section.header[:64])[1:-1]}]",
-        remedy=suggest(section.header, SECTIONS),
-    )
+    return read_settings(path, SECTIONS, EntrySettings, _check_relations)
 
 
-def _missing(file, found):
-    """Report required sections that are not there."""
-    for header, model in SECTIONS.items():
-        required = [
-            key for key, field in model.model_fields.items() if field.is_required()
-        ]
-        if header not in found and required:
-            yield Problem(
-                file=file,
-                line=0,
-                what=f"section [{header}] is missing",
-                remedy=f"add it with {', '.join(required)}",
-            )
-
-
-def _check_relations(file, values):
+def _check_relations(file, settings):
     """Check keys against each other."""
-    settings = EntrySettings(**values)
     if settings.listen == settings.peer_listen:
         yield Problem(
             file=file,
@@ -278,13 +233,7 @@
             what="listen and peer_listen are the same address",
             remedy="give each its own port",
         )
-    if len(settings.peer_key) < SHORTEST_PEER_KEY:
-        yield Problem(
-            file=file,
-            line=0,
-            what="peer_key is too short",
-            remedy=f"use {SHORTEST_PEER_KEY} random characters or more",
-        )
+    yield from check_peer_key(file, settings.peer_key)
     if settings.suspect_after <= settings.heartbeat_interval:
         yield Problem(
             file=file,
@@ -303,12 +252,7 @@
         names each of them as ``file:line: what; remedy``, a line each.
     """
     settings, problems = check_settings(path)
-    if problems:
-        raise SettingError(
-            "\n".join(str(problem) for problem in problems),
-            remedy="mend the settings and start again",
-        )
-    return settings
+    return demand_good(settings, problems, "mend the settings and start again")
 
 
 def describe_settings():
@@ -337,4 +281,17 @@
     ]
     for header, model in SECTIONS.items():
         lines.extend(describe_model(header, model))
+    lines += [
+        "# Settings of the operator's commands",
+        "",
+        "`publish`, `diff`, `status` and `trace` read them from the file that",
+        "`--settings` names.",
+        "",
+        "```ini",
+        OPERATOR_EXAMPLE.rstrip(),
+        "```",
+        "",
+    ]
+    for header, model in OPERATOR_SECTIONS.items():
+        lines.extend(describe_model(header, model))
     return "\n".join(lines).rstrip() + "\n"
