--- a/standins/service.py
+++ b/standins/service.py
@@ -79,6 +79,7 @@
             "request_id": request.headers.get("X-Request-Id", ""),
             "key": request.headers.get("Idempotency-Key", ""),
             "account": request.headers.get("X-Client-Account", ""),
+            "traceparent": request.headers.get("traceparent", ""),
             "method": request.method,
             "path": "/" + path,
         }
--- a/wasabistage/cli.py
+++ b/wasabistage/cli.py
@@ -107,7 +107,9 @@
             sys.exit(EXIT_FAULT)
         print(summarize(result.deployment))
 
-    def publish(self, folder, *, settings, wait="0", base="", any_base=False):
+    def publish(
+        self, folder, *, settings, wait="0", base="", any_base=False, timeout="20"
+    ):
         """Publish a folder of declarations.
 
         :param folder: path of the folder.
@@ -115,11 +117,13 @@
         :param wait: seconds to wait until it is in force everywhere; 0: don't wait.
         :param base: version that it must replace; none: the one in force.
         :param any_base: publish although the version in force can't be known.
+        :param timeout: seconds after which a log out of reach is given up.
         """
         seconds = parse_number(float, wait, "wait")
         options = {
             "base_version": parse_number(int, base, "base") if base else None,
             "any_base": parse_switch(any_base),
+            "timeout": parse_number(float, timeout, "timeout"),
         }
         loaded = load_operator_settings(settings)
         deployment = load_folder(folder, loaded.deployment)
--- a/wasabistage/entry/_schemas.py
+++ b/wasabistage/entry/_schemas.py
@@ -4,6 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from wasabistage.declarations import suggest
 from wasabistage.exceptions import BadRequestError
 
 LONGEST_SESSION_NAME = 200
@@ -72,7 +73,7 @@
     try:
         return model.model_validate(dict(args))
     except ValidationError as error:
-        raise _bad_request("query", error) from None
+        raise _bad_request("query", model, error) from None
 
 
 def parse_body(model, data):
@@ -86,16 +87,23 @@
     try:
         return model.model_validate_json(data)
     except ValidationError as error:
-        raise _bad_request("body", error) from None
+        raise _bad_request("body", model, error) from None
 
 
-def _bad_request(part, error):
+def _bad_request(part, model, error):
     details = error.errors(include_input=False, include_url=False)[:MOST_FAULTS]
-    faults = "; ".join(
-        f"{'.'.join(str(place) for place in item['loc']) or part}: {item['msg']}"
-        for item in details
-    )
+    faults = "; ".join(_describe(part, model, item) for item in details)
     return BadRequestError(
         f"the {part} is not valid: {ascii(faults)[1:-1][:LONGEST_FAULT]}",
         remedy="send the form that the caller's guide describes",
     )
+
+
+def _describe(part, model, item):
+    """Describe one fault; the name of an unknown field is not repeated."""
+    place, what = [str(step) for step in item["loc"]], item["msg"]
+    if item["type"] == "extra_forbidden":
+        name, known = place.pop(), model.model_fields
+        hint = f"; {suggest(name, known)}" if not place else ""
+        what = f"an unknown field{hint}"
+    return f"{'.'.join(place) or part}: {what}"
