--- a/wasabistage/client/__init__.py
+++ b/wasabistage/client/__init__.py
@@ -1,5 +1,6 @@
 """The caller's side of wasabistage, for programs that run on trio."""
 
 from wasabistage.client._client import Answer, Client, ServiceAnswer
+from wasabistage.client._error_page import describe_errors
 
-__all__ = ["Answer", "Client", "ServiceAnswer"]
+__all__ = ["Answer", "Client", "ServiceAnswer", "describe_errors"]
--- a/wasabistage/operators/tests/test_operating.py
+++ b/wasabistage/operators/tests/test_operating.py
@@ -2,6 +2,7 @@
 import io
 import json
 import os
+import re
 import shutil
 import subprocess
 import sys
@@ -159,6 +160,17 @@
         spans = self.trace(answer.headers["X-Request-Id"])
         self.check_tree(spans, ["request", "log.append", "once.dispatch", "service"])
 
+    def test_example_of_the_callers_guide(self):
+        page = (ROOT / "docs" / "user" / "callers.md").read_text(encoding="utf-8")
+        (code,) = re.findall(r"```python\n(.*?)```", page, re.DOTALL)
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            exec(code.replace("127.0.0.1", self.fleet.host), {})
+        lines = out.getvalue().splitlines()
+        self.assertRegex(lines[0], r" [0-9a-f]{32}$")
+        self.assertEqual(lines[1], "200")
+        self.assertRegex(lines[2], r"^200 [0-9a-f]{32}$")
+
     def test_status(self):
         code, out, err = self.run_process("status")
         self.assertEqual((code, err), (0, ""))
