--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,17 +1,50 @@
 """Run every unit test and report in one closing line.
 
-Tests listed in ``KNOWN-RED.txt`` may fail; they are run, printed, and passed
-over. A listed test that passes makes the run fail, so that the list stays true.
+Modules run side by side, each in a process of its own; a test that needs the machine
+for itself does not exist, since none judges by real time. Tests listed in
+``KNOWN-RED.txt`` may fail; they are run, printed, and passed over. A listed test that
+passes makes the run fail, so that the list stays true.
 """
 
 import argparse
+import json
+import os
+import subprocess
 import sys
+import tempfile
 import unittest
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-PACKAGES = ("wasabistage", "standins", "benchmarks", "tools")
+PACKAGES = ("wasabistage", "standins", "benchmarks", "tools", "binary")
+DEFAULT_WORKERS = 4
+#: Modules that take long are started first.
+SLOW = (
+    "process",
+    "golden",
+    "whole_path",
+    "binary",
+    "explore",
+    "benchmark",
+    "operating",
+)
+
+
+@dataclass
+class Outcome:
+    """What a run of tests gave.
+
+    :ivar run: number of tests run.
+    :ivar skipped: number of tests skipped.
+    :ivar bad: identifiers of the tests that failed.
+    """
+
+    run: int = 0
+    skipped: int = 0
+    bad: list = field(default_factory=list)
 
 
 def read_known_red(path):
@@ -26,23 +59,112 @@
     return {line[5:].strip() for line in lines if line.startswith("test:")}
 
 
-def load_suite(names):
-    """Collect the tests to run.
+def find_modules():
+    """List the test modules, the slow ones first.
 
-    :param names: dotted names of tests; empty for every test.
-    :return: a :class:`unittest.TestSuite`.
+    :return: a list of dotted names.
     """
-    loader = unittest.TestLoader()
-    if names:
-        return loader.loadTestsFromNames(names)
-    suite = unittest.TestSuite()
-    for package in PACKAGES:
-        suite.addTests(
-            loader.discover(
-                str(ROOT / package), pattern="test_*.py", top_level_dir=str(ROOT)
-            )
+    paths = [
+        path
+        for package in PACKAGES
+        for path in (ROOT / package).rglob("test_*.py")
+        if "tests" in path.parts
+    ]
+    names = [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
+
+    def order(name):
+        stem = name.rpartition(".")[2]
+        return not any(word in stem for word in SLOW), name
+
+    return sorted(names, key=order)
+
+
+def run_here(names, verbose, report):
+    """Run tests in this process.
+
+    :param names: dotted names of modules or tests.
+    :param verbose: whether to name each test.
+    :param report: path for the :class:`Outcome` as JSON; empty for none.
+    :return: the :class:`Outcome`.
+    """
+    suite = unittest.TestLoader().loadTestsFromNames(names)
+    result = unittest.TextTestRunner(verbosity=2 if verbose else 1).run(suite)
+    failed = [case.id() for case, _ in result.failures + result.errors]
+    failed += [case.id() for case in result.unexpectedSuccesses]
+    outcome = Outcome(
+        run=result.testsRun, skipped=len(result.skipped), bad=sorted(set(failed))
+    )
+    if report:
+        Path(report).write_text(json.dumps(asdict(outcome)), encoding="utf-8")
+    return outcome
+
+
+def run_apart(name, verbose):
+    """Run one module in a process of its own.
+
+    :param name: dotted name of the module.
+    :param verbose: whether to name each test.
+    :return: the :class:`Outcome` and what was printed.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "outcome.json"
+        command = [sys.executable, "-m", "tools.run_tests", name, "--report", report]
+        if verbose:
+            command.append("--verbose")
+        done = subprocess.run(
+            command, cwd=ROOT, capture_output=True, text=True, check=False
         )
-    return suite
+        printed = done.stdout + done.stderr
+        if not report.exists():
+            return Outcome(bad=[f"{name} (ended without a result)"]), printed
+        data = json.loads(report.read_text(encoding="utf-8"))
+    return Outcome(**data), printed
+
+
+def run_all(workers, verbose):
+    """Run every test module.
+
+    :param workers: modules run at a time.
+    :param verbose: whether to name each test.
+    :return: the :class:`Outcome` of all.
+    """
+    total = Outcome()
+    modules = find_modules()
+    with ThreadPoolExecutor(workers) as pool:
+        results = pool.map(lambda name: run_apart(name, verbose), modules)
+        for name, (outcome, printed) in zip(modules, results, strict=True):
+            print(f"{name}: {outcome.run} run, {len(outcome.bad)} failed", flush=True)
+            if outcome.bad or verbose:
+                print(printed, flush=True)
+            total.run += outcome.run
+            total.skipped += outcome.skipped
+            total.bad += outcome.bad
+    return total
+
+
+def judge(outcome, known, complete):
+    """Print the closing lines and decide on the exit code.
+
+    :param outcome: the :class:`Outcome` of all tests.
+    :param known: identifiers of the tests that may fail.
+    :param complete: whether every test was run.
+    :return: exit code, 0 when only tests of ``KNOWN-RED.txt`` failed.
+    """
+    bad = set(outcome.bad)
+    healed = known - bad if complete else set()
+    for name in sorted(bad & known):
+        print(f"known red: {name}")
+    for name in sorted(bad - known):
+        print(f"failed: {name}")
+    for name in sorted(healed):
+        print(f"listed in KNOWN-RED.txt but did not fail: {name}")
+    failed = len(bad - known) + len(healed)
+    if outcome.run == 0:
+        failed += 1
+        print("no test was found")
+    passed = outcome.run - len(bad) - outcome.skipped
+    print(f"{passed} passed, {failed} failed, {outcome.skipped} skipped")
+    return 1 if failed else 0
 
 
 def main(argv=None):
@@ -52,30 +174,17 @@
     :return: exit code, 0 when only tests of ``KNOWN-RED.txt`` failed.
     """
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("names", nargs="*", help="dotted test names")
+    parser.add_argument("names", nargs="*", help="dotted test names; none for all")
     parser.add_argument("-v", "--verbose", action="store_true")
+    parser.add_argument("--report", default="", help=argparse.SUPPRESS)
+    workers = min(DEFAULT_WORKERS, os.cpu_count() or 1)
+    parser.add_argument("-j", "--workers", type=int, default=workers)
     options = parser.parse_args(argv)
-    runner = unittest.TextTestRunner(verbosity=2 if options.verbose else 1)
-    result = runner.run(load_suite(options.names))
-
     known = read_known_red(KNOWN_RED)
-    bad = {case.id() for case, _ in result.failures + result.errors}
-    bad |= {case.id() for case in result.unexpectedSuccesses}
-    red = bad & known
-    healed = set()
-    if not options.names:
-        healed = known - bad
-    for name in sorted(red):
-        print(f"known red: {name}")
-    for name in sorted(healed):
-        print(f"listed in KNOWN-RED.txt but did not fail: {name}")
-    failed = len(bad - known) + len(healed)
-    passed = result.testsRun - len(bad) - len(result.skipped)
-    if result.testsRun == 0:
-        failed = 1
-        print("no test was found")
-    print(f"{passed} passed, {failed} failed, {len(result.skipped)} skipped")
-    return 1 if failed else 0
+    if options.names:
+        outcome = run_here(options.names, options.verbose, options.report)
+        return judge(outcome, known, complete=False)
+    return judge(run_all(options.workers, options.verbose), known, complete=True)
 
 
 if __name__ == "__main__":
--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/platform/_engine.py
@@ -192,16 +192,16 @@
     async def _open(self, method, url, **options):
         try:
             async with self.client.stream(method, url, **options) as answer:
-                _check_status(url, answer.status_code)
+                _check_status(answer.status_code)
                 yield _frames(answer)
         except NOT_SENT as error:
             raise UnavailableError(
-                f"no connection to the engine at {self.address}",
+                "no connection to the model engine",
                 remedy="another backend server is tried",
             ) from error
         except httpx.HTTPError as error:
             raise OutcomeUnknownError(
-                f"the engine at {self.address} broke off: {type(error).__name__}",
+                f"the model engine broke off: {type(error).__name__}",
                 remedy="resume the stream, or send the prompt again",
                 ran=Ran.UNKNOWN,
             ) from error
@@ -294,15 +294,16 @@
         return await call_json(self.client, "POST", url, json=body, timeout=timeout)
 
 
-def _check_status(url, status):
+def _check_status(status):
     if status == 404:
         raise NotFoundError(
-            f"{url} does not hold what was asked for",
+            "the model engine does not hold this version or stream",
             remedy="send the whole prompt again",
         )
     if status >= 400:
         raise UnavailableError(
-            f"{url} answered {status}", remedy="another backend server is tried"
+            f"the model engine answered {status}",
+            remedy="another backend server is tried",
         )
 
 
