Leave the hop to a key's home out of the golden files

Cause: an entry that has already read the outcome from the log answers by itself, so the hop was there in one of three comparisons and not in the others. Ruled out: a late span (reads stayed equal for 0.3 s). Change: that hop is left out; the process tests prove forwarding.

--- a/tools/golden.py
+++ b/tools/golden.py
@@ -30,6 +30,8 @@
 DEPLOYMENTS = ("padavu", "luminosos")
 ENTRIES = 2
 PIECES = 2
+#: An entry that has read the outcome from the log answers without its home.
+HOPS_LEFT_OUT = ("once.forward",)
 CALM_READS = 3
 CALM_SECONDS = 0.1
 TIMEOUT_SECONDS = 30.0
@@ -247,7 +249,11 @@
         request_id = answer.headers.get("x-request-id")
         if request_id is None:
             return []
-        spans = self._settled_spans(request_id)
+        spans = [
+            span
+            for span in self._settled_spans(request_id)
+            if span.name not in HOPS_LEFT_OUT
+        ]
         known = {span.span_id for span in spans}
         roots = [span for span in spans if span.parent_id not in known]
         return self._tree(roots, spans, 0)
