Show waiting requests and the relay of an answer; name ten faults at once

Cause: status told nothing of the queue of admission, and a trace ended at an answer's first frame. Change: StatusTold.waiting, a span `relay` from the first frame to the end mark, a test that `check` names ten different faults in one folder.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -30,6 +30,7 @@
     config_doubtful=False,
     everywhere=True,
     running=0,
+    waiting=0,
     members=(),
     servers=(),
     metrics={},
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -332,12 +332,15 @@
         :param served: what :meth:`open` returned.
         :return: asynchronous iterator of bytes.
         """
-        stream = served.stream
+        stream, completion = served.stream, served.completion
         self.open_streams.add(stream)
         finished = False
+        hop = self.context.tracer.hop
+        facts = {"server": stream.server.name}
         try:
-            async for event in stream.events():
-                yield event
+            with hop("relay", completion.request_id, completion.parent, **facts):
+                async for event in stream.events():
+                    yield event
             finished = True
         finally:
             self.open_streams.discard(stream)
--- a/wasabistage/entry/_status.py
+++ b/wasabistage/entry/_status.py
@@ -47,6 +47,7 @@
             config_doubtful=bool(in_force and in_force.doubtful),
             everywhere=bool(everywhere),
             running=self.app.running,
+            waiting=len(self.app.plain.admission.waiting),
             members=tuple(_member(item) for item in self.gossip.view.value.members),
             servers=tuple(_server(*item) for item in servers),
             metrics=dict(self.context.metrics.values),
--- a/wasabistage/entry/_wire.py
+++ b/wasabistage/entry/_wire.py
@@ -153,6 +153,7 @@
     :param config_doubtful: whether a newer version may exist.
     :param everywhere: whether every live entry reported that version.
     :param running: requests under way.
+    :param waiting: requests among them that wait to be admitted.
     :param members: the entries as it sees them.
     :param servers: the backend servers as it sees them.
     :param metrics: its counters and gauges.
@@ -166,6 +167,7 @@
     config_doubtful: bool
     everywhere: bool
     running: int
+    waiting: int
     members: tuple[MemberStatus, ...]
     servers: tuple[ServerStatus, ...]
     metrics: dict[str, float]
--- a/wasabistage/operators/_report.py
+++ b/wasabistage/operators/_report.py
@@ -43,10 +43,12 @@
 
 
 def _entry_rows(pairs):
-    rows = [["entry", "peer address", "domain", "phase", "version", "requests"]]
+    rows = [
+        ["entry", "peer address", "domain", "phase", "version", "requests", "waiting"]
+    ]
     for address, status in pairs:
         if status is None:
-            rows.append(["?", address, "", NO_ANSWER, "", ""])
+            rows.append(["?", address, "", NO_ANSWER, "", "", ""])
             continue
         version = f"{status.config_version}{'?' if status.config_doubtful else ''}"
         rows.append(
@@ -57,6 +59,7 @@
                 status.phase,
                 version,
                 str(status.running),
+                str(status.waiting),
             ]
         )
     return rows
--- a/wasabistage/operators/tests/test_commands.py
+++ b/wasabistage/operators/tests/test_commands.py
@@ -35,6 +35,47 @@
 entries = 127.0.0.1:2, 127.0.0.1:3
 peer_key = 0123456789abcdef
 """
+FAULTY = """\
+[deployment]
+name = padavu
+failure_domains = kochi-a
+
+[service shop]
+kind = plane
+color = red
+
+[call shop.buy]
+rank = first
+deadline = 5 weeks
+
+[call shap.buy]
+method = POST
+
+[account a]
+key = open-sesame
+
+[server s]
+address = example.org:1
+failure_domain = kochi-z
+kind = plain
+
+[servr t]
+
+[rank urgent]
+floor = 2
+"""
+FAULTS = (
+    (6, "'plane' is not known"),
+    (7, "unknown key 'color'"),
+    (10, "rank: 'first' is not known"),
+    (11, "'5 weeks' is not a duration"),
+    (13, "unknown service 'shap'"),
+    (16, "'key_hashes' is missing"),
+    (17, "would publish a bearer key"),
+    (20, "'example.org:1' does not start with an IP number"),
+    (24, r"unknown section \[servr t\]"),
+    (27, "floor: input should be less than or equal to 1"),
+)
 CHANGE = Change(
     kind=ChangeKind.CHANGED, section="model", name="a", key="version", old="1", new="2"
 )
@@ -51,6 +92,7 @@
         "config_doubtful": False,
         "everywhere": True,
         "running": 4,
+        "waiting": 2,
         "members": (
             MemberStatus(instance="entry-2", state="gone", age=9.0, config_version=1),
         ),
@@ -165,6 +207,18 @@
         self.assertRegex(out, r"x\.ini:1: unknown section \[operator\]; did you mean")
         self.assertTrue(out.endswith(" faults\n"))
 
+    def test_check_names_ten_faults_of_ten_kinds_at_once(self):
+        folder = self.settings.parent
+        self.settings.unlink()
+        (folder / "a.ini").write_text(FAULTY, encoding="utf-8")
+        code, out, _ = self.run_command("check", folder)
+        lines = out.splitlines()
+        self.assertEqual((code, lines[-1]), (1, "10 faults"))
+        self.assertEqual(len(lines), 11)
+        self.assertNotIn("open-sesame", out)
+        for line, (number, text) in zip(lines, FAULTS, strict=False):
+            self.assertRegex(line, rf"a\.ini:{number}: .*{text}.*; .+")
+
     def test_publish_tells_each_outcome_by_its_exit_code(self):
         late = NotAccepted(reason="no log", remedy="retry", may_take_effect=False)
         cases = (
@@ -230,7 +284,7 @@
         )
         self.assertEqual(code, 0)
         for expected in (
-            r"entry-1 +127\.0\.0\.1:2 +kochi-a +serving +3 +4",
+            r"entry-1 +127\.0\.0\.1:2 +kochi-a +serving +3 +4 +2",
             r"\? +127\.0\.0\.1:3 +no answer",
             r"engine-1 +ready +2 +1 +clue@2026-05",
             "entry-1 sees entry entry-2 as gone",
--- a/wasabistage/operators/tests/test_operating.py
+++ b/wasabistage/operators/tests/test_operating.py
@@ -87,6 +87,15 @@
         self.assertEqual((code, err), (0, ""))
         return json.loads(out)
 
+    def trace_with(self, request_id, name):
+        """Wait for the span of a hop that ends after the answer has arrived."""
+        end = time.monotonic() + WAIT_SECONDS
+        while time.monotonic() < end:
+            spans = self.trace(request_id)
+            if any(span["name"] == name for span in spans):
+                return spans
+        return self.fail(f"no span {name}")
+
     def check_tree(self, spans, expected):
         """Check that spans form one tree of one trace with these hops."""
         self.assertEqual(len({span["trace_id"] for span in spans}), 1)
@@ -121,7 +130,7 @@
 
     def test_spans_of_a_completion(self):
         answer = self.complete()
-        spans = self.trace(answer.headers["X-Request-Id"])
+        spans = self.trace_with(answer.headers["X-Request-Id"], "relay")
         self.check_tree(spans, ["request", "admission", "routing", "engine"])
         code, out, _ = self.run_process("trace", answer.headers["X-Request-Id"])
         self.assertEqual(code, 0)
