Enforce the bound on open streams

Cause: max_streams stood in the settings and nothing read it; a stream leaves the bound on requests once its first frame is there, so streams were unbounded. Ruled out: counting streams among max_requests, which would let long answers refuse short calls. Change: a completion or a resume beyond max_streams is refused as overload, before anything is run. Tests: test_stream_bound, test_whole_path, test_operating pass.

--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -24,6 +24,7 @@
 from wasabistage.exceptions import (
     DeadlineError,
     NotFoundError,
+    OverloadError,
     TooLargeError,
     UnavailableError,
     WasabistageError,
@@ -147,6 +148,18 @@
         self.gossip = gossip
         self.open_streams = set()
 
+    def check_room(self):
+        """Refuse another stream beyond the bound.
+
+        :raises OverloadError: if as many streams are open as may be.
+        """
+        if len(self.open_streams) >= self.context.settings.max_streams:
+            raise OverloadError(
+                "this entry has as many streams open as it may",
+                remedy="use the next entry of the answer",
+                retry_after=1.0,
+            )
+
     async def open(self, completion):
         """Admit a completion, find a server and wait for the first frame.
 
@@ -154,6 +167,7 @@
         :return: a :class:`Served`.
         :raises WasabistageError: if it was refused or no server answered.
         """
+        self.check_room()
         prompt = describe_prompt(completion)
         call = completion.resolved.call
         deadline_at = self.context.timers.now() + call.deadline
@@ -401,6 +415,7 @@
         :return: an :class:`EngineStream`.
         :raises NotFoundError: if no such stream of this account is known.
         """
+        self.check_room()
         stream_id = parse_stream_id(text)
         deployment = self.context.config.value.deployment
         server = deployment.servers.get(stream_id.server)
