--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -10,7 +10,7 @@
 
 from wasabistage.base import Ran
 from wasabistage.entry._accounts import AccountDirectory
-from wasabistage.entry._cache import SessionAnnounced
+from wasabistage.entry._cache_messages import SessionAnnounced
 from wasabistage.entry._calls import resolve_completion, resolve_plain
 from wasabistage.entry._completions import Completion
 from wasabistage.entry._frames import error_body
@@ -122,6 +122,19 @@
         guarded.__name__ = handler.__name__
         return guarded
 
+    def count_work(self):
+        """Count what is under way, for the status.
+
+        :return: numbers by metric name; all are 0 while nothing runs.
+        """
+        admitted = self.plain.admission.policy.limiter_.running_
+        return {
+            "work.requests": self.running,
+            "work.streams": len(self.completions.open_streams),
+            "work.admitted": sum(admitted.values()),
+            "work.attempts": len(self.once.attempts),
+        }
+
     async def run_bounded(self, handler, arguments):
         """Run a handler, unless too many requests run.
 
--- a/wasabistage/routing/_estimate.py
+++ b/wasabistage/routing/_estimate.py
@@ -110,6 +110,7 @@
         self.open_ = OrderedDict()
         self.peer_events_ = 0
         self.usual_, self.usual_at_ = self.prefill_rate, float("-inf")
+        self.learned_usual_, self.learned_at_ = 0.0, float("-inf")
         self.links_ = {}
         self.queues_ = {}
         return self
@@ -219,8 +220,10 @@
             return
         if event.store not in self.links_ and len(self.links_) >= MAX_LINKS:
             return
-        rate = self.links_.get(event.store, self.link_rate)
-        self.links_[event.store] = _blend(rate, event.size / event.seconds, self.gain)
+        sample = event.size / event.seconds
+        # The first measurement replaces the guess, which may be far off.
+        rate = self.links_.get(event.store, sample)
+        self.links_[event.store] = _blend(rate, sample, self.gain)
 
     def _take_queue(self, event, now):
         if event.store in self.queues_ or len(self.queues_) < MAX_LINKS:
@@ -238,17 +241,31 @@
         """
         load = self._server(server)
         if load.learned == float("-inf"):
-            return load.rate
+            # A server that has done nothing must not look worse than its peers.
+            return max(load.rate, self._learned_usual(now))
         kept = 0.5 ** (max(0.0, now - load.learned) / self.half_life)
         return load.rate**kept * self._usual(now) ** (1.0 - kept)
 
     def _usual(self, now):
         """Return the servers' median rate, worked out once a second at most."""
         if now - self.usual_at_ >= USUAL_PERIOD:
-            self.usual_ = median(item.rate for item in self.servers_.values())
+            rates = [item.rate for item in self.servers_.values()]
+            self.usual_ = median(rates)
             self.usual_at_ = now
         return self.usual_
 
+    def _learned_usual(self, now):
+        """Return the median rate of the servers learned of; 0 without one."""
+        if now - self.learned_at_ >= USUAL_PERIOD:
+            rates = [
+                item.rate
+                for item in self.servers_.values()
+                if item.learned > float("-inf")
+            ]
+            self.learned_usual_ = median(rates) if rates else 0.0
+            self.learned_at_ = now
+        return self.learned_usual_
+
     def backlog(self, server, now):
         """Return the prompt tokens that stand before a new request.
 
