Name the endpoint in a request's log line; log requests for unknown paths

Cause: looking at a running deployment, lines of GET /v1/entries did not say what was asked, and a request for an unknown path left no line. Tests: test_operating, test_whole_path, test_docs pass (13).

--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -108,8 +108,7 @@
 
         async def guarded(**arguments):
             now = self.context.timers.now
-            record = RequestRecord(request_id=new_request_id(), started=now())
-            g.record = record
+            record = g.record = self.make_record(handler.__name__)
             try:
                 answer = await self.run_bounded(handler, arguments)
             except BaseException as error:
@@ -135,6 +134,17 @@
             "work.attempts": len(self.once.attempts),
         }
 
+    def make_record(self, endpoint=""):
+        """Build the log record of a request that arrives now.
+
+        :param endpoint: name of its handler; empty for an unknown path.
+        :return: a :class:`RequestRecord`.
+        """
+        started = self.context.timers.now()
+        return RequestRecord(
+            request_id=new_request_id(), started=started, endpoint=endpoint
+        )
+
     async def run_bounded(self, handler, arguments):
         """Run a handler, unless too many requests run.
 
@@ -385,7 +395,12 @@
 
     async def answer_http_error(self, error):
         """Answer an error that the HTTP library found."""
-        return await self.answer_error(translate_http_error(error))
+        known = translate_http_error(error)
+        if not g.get("record"):
+            # No handler took the request, so nothing has logged it.
+            g.record = self.make_record()
+            g.record.write(self.context.timers.now(), known.status, known.kind)
+        return await self.answer_error(known)
 
     async def answer_fault(self, error):
         """Answer a fault of this program without showing its inside."""
--- a/wasabistage/entry/_request_log.py
+++ b/wasabistage/entry/_request_log.py
@@ -11,6 +11,7 @@
 #: Status of a request whose caller left before an answer began; none was sent.
 NO_STATUS = 0
 FAULT_STATUS = 500
+NAMES = ("request_id", "endpoint", "account", "service", "call", "rank", "server")
 log = make_logger("request")
 
 
@@ -20,6 +21,7 @@
 
     :ivar request_id: identifier of the request.
     :ivar started: monotonic time of its arrival, in seconds.
+    :ivar endpoint: name of the handler; empty for an unknown path.
     :ivar account: name of the client account; empty until it is known.
     :ivar service: name of the service.
     :ivar call: name of the call.
@@ -30,6 +32,7 @@
 
     request_id: str
     started: float
+    endpoint: str = ""
     account: str = ""
     service: str = ""
     call: str = ""
@@ -53,8 +56,7 @@
         :param status: HTTP status.
         :param kind: kind of the error; ``ok`` for none.
         """
-        named = ("request_id", "account", "service", "call", "rank", "server")
-        facts = {name: getattr(self, name) for name in named if getattr(self, name)}
+        facts = {name: getattr(self, name) for name in NAMES if getattr(self, name)}
         facts |= {
             "status": status,
             "kind": kind,
--- a/wasabistage/operators/tests/test_operating.py
+++ b/wasabistage/operators/tests/test_operating.py
@@ -242,6 +242,7 @@
                 headers={"Authorization": f"Bearer {SECRET}"},
             ),
             self.http.get(self.url(1, f"/v1/streams/{SECRET}")),
+            self.http.get(self.url(1, f"/{SECRET}")),
         ]
         spans = []
         for answer in answers:
