--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -299,18 +299,31 @@
             raise RuntimeError(f"entries {sorted(waiting)} do not serve")
 
     def _serves(self, index):
-        """Tell whether an entry answers an idempotent call of a plain service."""
+        """Tell whether an entry answers a call of each kind of service."""
+        kinds = {}
         for service in self.deployment.services.values():
             for call in service.calls.values():
-                if service.kind is ServiceKind.PLAIN and call.idempotent:
-                    path = call.path.replace("/*", "/ready")
-                    url = f"http://{self.entry_address(index)}/v1/services/"
-                    url += service.name + path
-                    key = f"demo-{next(iter(self.deployment.accounts))}-key"
-                    headers = {"Authorization": f"Bearer {key}"}
-                    answer = self.http.request(call.method, url, headers=headers)
-                    return answer.status_code == 200
-        return True
+                if service.kind is ServiceKind.MODEL or call.idempotent:
+                    kinds.setdefault(service.kind, (service, call))
+        try:
+            return all(self._answers(index, *item) for item in kinds.values())
+        except httpx.HTTPError:
+            return False
+
+    def _answers(self, index, service, call):
+        """Tell whether an entry answers one idempotent call."""
+        key = f"demo-{next(iter(self.deployment.accounts))}-key"
+        headers = {"Authorization": f"Bearer {key}"}
+        url = f"http://{self.entry_address(index)}"
+        if service.kind is ServiceKind.MODEL:
+            url += "/v1/chat/completions"
+            messages = [{"role": "user", "content": "ready?"}]
+            body = {"model": service.name, "messages": messages, "max_tokens": 1}
+            answer = self.http.post(url, headers=headers, json=body)
+        else:
+            url += f"/v1/services/{service.name}" + call.path.replace("/*", "/ready")
+            answer = self.http.request(call.method, url, headers=headers)
+        return answer.status_code == 200
 
     def spawn(self, name):
         """Start one process.
--- a/wasabistage/entry/__init__.py
+++ b/wasabistage/entry/__init__.py
@@ -6,10 +6,19 @@
 from wasabistage.entry._peers import PeerClient, log_loop_error
 from wasabistage.entry._process import run_entry
 from wasabistage.entry._timer import Tick, TimerService, TrioTimerService
-from wasabistage.entry._wire import STATUS, TRACE, StatusAsk, TraceAsk
+from wasabistage.entry._wire import (
+    CONFIG,
+    STATUS,
+    TRACE,
+    ConfigAsk,
+    StatusAsk,
+    TraceAsk,
+)
 
 __all__ = [
+    "CONFIG",
     "CONFIG_STREAM",
+    "ConfigAsk",
     "ONCE_STREAM",
     "PeerClient",
     "STATUS",
--- a/wasabistage/entry/_app.py
+++ b/wasabistage/entry/_app.py
@@ -9,6 +9,7 @@
 
 from wasabistage.base import Ran
 from wasabistage.entry._accounts import AccountDirectory
+from wasabistage.entry._border import WholeEnds
 from wasabistage.entry._cache import SessionAnnounced
 from wasabistage.entry._calls import resolve_completion, resolve_plain
 from wasabistage.entry._completions import Completion
@@ -91,6 +92,7 @@
         app.register_error_handler(WasabistageError, self.answer_error)
         app.register_error_handler(HTTPException, self.answer_http_error)
         app.register_error_handler(Exception, self.answer_fault)
+        app.asgi_app = WholeEnds(app.asgi_app)
         return app
 
     def guard(self, handler):
--- a/wasabistage/entry/tests/test_process_isolation.py
+++ b/wasabistage/entry/tests/test_process_isolation.py
@@ -192,6 +192,19 @@
         # The entries outlived it.
         self.assertEqual([bool(item) for item in self.status()], [True, True])
 
+    def test_a_refused_caller_s_connection_goes_on_or_ends(self):
+        host, _, port = self.fleet.entry_address(1).rpartition(":")
+        head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+        for more in ("", "Connection: close\r\n"):
+            with socket.create_connection((host, int(port)), CALL_SECONDS) as link:
+                link.settimeout(CALL_SECONDS)
+                # The body never comes; the refusal does, and then the end.
+                link.sendall(f"{head}{more}\r\n".encode())
+                answer = b""
+                while part := link.recv(65536):
+                    answer += part
+            self.assertIn(b" 401 ", answer.split(b"\r\n")[0] + b" ")
+
     def _send_raw(self, method, target):
         """Send a request as it is written, without a client that cleans it."""
         host, _, port = self.fleet.entry_address(1).rpartition(":")
