--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -21,6 +21,7 @@
     :ivar cross_ids: answer streams carry a foreign request id.
     :ivar late_effect: seconds after which an append to the log takes effect though
         503 was answered at once; 0 for none.
+    :ivar full: a store takes no further pieces.
     """
 
     down: bool = False
@@ -31,6 +32,7 @@
     cut_after: int = 0
     cross_ids: bool = False
     late_effect: float = 0.0
+    full: bool = False
 
 
 def install_faults(app):
--- a/standins/store.py
+++ b/standins/store.py
@@ -102,7 +102,7 @@
     """
     app = QuartTrio("store")
     app.config["MAX_CONTENT_LENGTH"] = 64 << 20
-    install_faults(app)
+    faults = install_faults(app)
     tiers = Tiers(memory, disk)
     commits = {}
     link = trio.Lock()
@@ -118,7 +118,7 @@
         data = await request.get_data()
         await carry(len(data))
         state["bytes_in"] += len(data)
-        piece = tiers.put(key, data)
+        piece = None if faults.full else tiers.put(key, data)
         if piece is None:
             return {"error": "full"}, FULL_STATUS
         digest = hashlib.sha256(data).hexdigest()
