--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY := $(VENV)/bin/python
 DEPLOYMENT ?= padavu
 
-.PHONY: setup test lint format demo clean
+.PHONY: setup test lint format demo proofs clean
 
 setup: $(VENV)/.ready
 
@@ -16,6 +16,9 @@
 test: setup
 	$(PY) -m tools.run_tests
 
+proofs: setup
+	$(PY) -m tools.proofs
+
 lint: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/standins/unsafe_entry.py
+++ b/standins/unsafe_entry.py
@@ -7,19 +7,33 @@
 from unittest.mock import patch
 
 from wasabistage.declarations import ConfigFold, PeerState
-from wasabistage.entry import _cache, _calls, _completions, _plain, _process, _relay
+from wasabistage.entry import (
+    _app,
+    _cache,
+    _calls,
+    _completions,
+    _plain,
+    _process,
+    _relay,
+)
 from wasabistage.entry._streams import CallerLeft, StreamsTask
 from wasabistage.membership import BackendMembership
 from wasabistage.once import UncheckedPolicy
 from wasabistage.sessions import FrameCheck
 from wasabistage.settings import load_settings
 
-FIXED = "0" * 32
+
+class UncheckedTickets(UncheckedPolicy):
+    """Gives tickets, and dispatches each attempt with one all the same."""
+
+    def decide(self, query, now):
+        """Answer with as many tickets as were asked for."""
+        return tuple(nonce.hex() for nonce in query.nonces)
 
 
 def without_once():
     """Dispatch each attempt of a key."""
-    policy = UncheckedPolicy().reset()
+    policy = UncheckedTickets().reset()
     return patch.object(_process.OnceTask, "_make_policy", lambda task: policy)
 
 
@@ -69,6 +83,11 @@
     return patch.object(_plain, "safe_path", lambda path: path)
 
 
+def without_ends():
+    """Let the last part of an answer be cancelled."""
+    return patch.object(_app, "WholeEnds", lambda application: application)
+
+
 def without_pieces():
     """Import each piece that a store returns."""
     return patch.object(
--- a/wasabistage/entry/tests/test_process_once.py
+++ b/wasabistage/entry/tests/test_process_once.py
@@ -89,6 +89,23 @@
         refused = self.bought.refused & set(tickets + own)
         self.assertEqual(len(run) + len(refused), 2 * EACH)
 
+    def test_refused_by_admission(self):
+        """More calls than the account may run at a time, each sent at two entries."""
+        before = len(self.bought.refused)
+        trio.run(self._flood)
+        self.assertGreater(len(self.bought.refused), before)
+
+    async def _flood(self):
+        async with httpx.AsyncClient(
+            headers=bearer("support"), timeout=CALL_SECONDS, trust_env=False
+        ) as http:
+            tickets = await self.bought.tickets(http, HOME, 4 * EACH)
+            keys = tickets + [own_key() for _ in range(4 * EACH)]
+            async with trio.open_nursery() as nursery:
+                for entry in (HOME, *OTHERS):
+                    for key in keys:
+                        nursery.start_soon(self.bought.attempt, http, entry, key)
+
     def test_home_killed(self):
         strike = partial(self.fleet.kill, "entry-1")
         self.play(strike, partial(self.fleet.restart, "entry-1"))
