Send orders to backend servers from the entry process

Change: RolloutTask follows the `orders` stream with long polls, declares the targets of the configuration in force, carries out reads, appends and orders, and gives its grants back on drain. An order asks `may_send` when it is connected and right before its body leaves; without the body no server can carry it out. A target names all models of a server, since engines serve several; a further model or adapter does no harm. The age of a load report comes from its sequence number: a report that follows another one was made after the question which the other one answered. The number of slots follows the declared parallel_loads; the fold takes any slot number below 64, so that entries with different configurations fold the same log alike.

A request whose declared version no server has loaded yet waits up to `version_wait` (5 s, and its deadline) instead of failing; if another version is declared meanwhile, it takes that one. A server that answers that it lacks the version isn't counted as failing.

Ruled out: one slot per model and server (two grants for one server at a time would make it refuse the lower fencing number over and over); the largest lag of reports as a setting (nobody knows it).

The control NoCorrection of the explored schedules remembered orders per instance; with one instance working at a time another one corrected the late order. It now counts any grant in the log as done, which switches the mechanism off for all instances.

--- a/wasabistage/entry/_attempts.py
+++ b/wasabistage/entry/_attempts.py
@@ -3,10 +3,13 @@
 import trio
 
 from wasabistage.base import Ran
-from wasabistage.entry._routing import AskRetry
+from wasabistage.entry._routing import AskRetry, VersionPendingError
 from wasabistage.exceptions import OverloadError, UnavailableError, WasabistageError
 from wasabistage.retries import Failure, FreshRequest
 
+#: Time between two looks whether a server has loaded the declared version.
+VERSION_LOOK_SECONDS = 0.05
+
 
 def classify(error):
     """Tell how an attempt failed.
@@ -34,11 +37,18 @@
     :raises WasabistageError: the error of the last attempt.
     """
     routing.tell(FreshRequest(service=resolved.service.name))
+    now = context.timers.now
+    wait_until = min(deadline_at, now() + context.settings.version_wait)
     tried = ()
     while True:
         server, result = await attempt(tried)
         if not isinstance(result, WasabistageError):
             return result
+        if isinstance(result, VersionPendingError) and now() < wait_until:
+            # The first server loads within a moment; failing would only move the
+            # wait to the caller.
+            await trio.sleep(VERSION_LOOK_SECONDS)
+            continue
         if not server:
             raise result
         tried += (server,)
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -1,7 +1,7 @@
 """Serves chat completions: admit, route, fetch pieces, relay."""
 
 import secrets
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -18,7 +18,12 @@
 )
 from wasabistage.entry._gossip import StreamResumed
 from wasabistage.entry._relay import EngineStream
-from wasabistage.entry._routing import AttemptEnded, ChooseServer
+from wasabistage.entry._routing import (
+    AttemptEnded,
+    ChooseServer,
+    VersionMissing,
+    VersionPendingError,
+)
 from wasabistage.entry._streams import CallerLeft
 from wasabistage.entry._task import Reply
 from wasabistage.exceptions import (
@@ -193,12 +198,25 @@
 
     async def _attempt_all(self, completion, prompt, deadline_at):
         async def attempt(tried):
-            return await self._attempt(completion, prompt, tried)
+            current = self._renew(completion, prompt)
+            return await self._attempt(completion, current, tried)
 
         return await run_attempts(
             self.context, self.routing, completion.resolved, deadline_at, attempt
         )
 
+    def _renew(self, completion, prompt):
+        """Name the pieces anew if another weight version was declared meanwhile.
+
+        No server may load the old version any more, and nothing of the answer has
+        run yet.
+        """
+        declared = self.context.config.value.deployment.models.get(prompt.model.name)
+        if declared is None or declared.version == prompt.model.version:
+            return prompt
+        resolved = replace(completion.resolved, model=declared)
+        return describe_prompt(replace(completion, resolved=resolved))
+
     async def _attempt(self, completion, prompt, tried):
         """Try one server; return its name and the result or the error."""
         attempt_id = secrets.token_hex(ATTEMPT_BYTES)
@@ -213,6 +231,8 @@
         try:
             with hop("engine", completion.request_id, completion.parent, **facts):
                 await self._begin(served, chosen)
+        except NotFoundError:
+            return server, await self._miss_version(served)
         except BaseException as error:
             self._end_attempt(served, good=False)
             await served.stream.close()
@@ -223,6 +243,18 @@
             raise
         return server, served
 
+    async def _miss_version(self, served):
+        """Note that a server swapped weights after its last report."""
+        model, server = served.prompt.model, served.stream.server.name
+        self._end_attempt(served, good=True)
+        await served.stream.close()
+        self.routing.tell(VersionMissing(server=server, model=model.name))
+        return VersionPendingError(
+            f"backend server {server} does not hold version {model.version}",
+            remedy="retry later; a rollout is under way",
+            retry_after=1.0,
+        )
+
     async def _choose(self, completion, prompt, tried, attempt_id):
         found = await self.cache.ask(FindPieces(prompt=prompt))
         question = ChooseServer(
--- a/wasabistage/entry/_drain.py
+++ b/wasabistage/entry/_drain.py
@@ -4,6 +4,7 @@
 
 from wasabistage.entry._gossip import ChangePhase
 from wasabistage.entry._once import CountUnsettled
+from wasabistage.entry._rollout import CountOrders
 from wasabistage.membership import (
     CloseListeners,
     DrainPolicy,
@@ -29,14 +30,16 @@
     :param completions: the :class:`wasabistage.entry._completions.CompletionServer`.
     :param once: the task of non-idempotent calls.
     :param gossip: the task that talks to peers.
+    :param rollout: the task that orders backend servers.
     """
 
-    def __init__(self, context, app, completions, once, gossip):
+    def __init__(self, context, app, completions, once, gossip, rollout):
         self.context = context
         self.app = app
         self.completions = completions
         self.once = once
         self.gossip = gossip
+        self.rollout = rollout
         settings = context.settings
         handover = settings.drain_timeout * HANDOVER_SHARE
         address_time = min(
@@ -63,10 +66,12 @@
 
     async def _count_work(self):
         streams = len(self.completions.open_streams)
+        outcomes = await self.once.ask(CountUnsettled())
+        outcomes += await self.rollout.ask(CountOrders())
         return WorkLeft(
             requests=self.app.running,
             streams=streams,
-            outcomes=await self.once.ask(CountUnsettled()),
+            outcomes=outcomes,
         )
 
     def _carry_out(self, action):
--- a/wasabistage/entry/_process.py
+++ b/wasabistage/entry/_process.py
@@ -21,6 +21,7 @@
 from wasabistage.entry._once import OnceTask
 from wasabistage.entry._peers import PeerClient, PeerServer, log_loop_error
 from wasabistage.entry._plain import PlainServer
+from wasabistage.entry._rollout import RolloutTask
 from wasabistage.entry._routing import RoutingTask
 from wasabistage.entry._status import StatusAnswerer
 from wasabistage.entry._streams import StreamsTask
@@ -116,6 +117,8 @@
         self.gossip = GossipTask(context, listeners)
         for task in (self.admission, self.cache, self.routing, self.config):
             task.gossip = self.gossip
+        self.rollout = RolloutTask(context, self.routing, self.gossip)
+        self.routing.rollout = self.rollout
         self.plain = PlainServer(context, self.admission, self.routing)
         self.once = OnceTask(context, self.plain, self.gossip)
         self.completions = CompletionServer(
@@ -133,7 +136,12 @@
             context, self.config, self.gossip, self.routing, self.app
         )
         self.drainer = Drainer(
-            context, self.app, self.completions, self.once, self.gossip
+            context,
+            self.app,
+            self.completions,
+            self.once,
+            self.gossip,
+            self.rollout,
         )
         self.stopped = trio.Event()
 
@@ -148,6 +156,7 @@
             self.gossip,
             self.config,
             self.once,
+            self.rollout,
         )
 
     async def run(self):
--- /dev/null
+++ b/wasabistage/entry/_rollout.py
@@ -0,0 +1,409 @@
+"""The task that orders backend servers to run what is declared."""
+
+import hashlib
+from dataclasses import dataclass
+
+import trio
+
+from wasabistage.declarations import ServiceKind
+from wasabistage.entry._routing import LoadArrived
+from wasabistage.entry._task import Task
+from wasabistage.entry._timer import Tick
+from wasabistage.exceptions import UnavailableError, WasabistageError
+from wasabistage.membership import MemberState, Phase
+from wasabistage.observe import make_logger
+from wasabistage.platform import LogPage, NewRecord
+from wasabistage.rollout import (
+    NO_RECORD,
+    AppendEnded,
+    AppendRecord,
+    DrainStarted,
+    GrantRecord,
+    LogRecord,
+    OrderEnded,
+    ReadServer,
+    ReleaseRecord,
+    ReportAges,
+    RolloutPolicy,
+    SendOrder,
+    ServerRuns,
+    Target,
+    TargetsChanged,
+    TurnChanged,
+    decode_order_record,
+    encode_order_record,
+)
+
+STREAM = "orders"
+TICK_SECONDS = 0.1
+#: Longest wait of one read for a new record.
+READ_WAIT_SECONDS = 5.0
+READ_PAUSE_SECONDS = 0.1
+READ_RETRY_SECONDS = 0.5
+#: Time between two readings of a server that is being ordered.
+SERVER_READ_SECONDS = 0.1
+WATCH_SECONDS = 0.2
+#: Shares of a lease: the longest order, and the longest way to its sending.
+ORDER_SHARE = 0.3
+SEND_SHARE = 0.1
+LONGEST_CARRY_SECONDS = 600.0
+CARRY_SHARE = 0.25
+log = make_logger("rollout")
+
+
+@dataclass(frozen=True, kw_only=True)
+class PageRead:
+    """A page of the order stream.
+
+    :param start: the offset that was asked for.
+    :param page: the :class:`wasabistage.platform.LogPage`.
+    """
+
+    start: int
+    page: LogPage
+
+
+@dataclass(frozen=True, kw_only=True)
+class CountOrders:
+    """Asks how many grants and appends are not settled yet."""
+
+
+class RolloutTask(Task):
+    """Owns the decisions on orders and carries their actions out.
+
+    :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    :param routing: task that is told what a server answered.
+    :param gossip: task that knows which entries live.
+    :param make_policy: policy class, :class:`wasabistage.rollout.RolloutPolicy` or a
+        baseline.
+    """
+
+    name = "rollout"
+
+    def __init__(self, context, routing, gossip, make_policy=RolloutPolicy):
+        super().__init__(context.metrics)
+        self.context = context
+        self.routing = routing
+        self.gossip = gossip
+        self.make_policy = make_policy
+        self.ages = ReportAges().reset()
+        # Nothing is decided before the stream's first page tells where it begins.
+        self.policy = None
+        self.deployment = None
+        self.runs = {}
+        self.polled_at = {}
+        self.polling = set()
+        self.appending = 0
+        self.draining = False
+
+    async def start(self):
+        """Begin to tick and to follow the order stream."""
+        timers = self.context.timers
+        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
+        self.nursery.start_soon(self._follow_log)
+
+    async def _on_tick(self, tick):
+        self.tell(tick)
+
+    async def _follow_log(self):
+        start, wait = 0, 0.0
+        while True:
+            try:
+                page = await self.context.log.read(STREAM, start, wait)
+            except WasabistageError:
+                self.metrics.count("log.failures")
+                await trio.sleep(READ_RETRY_SECONDS)
+                continue
+            await self.ask(PageRead(start=start, page=page))
+            end = page_end(page, start)
+            wait = READ_WAIT_SECONDS if end >= page.next_offset else 0.0
+            start = end
+            if not page.records:
+                await trio.sleep(READ_PAUSE_SECONDS)
+
+    async def handle(self, message, reply):
+        """Handle a message; see :meth:`Task.handle`."""
+        now = self.context.timers.now()
+        match message:
+            case PageRead():
+                self._take_page(message, now)
+            case LoadArrived():
+                self._take_load(message, now)
+            case OrderEnded() | AppendEnded():
+                self._observe(message, now)
+            case CountOrders():
+                return self._count_unsettled()
+            case Tick():
+                self._follow_declarations(now)
+                self._follow_entries(now)
+        if self.policy is not None:
+            self._carry_out(now)
+            self._watch_granted(now)
+
+    def _observe(self, event, now):
+        if self.policy is not None:
+            self.policy.observe(event, now)
+
+    def _take_page(self, message, now):
+        page = message.page
+        if self.policy is None or page.first > message.start:
+            self._begin(page.first, now)
+        for item in page.records:
+            record = decode_order_record(item.data)
+            if NO_RECORD.is_(record):
+                # A foreign record grants nothing.
+                continue
+            self._note(item.offset, record, now)
+            self.policy.observe(LogRecord(offset=item.offset, record=record), now)
+
+    def _note(self, offset, record, now):
+        """Look at a server as soon as its order began or ended."""
+        if isinstance(record, GrantRecord):
+            facts = {"server": record.server, "holder": record.holder}
+            log.info("a server is to be ordered", extra={**facts, "fencing": offset})
+            self._read_server(record.server, now)
+        elif isinstance(record, ReleaseRecord):
+            ended = self.policy.fold_.state(record.slot).grant
+            if ended is not None:
+                self._read_server(ended.server, now)
+
+    def _begin(self, first_offset, now):
+        """Build the decisions anew; orders of an earlier build aren't sent any more."""
+        settings = self.context.settings
+        lease = settings.lease
+        carry_time = min(LONGEST_CARRY_SECONDS, settings.log_retention * CARRY_SHARE)
+        self.policy = self.make_policy(
+            settings.name,
+            self.context.incarnation,
+            lease=lease,
+            order_time=lease * ORDER_SHARE,
+            send_time=lease * SEND_SHARE,
+            retry_time=SERVER_READ_SECONDS,
+            carry_time=carry_time,
+            first_offset=first_offset,
+        ).reset()
+        self.deployment = None
+        self._follow_declarations(now)
+        self._follow_entries(now)
+        for event in self.runs.values():
+            self.policy.observe(event, now)
+        if self.draining:
+            self.policy.observe(DrainStarted(), now)
+
+    def _follow_declarations(self, now):
+        in_force = self.context.config.value
+        if self.policy is None or in_force.deployment is self.deployment:
+            return
+        self.deployment = in_force.deployment
+        targets = make_targets(self.deployment)
+        self.ages.keep(targets)
+        self.runs = {n: runs for n, runs in self.runs.items() if n in targets}
+        self.polled_at = {n: at for n, at in self.polled_at.items() if n in targets}
+        changed = TargetsChanged(
+            config_version=in_force.version,
+            targets=targets,
+            slots=self.deployment.weight_store.parallel_loads,
+        )
+        self.policy.observe(changed, now)
+
+    def _follow_entries(self, now):
+        view = self.gossip.view.value
+        if self.policy is None or view is None:
+            return
+        own = self.context.settings.name
+        names = [
+            item.instance
+            for item in view.members
+            if item.state is MemberState.SERVING and item.instance != own
+        ]
+        place = find_place(own, names)
+        if place != self.policy.place_:
+            self.policy.observe(TurnChanged(place=place), now)
+        if self.gossip.phase is not Phase.SERVING and not self.draining:
+            self.draining = True
+            self.policy.observe(DrainStarted(), now)
+
+    def _take_load(self, message, now):
+        load = message.load
+        produced = self.ages.produced_after(
+            message.name, load.incarnation, load.sequence, message.asked_at
+        )
+        if produced is None:
+            return
+        event = ServerRuns(
+            server=message.name,
+            runs=Target(versions=dict(load.versions), adapters=tuple(load.adapters)),
+            loading=False,
+            asked_at=produced,
+        )
+        self.runs[message.name] = event
+        self._observe(event, now)
+
+    def _count_unsettled(self):
+        holds = self.policy.holds_.values() if self.policy else ()
+        waiting = sum(hold.released_at < hold.taken_at for hold in holds)
+        return waiting + self.appending
+
+    def _carry_out(self, now):
+        for action in self.policy.tick(now):
+            match action:
+                case AppendRecord():
+                    self.appending += 1
+                    self.nursery.start_soon(self._append, action.record)
+                case ReadServer():
+                    self._read_server(action.server, now)
+                case SendOrder():
+                    self._start_order(action)
+
+    def _watch_granted(self, now):
+        """Read servers that are ordered by anyone, so that routing knows at once."""
+        for _, state in self.policy.fold_.granted():
+            name = state.grant.server
+            if now - self.polled_at.get(name, 0.0) >= WATCH_SECONDS:
+                self._read_server(name, now)
+
+    def _read_server(self, name, now):
+        server = self.deployment.servers.get(name)
+        if server is None or name in self.polling:
+            return
+        self.polling.add(name)
+        self.polled_at[name] = now
+        self.nursery.start_soon(self._poll, server, now)
+
+    async def _poll(self, server, asked_at):
+        try:
+            load = await self.context.engine(server).load()
+        except WasabistageError:
+            load = None
+        finally:
+            self.polling.discard(server.name)
+        # Routing hands every report that it takes on to this task.
+        self.routing.tell(LoadArrived(name=server.name, load=load, asked_at=asked_at))
+
+    async def _append(self, record):
+        self.metrics.count("log.appends")
+        item = NewRecord(record_id=record.record_id, data=encode_order_record(record))
+        try:
+            await self.context.log.append(STREAM, [item])
+        except WasabistageError:
+            # The log shows whether it was appended; the decisions wait for that.
+            self.metrics.count("log.failures")
+        finally:
+            self.appending -= 1
+        self.tell(AppendEnded(record_id=record.record_id))
+
+    def _start_order(self, order):
+        server = self.deployment.servers.get(order.server)
+        runs = self.policy.versions_.runs_.get(order.server)
+        if server is None or runs is None:
+            self.tell(OrderEnded(fencing=order.fencing, attempt=order.attempt))
+            return
+        bodies = order_bodies(order, runs.runs)
+        self.nursery.start_soon(self._send_all, server, order, bodies)
+
+    async def _send_all(self, server, order, bodies):
+        ended = True
+        with trio.move_on_after(self.policy.order_time) as scope:
+            for body in bodies:
+                ended = await self._send(server, order, body)
+                if not ended:
+                    break
+        if ended and not scope.cancelled_caught:
+            self.tell(OrderEnded(fencing=order.fencing, attempt=order.attempt))
+        # Otherwise it may be under way still; the decisions wait until it can't be.
+
+    async def _send(self, server, order, body):
+        """Send one order; return whether it has surely ended."""
+
+        def may_send():
+            return self.policy.may_send(order, self.context.timers.now())
+
+        facts = {"server": server.name, **body}
+        if not may_send():
+            log.info("an order was held back", extra=facts)
+            return True
+        try:
+            await self.context.engine(server).order(body, may_send)
+        except UnavailableError as error:
+            log.info("an order was not taken", extra={**facts, "reason": error.message})
+            return True
+        except WasabistageError as error:
+            self.metrics.count("order.sent")
+            log.info("an order got no answer", extra={**facts, "reason": error.message})
+            return False
+        self.metrics.count("order.sent")
+        log.info("an order was carried out", extra=facts)
+        return True
+
+
+def make_targets(deployment):
+    """Tell what each model engine is to run.
+
+    :param deployment: a :class:`wasabistage.declarations.Deployment`.
+    :return: dict of :class:`wasabistage.rollout.Target` by name of the server.
+    """
+    targets = {}
+    for server in deployment.servers.values():
+        if server.kind is not ServiceKind.MODEL:
+            continue
+        models = [
+            deployment.models[name]
+            for name in server.models
+            if name in deployment.models
+        ]
+        adapters = {adapter for model in models for adapter in model.adapters}
+        targets[server.name] = Target(
+            versions={model.name: model.version for model in models},
+            adapters=tuple(sorted(adapters)),
+        )
+    return targets
+
+
+def order_bodies(order, runs):
+    """List what a server has to be told to meet its target.
+
+    :param order: a :class:`wasabistage.rollout.SendOrder`.
+    :param runs: what it runs, a :class:`wasabistage.rollout.Target`.
+    :return: list of dicts as the engine takes them.
+    """
+    target, fencing = order.target, order.fencing
+    bodies = [
+        {"fencing": fencing, "kind": "load", "model": model, "version": version}
+        for model, version in target.versions.items()
+        if runs.versions.get(model) != version
+    ]
+    bodies += [
+        {"fencing": fencing, "kind": "adapter", "adapter": adapter}
+        for adapter in target.adapters
+        if adapter not in runs.adapters
+    ]
+    if target.role != runs.role:
+        bodies.append({"fencing": fencing, "kind": "role", "role": target.role})
+    return bodies
+
+
+def find_place(own, others):
+    """Tell an instance's place in turn, equal for all that see the same others.
+
+    :param own: name of the instance.
+    :param others: names of the other live instances.
+    :return: number from 0.
+    """
+    score = _score(own)
+    return sum(_score(name) < score for name in others)
+
+
+def _score(name):
+    return hashlib.sha256(name.encode()).digest()
+
+
+def page_end(page, start):
+    """Return the offset from which to read on.
+
+    :param page: a :class:`wasabistage.platform.LogPage`.
+    :param start: the offset that was asked for.
+    :return: an offset.
+    """
+    if page.records:
+        return page.records[-1].offset + 1
+    return max(start, page.first)
--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -1,7 +1,7 @@
 """The task that watches the backend servers and chooses one for a request."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -65,6 +65,22 @@
     asked_at: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class VersionMissing:
+    """Tells that a server does not hold a version that it reported.
+
+    :param server: name of the backend server.
+    :param model: name of the model.
+    """
+
+    server: str
+    model: str
+
+
+class VersionPendingError(UnavailableError):
+    """No backend server has loaded the declared version of a model yet."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class ChooseServer:
     """Asks for the backend server of one attempt.
@@ -180,6 +196,7 @@
         self.facts = {}
         self.deployment = None
         self.gossip = None
+        self.rollout = None
 
     async def start(self):
         """Begin to poll the load reports and the cache events."""
@@ -255,6 +272,8 @@
                 return self._describe(now)
             case FreshRequest():
                 self.retries.observe(message, now)
+            case VersionMissing():
+                self._drop_version(message)
             case AskRetry():
                 return self._retry(message, now)
             case Tick():
@@ -305,6 +324,8 @@
         if message.load is None:
             self.membership.observe(ServerCall(server=message.name, ok=False), now)
             return
+        if self.rollout is not None:
+            self.rollout.tell(message)
         load = message.load
         if facts.heard and facts.load.incarnation != load.incarnation:
             facts.next_event = 0
@@ -324,6 +345,13 @@
         )
         self._observe_load(server, load, now - message.asked_at, now)
 
+    def _drop_version(self, message):
+        """Forget a version that its server doesn't hold, until its next report."""
+        facts = self.facts.get(message.server)
+        if facts is not None:
+            versions = {**facts.load.versions, message.model: ""}
+            facts.load = replace(facts.load, versions=versions)
+
     def _observe_health(self, server, load, facts, now):
         fresh = facts.heard and facts.load.incarnation != load.incarnation
         self.health.observe(
@@ -371,6 +399,8 @@
             for store, size in message.found.queues.items():
                 router.observe(LinkQueue(store=store, size=size), now)
         decision = router.decide(query, now)
+        if not decision and candidates and lacks_version(query):
+            raise version_pending(query)
         if not decision:
             raise no_server(message.service, decision.reason)
         self._start_attempt(message, decision, router, now)
@@ -488,6 +518,28 @@
     return MODEL_PREFIX + ",".join(sorted(server.models))
 
 
+def lacks_version(query):
+    """Tell whether no server reports the version that a request needs.
+
+    :param query: a :class:`wasabistage.routing.RouteQuery`.
+    :return: ``True`` if none does.
+    """
+    return all(item.version != query.version for item in query.candidates)
+
+
+def version_pending(query):
+    """Build the error for a model whose declared version is not loaded yet.
+
+    :param query: a :class:`wasabistage.routing.RouteQuery`.
+    :return: a :class:`VersionPendingError`.
+    """
+    return VersionPendingError(
+        f"no backend server has loaded version {query.version} of {query.model} yet",
+        remedy="retry later; the rollout is under way",
+        retry_after=1.0,
+    )
+
+
 def no_server(service, reason):
     """Build the error for a call that no server can take.
 
--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/platform/_engine.py
@@ -19,6 +19,8 @@
 CONTROL_TIMEOUT_SECONDS = 2.0
 TRANSFER_TIMEOUT_SECONDS = 30.0
 ORDER_TIMEOUT_SECONDS = 20.0
+#: Trace event of the HTTP client right before a request's body is written.
+BODY_EVENT = "http11.send_request_body.started"
 DONE_MARK = "[DONE]"
 
 
@@ -269,15 +271,31 @@
         body = {"staging_id": staging_id, "keys": list(keys), "salt": salt}
         return (await self._transfer("/cache/attach", body))["attached"]
 
-    async def order(self, body):
+    async def order(self, body, may_send=None):
         """Send an order.
 
         :param body: the order as a dict with ``fencing`` and ``kind``.
-        :raises UnavailableError: if the engine refused it.
+        :param may_send: function without arguments that is asked once connected and
+            right before the body leaves; without the body no order takes effect.
+        :raises UnavailableError: if the engine refused it, or it was held back.
+        :raises OutcomeUnknownError: if it may take effect.
         """
         url = f"http://{self.address}/orders"
+
+        async def check(event, _):
+            if event == BODY_EVENT and may_send is not None and not may_send():
+                raise UnavailableError(
+                    "the order was held back: its grant is about to end",
+                    remedy="claim a slot again",
+                )
+
         await call_json(
-            self.client, "POST", url, json=body, timeout=ORDER_TIMEOUT_SECONDS
+            self.client,
+            "POST",
+            url,
+            json=body,
+            timeout=ORDER_TIMEOUT_SECONDS,
+            extensions={"trace": check},
         )
 
     async def _control(self, method, path, **options):
--- a/wasabistage/rollout/__init__.py
+++ b/wasabistage/rollout/__init__.py
@@ -15,12 +15,19 @@
 rest. Every ``carry_time`` some instance's ``tick`` appends one.
 """
 
+from wasabistage.rollout._ages import ReportAges
 from wasabistage.rollout._baselines import AllAtOnce, OneByOne
+from wasabistage.rollout._codec import (
+    NO_RECORD,
+    decode_order_record,
+    encode_order_record,
+)
 from wasabistage.rollout._fold import NO_OFFSET, GrantFold
 from wasabistage.rollout._messages import (
     AppendEnded,
     AppendRecord,
     CarryRecord,
+    DrainStarted,
     GrantRecord,
     LogRecord,
     OrderEnded,
@@ -40,11 +47,13 @@
 
 __all__ = [
     "NO_OFFSET",
+    "NO_RECORD",
     "NO_VERSION",
     "AllAtOnce",
     "AppendEnded",
     "AppendRecord",
     "CarryRecord",
+    "DrainStarted",
     "GrantFold",
     "GrantRecord",
     "LogRecord",
@@ -52,6 +61,7 @@
     "OrderEnded",
     "ReadServer",
     "ReleaseRecord",
+    "ReportAges",
     "RolloutPolicy",
     "RoutableQuery",
     "RoutableServers",
@@ -61,4 +71,6 @@
     "Target",
     "TargetsChanged",
     "TurnChanged",
+    "decode_order_record",
+    "encode_order_record",
 ]
--- a/wasabistage/rollout/_messages.py
+++ b/wasabistage/rollout/_messages.py
@@ -7,17 +7,30 @@
 class Target:
     """What a backend server is to run.
 
-    :param model: name of the model.
-    :param version: weight version.
-    :param adapters: names of the adapters.
+    :param versions: weight version of each of its models.
+    :param adapters: names of the adapters, over all its models.
     :param role: role of the server, such as ``prefill``; empty for the default.
     """
 
-    model: str
-    version: str
+    versions: dict[str, str]
     adapters: tuple[str, ...] = ()
     role: str = ""
 
+    def met_by(self, runs):
+        """Tell whether a server that runs something needs no order.
+
+        A further model or adapter that it holds does no harm.
+
+        :param runs: a :class:`Target`, or ``None``.
+        :return: ``True`` if all that is declared is there.
+        """
+        return (
+            runs is not None
+            and self.versions.items() <= runs.versions.items()
+            and set(self.adapters) <= set(runs.adapters)
+            and self.role == runs.role
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class GrantRecord:
@@ -119,10 +132,12 @@
 
     :param config_version: its version.
     :param targets: what each declared server is to run.
+    :param slots: orders at a time over the whole deployment; 0 takes the policy's.
     """
 
     config_version: int
     targets: dict[str, Target]
+    slots: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -135,6 +150,11 @@
     place: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class DrainStarted:
+    """Event: this instance is to end; it gives back what it holds."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class ServerRuns:
     """Event: a backend server said what it runs.
--- a/wasabistage/rollout/_policy.py
+++ b/wasabistage/rollout/_policy.py
@@ -10,6 +10,7 @@
     AppendEnded,
     AppendRecord,
     CarryRecord,
+    DrainStarted,
     GrantRecord,
     LogRecord,
     OrderEnded,
@@ -23,6 +24,8 @@
 from wasabistage.rollout._versions import VersionView
 
 MAX_SENT_CLAIMS = 256
+#: Slots that every instance's fold knows, whatever number is declared at present.
+MAX_SLOTS = 64
 
 
 class RolloutPolicy(Policy):
@@ -99,13 +102,16 @@
                 "order_time must be positive and below half the lease",
                 remedy="raise the lease above twice the longest order",
             )
-        self.fold_ = GrantFold(self.slot_count(), self.first_offset).reset()
+        self.fold_ = GrantFold(MAX_SLOTS, self.first_offset).reset()
         self.versions_ = VersionView(self.serve_old).reset()
         self.place_ = 0
+        self.declared_slots_ = 0
+        self.draining_ = False
         self.holds_ = {}
         self.claims_ = {}
         self.seen_at_ = {}
         self.wanted_since_ = {}
+        self.progress_at_ = -math.inf
         self.next_append_ = -math.inf
         self.carry_due_ = None
         self.counter_ = 0
@@ -116,14 +122,14 @@
 
         :return: orders at a time over the whole deployment.
         """
-        return self.slots
+        return min(self.declared_slots_ or self.slots, MAX_SLOTS)
 
     def observe(self, event, now):
         """Learn from the log, the configuration, a server or an ended order.
 
         :param event: :class:`LogRecord`, :class:`AppendEnded`,
-            :class:`TargetsChanged`, :class:`TurnChanged`, :class:`ServerRuns` or
-            :class:`OrderEnded`.
+            :class:`TargetsChanged`, :class:`TurnChanged`, :class:`DrainStarted`,
+            :class:`ServerRuns` or :class:`OrderEnded`.
         :param now: monotonic time, in seconds.
         """
         match event:
@@ -134,8 +140,11 @@
             case TargetsChanged():
                 if self.versions_.declare(event):
                     self.wanted_since_ = {}
+                    self.declared_slots_ = event.slots
             case TurnChanged():
                 self.place_ = event.place
+            case DrainStarted():
+                self.draining_ = True
             case ServerRuns():
                 self.versions_.report(event)
             case OrderEnded():
@@ -160,7 +169,8 @@
         actions = self._carry(now)
         for hold in list(self.holds_.values()):
             actions += self._advance(hold, now)
-        if self.fold_.complete_ and now >= self.next_append_:
+        may_claim = self.fold_.complete_ and not self.draining_
+        if may_claim and now >= self.next_append_:
             takeover = self._next_takeover(now)
             claims = [takeover] if takeover else self._next_claims(now)
             for claim in claims:
@@ -202,6 +212,7 @@
         if not self.fold_.apply(event.offset, record):
             self._drop_claim(record, now)
             return
+        self.progress_at_ = now
         for slot, state in self.fold_.granted():
             self.seen_at_.setdefault(state.fencing, now)
             mine = state.grant.incarnation == self.incarnation
@@ -248,6 +259,8 @@
                 return []
             hold.progress = Progress.READING
             hold.ended_at = now
+        if self.draining_:
+            hold.progress = Progress.ENDED
         if hold.progress is Progress.ENDED:
             return self._release(hold, now)
         runs = self.versions_.runs_.get(hold.server)
@@ -266,7 +279,8 @@
 
     def _compare(self, hold, runs, now):
         target = self.versions_.targets_.get(hold.server)
-        if target is None or runs.runs == target or now > hold.send_until:
+        done = target is None or target.met_by(runs.runs) or now > hold.send_until
+        if done:
             hold.progress = Progress.ENDED
             return self._release(hold, now)
         hold.progress = Progress.ORDERED
@@ -305,6 +319,8 @@
             if self.fold_.state(slot).grant is None
         ]
         ordered = {state.grant.server for _, state in self.fold_.granted()}
+        # A slot above the declared number may be held still.
+        free = free[: max(0, self.slot_count() - len(ordered))]
         claims = []
         for server in self.versions_.targets_:
             if len(claims) == len(free):
@@ -315,12 +331,12 @@
         return claims
 
     def _is_due(self, server, claimed, now):
-        runs = self.versions_.runs_.get(server)
-        if runs is None or runs.runs == self.versions_.targets_[server]:
+        if not self.versions_.is_due(server):
             self.wanted_since_.pop(server, None)
             return False
         since = self.wanted_since_.setdefault(server, now)
-        if now - since < self.place_ * self.stagger:
+        # While others get on, it isn't this instance's turn.
+        if now - max(since, self.progress_at_) < self.place_ * self.stagger:
             return False
         return self._keeps_capacity(server, claimed, now)
 
--- a/wasabistage/rollout/_versions.py
+++ b/wasabistage/rollout/_versions.py
@@ -39,9 +39,7 @@
         self.config_version_ = event.config_version
         for server, target in event.targets.items():
             known = self.targets_.get(server)
-            same_model = known is not None and known.model == target.model
-            if same_model and known.version != target.version:
-                self.old_versions_[target.model] = known.version
+            self._note_old(known.versions if known else {}, target.versions)
         self.targets_ = dict(event.targets)
         self.runs_ = {n: runs for n, runs in self.runs_.items() if n in self.targets_}
         return True
@@ -64,68 +62,90 @@
         :param being_ordered: names of servers to leave out.
         :return: :class:`RoutableServers`, or :data:`NO_VERSION`.
         """
-        known = [name for name in query.servers if self.model(name) == query.model]
+        model = query.model
+        known = [name for name in query.servers if model in self.models(name)]
         free = [name for name in known if name not in being_ordered]
-        servers = tuple(name for name in free if self.runs_declared(name))
-        old = tuple(name for name in free if self.runs_old(name))
+        servers = tuple(name for name in free if self.runs_declared(name, model))
+        old = tuple(name for name in free if self.runs_old(name, model))
         if not servers and not old:
             return NO_VERSION
         return RoutableServers(
-            version=self.targets_[known[0]].version,
+            version=self.targets_[known[0]].versions[model],
             servers=servers,
-            old_version=self.old_versions_[query.model] if old else "",
+            old_version=self.old_versions_[model] if old else "",
             old_servers=old,
         )
 
     def reporting_peers(self, server, since):
-        """Name the servers of the same model that reported lately.
+        """Name the servers with a model in common that reported lately.
 
         :param server: name of a server.
         :param since: monotonic time from which on a report counts, in seconds.
         :return: a list of names, with the server's own if it reported.
         """
+        models = self.models(server)
         return [
             name
             for name, runs in self.runs_.items()
-            if self.model(name) == self.model(server) and runs.asked_at >= since
+            if runs.asked_at >= since and not models.isdisjoint(self.models(name))
         ]
 
     def serves(self, server):
-        """Tell whether a server may serve new requests.
+        """Tell whether a server may serve new requests for each of its models.
 
         :param server: name of the server.
-        :return: ``True`` if it reports a version that may.
+        :return: ``True`` if it reports versions that may.
         """
-        return self.runs_declared(server) or self.runs_old(server)
+        return all(
+            self.runs_declared(server, model) or self.runs_old(server, model)
+            for model in self.models(server)
+        )
 
-    def runs_declared(self, server):
-        """Tell whether a server reports the declared version.
+    def runs_declared(self, server, model):
+        """Tell whether a server reports the declared version of a model.
 
         :param server: name of the server.
+        :param model: name of one of its models.
         :return: ``True`` if it does and isn't loading.
         """
-        return self._runs_version(server, self.targets_[server].version)
+        version = self.targets_[server].versions[model]
+        return self._runs_version(server, model, version)
 
-    def runs_old(self, server):
+    def runs_old(self, server, model):
         """Tell whether a server reports the version declared before, if that serves.
 
         :param server: name of the server.
+        :param model: name of one of its models.
         :return: ``True`` if it does and isn't loading.
         """
-        old = self.old_versions_.get(self.model(server))
-        return self.serve_old and bool(old) and self._runs_version(server, old)
+        old = self.old_versions_.get(model)
+        return self.serve_old and bool(old) and self._runs_version(server, model, old)
 
-    def model(self, server):
-        """Return the model that a server is to run.
+    def models(self, server):
+        """Return the models that a server is to run.
 
         :param server: name of the server.
-        :return: name of the model; empty if the server isn't declared.
+        :return: a set-like view of names; empty if the server isn't declared.
         """
         target = self.targets_.get(server)
-        return target.model if target else ""
+        return target.versions.keys() if target else {}.keys()
+
+    def is_due(self, server):
+        """Tell whether a server reports something else than what is declared.
+
+        :param server: name of a declared server.
+        :return: ``True`` if it does; ``False`` also while it never reported.
+        """
+        runs = self.runs_.get(server)
+        return runs is not None and not self.targets_[server].met_by(runs.runs)
+
+    def _note_old(self, before, after):
+        for model in before.keys() & after.keys():
+            if before[model] != after[model]:
+                self.old_versions_[model] = before[model]
 
-    def _runs_version(self, server, version):
+    def _runs_version(self, server, model, version):
         runs = self.runs_.get(server)
         if runs is None or runs.runs is None or runs.loading:
             return False
-        return runs.runs.model == self.model(server) and runs.runs.version == version
+        return runs.runs.versions.get(model) == version
--- a/wasabistage/rollout/tests/test_explore.py
+++ b/wasabistage/rollout/tests/test_explore.py
@@ -1,7 +1,7 @@
 import os
 import unittest
 
-from wasabistage.rollout import RolloutPolicy, SendOrder, Target
+from wasabistage.rollout import GrantRecord, RolloutPolicy, SendOrder, Target
 from wasabistage.rollout.tests.world import World
 
 # More schedules by WASABISTAGE_SCHEDULES, such as in the long form of the proofs.
@@ -28,17 +28,24 @@
 
 
 class NoCorrection(RolloutPolicy):
-    """Mechanism off: orders each version once and believes it took effect."""
+    """Mechanism off: any grant in the log for a version means that it took effect."""
+
+    def reset(self):
+        self.ordered = set()
+        return super().reset()
+
+    def observe(self, event, now):
+        super().observe(event, now)
+        record = getattr(event, "record", None)
+        if isinstance(record, GrantRecord):
+            self.ordered.add((record.server, record.config_version))
 
     def _next_claims(self, now):
-        self.ordered = getattr(self, "ordered", set())
-        claims = []
-        for claim in super()._next_claims(now):
-            key = (claim.server, claim.config_version)
-            if key not in self.ordered:
-                claims.append(claim)
-            self.ordered.add(key)
-        return claims
+        return [
+            claim
+            for claim in super()._next_claims(now)
+            if (claim.server, claim.config_version) not in self.ordered
+        ]
 
 
 class NoSlots(RolloutPolicy):
@@ -101,7 +108,7 @@
         world.run(1.0)
         world.publish("v2")
         world.run(20.0)
-        stale = Target(model="x", version="v1")
+        stale = Target(versions={"x": "v1"})
         world.deliver(SendOrder(server="m5", fencing=0, target=stale), None)
         world.run(21.0)
         hurt = world.versions()
--- a/wasabistage/rollout/tests/test_policy.py
+++ b/wasabistage/rollout/tests/test_policy.py
@@ -1,13 +1,17 @@
 import unittest
+from dataclasses import replace
 
 from wasabistage.exceptions import SettingError
 from wasabistage.rollout import (
+    NO_RECORD,
     NO_VERSION,
     AppendRecord,
+    DrainStarted,
     GrantFold,
     GrantRecord,
     LogRecord,
     ReleaseRecord,
+    ReportAges,
     RolloutPolicy,
     RoutableQuery,
     SendOrder,
@@ -15,10 +19,12 @@
     Target,
     TargetsChanged,
     TurnChanged,
+    decode_order_record,
+    encode_order_record,
 )
 
-V1 = Target(model="x", version="v1")
-V2 = Target(model="x", version="v2")
+V1 = Target(versions={"x": "v1"})
+V2 = Target(versions={"x": "v2"})
 QUERY = RoutableQuery(model="x", servers=("m0", "m1"))
 
 
@@ -202,7 +208,7 @@
 
     def test_version_declared_before_is_named_apart_when_it_may_serve(self):
         policy = make(serve_old=True)
-        v3 = Target(model="x", version="v3")
+        v3 = Target(versions={"x": "v3"})
         changed = TargetsChanged(config_version=2, targets={"m0": v3, "m1": v3})
         policy.observe(changed, 1.0)
         policy.observe(runs("m0", V2, 1.0), 1.0)
@@ -211,8 +217,69 @@
         self.assertEqual((answer.version, answer.servers), ("v3", ()))
         self.assertEqual((answer.old_version, answer.old_servers), ("v2", ("m0",)))
 
+    def test_each_model_of_a_server_counts(self):
+        both = Target(versions={"x": "v2", "y": "w2"}, adapters=("a",))
+        more = Target(versions={"x": "v2", "y": "w2", "z": "1"}, adapters=("a", "b"))
+        self.assertTrue(both.met_by(more))
+        self.assertFalse(more.met_by(both))
+        policy = make()
+        policy.observe(TargetsChanged(config_version=2, targets={"m0": both}), 0.0)
+        policy.observe(runs("m0", V2, 0.0), 0.0)
+        query = RoutableQuery(model="x", servers=("m0",))
+        self.assertEqual(policy.decide(query, 0.0).servers, ("m0",))
+        query = RoutableQuery(model="y", servers=("m0",))
+        self.assertTrue(NO_VERSION.is_(policy.decide(query, 0.0)))
+        self.assertEqual([a.record.server for a in policy.tick(0.1)], ["m0"])
+
+    def test_declared_slots_bound_the_claims(self):
+        for slots, claims in ((1, 1), (2, 2), (0, 2)):
+            policy = make()
+            targets = {name: V2 for name in ("m0", "m1", "m2", "m3", "m4", "m5")}
+            changed = TargetsChanged(config_version=2, targets=targets, slots=slots)
+            policy.observe(changed, 0.0)
+            for name in targets:
+                policy.observe(runs(name, V1, 0.0), 0.0)
+            self.assertEqual(len(policy.tick(0.1)), claims)
+
+    def test_others_wait_while_the_first_gets_on(self):
+        policy = make(place=1, stagger=0.5)
+        policy.observe(runs("m1", V1, 0.0), 0.0)
+        policy.tick(0.0)
+        record = replace(grant(1, config_version=1), incarnation="2")
+        policy.observe(LogRecord(offset=0, record=record), 0.4)
+        self.assertEqual(policy.tick(0.8), [])
+        self.assertEqual(len(policy.tick(0.9)), 1)
+
+    def test_draining_instance_gives_back_and_claims_no_more(self):
+        policy = granted()
+        policy.observe(DrainStarted(), 0.6)
+        policy.observe(runs("m0", V1, 0.6), 0.6)
+        (action,) = policy.tick(0.6)
+        self.assertIsInstance(action.record, ReleaseRecord)
+        released = LogRecord(offset=8, record=action.record)
+        policy.observe(released, 0.7)
+        self.assertEqual(policy.tick(5.0), [])
+
+    def test_report_age_from_sequence_numbers(self):
+        ages = ReportAges(largest_lag=5.0).reset()
+        self.assertEqual(ages.produced_after("m0", "1", 4, 10.0), 5.0)
+        self.assertEqual(ages.produced_after("m0", "1", 4, 11.0), 6.0)
+        self.assertEqual(ages.produced_after("m0", "1", 5, 12.0), 11.0)
+        self.assertEqual(ages.produced_after("m0", "1", 5, 13.0), 11.0)
+        self.assertIsNone(ages.produced_after("m0", "1", 4, 14.0))
+        self.assertEqual(ages.produced_after("m0", "2", 0, 14.0), 13.0)
+
+    def test_records_survive_the_log(self):
+        fold = GrantFold().reset()
+        fold.apply(3, grant(1))
+        release = ReleaseRecord(record_id="r", slot=0, grant=3)
+        for record in (grant(1), release, fold.carry("c")):
+            self.assertEqual(decode_order_record(encode_order_record(record)), record)
+        for data in (b"", b"{}", b'{"grant": 1}', b"\xff"):
+            self.assertTrue(NO_RECORD.is_(decode_order_record(data)))
+
     def test_role_change_keeps_a_majority_routable(self):
         policy = make(keep_share=1.0)
-        policy.observe(runs("m0", Target(model="x", version="v2", role="p"), 0.0), 0.0)
+        policy.observe(runs("m0", Target(versions={"x": "v2"}, role="p"), 0.0), 0.0)
         policy.observe(runs("m1", V2, 0.0), 0.0)
         self.assertEqual(policy.tick(0.1), [])
--- a/wasabistage/rollout/tests/world.py
+++ b/wasabistage/rollout/tests/world.py
@@ -91,7 +91,7 @@
         self.accepted = []
 
     def target(self, version):
-        return Target(model="x", version=version)
+        return Target(versions={"x": version})
 
     def start(self, number):
         self.lives += 1
@@ -225,7 +225,7 @@
                 self.end_order(*server.caller)
 
     def versions(self):
-        return {server.runs.version for server in self.servers.values()}
+        return {server.runs.versions["x"] for server in self.servers.values()}
 
     def held(self):
         return [entry.policy.fold_.granted() for entry in self.entries]
--- a/wasabistage/settings/_entry.py
+++ b/wasabistage/settings/_entry.py
@@ -138,6 +138,12 @@
         2.0, gt=0, description="silence after which an instance is suspected"
     )
     lease: Duration = Field(10.0, gt=0, description="length of a lease on an order")
+    version_wait: Duration = Field(
+        5.0,
+        ge=0,
+        description="longest wait of a request for the first server that loads a "
+        "newly declared weight version; its deadline holds as well",
+    )
     clock_skew: Duration = Field(
         5.0, ge=0, description="largest difference between two instances' clocks"
     )
@@ -208,6 +214,7 @@
     heartbeat_interval: float = 0.5
     suspect_after: float = 2.0
     lease: float = 10.0
+    version_wait: float = 5.0
     clock_skew: float = 5.0
     config_poll: float = 0.5
     log_retention: float = 86400.0
