--- a/wasabistage/entry/tests/rollout_load.py
+++ b/wasabistage/entry/tests/rollout_load.py
@@ -81,20 +81,38 @@
     return f"clue {number}?"
 
 
-def ask(http, url, entry, number):
-    """Ask for one answer and note what came."""
-    body = {
+def body_of(number):
+    return {
         "model": "hints",
         "messages": [{"role": "user", "content": question(number)}],
         "stream": True,
         "max_tokens": TOKENS,
     }
+
+
+def note(asked, answer):
+    asked.status, asked.text = answer.status_code, joined(answer.text)
+    if answer.status_code != 200:
+        asked.error = answer.text
+
+
+def ask(http, url, entry, number):
+    """Ask for one answer and note what came."""
+    asked = Asked(entry, number, time.monotonic())
+    try:
+        note(asked, http.post(url, json=body_of(number)))
+    except httpx.HTTPError as error:
+        asked.error = repr(error)
+    asked.ended = time.monotonic()
+    return asked
+
+
+async def ask_async(http, fleet, entry, number):
+    """Ask within trio; see :func:`ask`."""
+    url = f"http://{fleet.entry_address(entry)}/v1/chat/completions"
     asked = Asked(entry, number, time.monotonic())
     try:
-        answer = http.post(url, json=body)
-        asked.status, asked.text = answer.status_code, joined(answer.text)
-        if answer.status_code != 200:
-            asked.error = answer.text
+        note(asked, await http.post(url, json=body_of(number), headers=HEADERS))
     except httpx.HTTPError as error:
         asked.error = repr(error)
     asked.ended = time.monotonic()
