--- a/wasabistage/cache/_transfers.py
+++ b/wasabistage/cache/_transfers.py
@@ -42,8 +42,10 @@
     waiting: dict = field(default_factory=dict)
     flying: dict = field(default_factory=dict)
     served: dict = field(default_factory=dict)
+    virtual: float = 0.0
     budget: float = 0.0
     filled: float = 0.0
+    measured: bool = False
 
 
 class BaseLinkScheduler(Policy):
@@ -114,7 +116,10 @@
             link.waiting[name] = transfer
         if event.size >= MIN_CHUNK_BYTES and event.seconds > 0:
             sample = event.size / event.seconds
-            link.rate += RATE_GAIN * (sample - link.rate)
+            # The first measurement replaces the guess, which may be far off.
+            gain = RATE_GAIN if link.measured else 1.0
+            link.rate += gain * (sample - link.rate)
+            link.measured = True
 
     def decide(self, query, now):
         """Answer an :class:`OfferTransfer` or a :class:`NextChunk`.
@@ -144,12 +149,27 @@
         )
         if queued >= self.max_queue:
             return QUEUE_FULL.because(f"{queued} transfers wait on {offer.link}")
+        self._join(link, offer.account)
         self.offered_ += 1
         transfer = _Transfer(offer, self.offered_)
         self.transfers_[offer.transfer] = transfer
         link.waiting[offer.transfer] = transfer
         return Accepted(ahead=self._ahead(link, transfer))
 
+    def _join(self, link, account):
+        """Start an idle account level with those served now.
+
+        What it moved long ago does not hold it back, nor does it overtake for
+        having moved nothing. At the bound idle accounts are forgotten.
+        """
+        groups = (link.waiting, link.flying)
+        active = {item.offer.account for group in groups for item in group.values()}
+        if account in active:
+            return
+        if len(link.served) >= MAX_ACCOUNTS:
+            link.served = {name: link.served.get(name, 0) for name in active}
+        link.served[account] = max(link.served.get(account, 0), link.virtual)
+
     def _send(self, link, transfer):
         size = min(transfer.left, self._chunk_bytes(link, transfer))
         chunk = Chunk(
@@ -163,8 +183,8 @@
         del link.waiting[chunk.transfer]
         link.flying[chunk.transfer] = transfer
         account = transfer.offer.account
-        if account in link.served or len(link.served) < MAX_ACCOUNTS:
-            link.served[account] = link.served.get(account, 0) + size
+        link.virtual = link.served.get(account, 0)
+        link.served[account] = link.virtual + size
         return chunk
 
     def ahead(self, transfer):
@@ -187,6 +207,15 @@
         state = self.transfers_.get(transfer)
         return state.left if state else 0
 
+    def rate(self, link):
+        """Return the rate measured on a link.
+
+        :param link: name of the link.
+        :return: bytes a second; 0 while nothing was moved.
+        """
+        state = self.links_.get(link)
+        return state.rate if state is not None and state.measured else 0.0
+
     def backlog(self, link, kind):
         """Return the bytes that wait on a link.
 
--- a/wasabistage/cache/tests/test_moves.py
+++ b/wasabistage/cache/tests/test_moves.py
@@ -13,8 +13,6 @@
     QUEUE_FULL,
     BacklogChanged,
     ChunkMoved,
-    CopyWhole,
-    CutoffExportPolicy,
     ExportAll,
     ExportPolicy,
     ExportQuery,
@@ -102,6 +100,15 @@
         self.offer("small", FETCH, account="small")
         self.assertLess(run(self.scheduler).index("small"), 3)
 
+    def test_neither_old_nor_new_account_is_held_back(self):
+        for number in range(20):
+            self.offer(f"old{number}", FETCH, account="old")
+        run(self.scheduler)
+        for number in range(20):
+            self.offer(f"new{number}", FETCH, account="new")
+        self.offer("old", FETCH, account="old")
+        self.assertLess(run(self.scheduler).index("old"), 3)
+
     def test_bound_refuses_one_kind_only_and_cancel_makes_room(self):
         self.scheduler = LinkScheduler(max_queue=2).reset()
         for name in "ab":
@@ -168,7 +175,7 @@
         self.assertTrue(policy.decide(long, 0.0))
 
     def test_price_rises_with_the_backlog_and_the_bound_holds_for_all(self):
-        for kind in (ExportPolicy, ExportAll, CutoffExportPolicy):
+        for kind in (ExportPolicy, ExportAll):
             policy = kind(max_backlog=1 << 21).reset()
             policy.observe(BacklogChanged(size=1 << 21), 0.0)
             found = policy.decide(export_query(history_tokens=40_000), 0.0)
@@ -180,17 +187,6 @@
         self.assertFalse(policy.decide(query, 0.0))
         self.assertFalse(NoExport().reset().decide(query, 0.0))
 
-    def test_cutoff_copies_whole_after_the_restart(self):
-        policy = CutoffExportPolicy(max_backlog=1 << 22).reset()
-        policy.observe(BacklogChanged(size=1 << 21), 0.0)
-        self.assertFalse(policy.decide(export_query(size=1), 0.0))
-        self.assertEqual(policy.tick(0.0), [])
-        policy.observe(BacklogChanged(size=1 << 20), 0.0)
-        self.assertEqual(policy.tick(0.0), [])
-        policy.observe(BacklogChanged(size=0), 0.0)
-        self.assertEqual(policy.tick(0.0), [CopyWhole(session="s")])
-        self.assertEqual(policy.tick(0.0), [])
-
 
 class TestStaging(unittest.TestCase):
     def query(self, number=0, tier=Tier.DISK, **changes):
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -6,15 +6,21 @@
 import trio
 
 from wasabistage.admission import Arrive
-from wasabistage.cache import BYTES_PER_TOKEN, TransferCancelled, piece_keys
+from wasabistage.cache import (
+    BYTES_PER_TOKEN,
+    Tier,
+    TransferCancelled,
+    piece_keys,
+)
 from wasabistage.entry._attempts import run_attempts
-from wasabistage.entry._cache import (
+from wasabistage.entry._cache import text_piece_bytes
+from wasabistage.entry._cache_messages import (
+    AskProgress,
     Fetched,
     FetchPieces,
     FindPieces,
     Prompt,
     TurnEnded,
-    text_piece_bytes,
 )
 from wasabistage.entry._gossip import StreamResumed
 from wasabistage.entry._relay import EngineStream
@@ -34,16 +40,19 @@
     WasabistageError,
 )
 from wasabistage.platform import EngineRequest
-from wasabistage.routing import FetchDone, FirstToken, Plan
+from wasabistage.routing import (
+    FetchDone,
+    FetchProgress,
+    FirstToken,
+    Plan,
+    link_name,
+)
 from wasabistage.sessions import engine_stream_id, make_stream_id, parse_stream_id
 
 STREAM_RANDOM_BYTES = 16
 ATTEMPT_BYTES = 8
 LEAST_PREDICTION_SECONDS = 0.01
-#: Longest wait for a fetch, as a multiple of the time to compute it instead.
-FETCH_PATIENCE = 1.0
 LEAST_FETCH_SECONDS = 0.05
-PREFILL_RATE_GUESS = 20_000.0
 ENGINE_OPTIONS = ("temperature", "top_p", "seed", "stop")
 
 
@@ -229,8 +238,10 @@
         server = chosen.server.name
         facts = {"server": server, "plan": str(chosen.decision.plan)}
         try:
-            with hop("engine", completion.request_id, completion.parent, **facts):
-                await self._begin(served, chosen)
+            with hop(
+                "engine", completion.request_id, completion.parent, **facts
+            ) as inner:
+                await self._begin(served, chosen, inner)
         except NotFoundError:
             return server, await self._miss_version(served)
         except BaseException as error:
@@ -289,12 +300,12 @@
             expected=chosen.decision.pieces,
         )
 
-    async def _begin(self, served, chosen):
+    async def _begin(self, served, chosen, inner):
         decision, prompt = chosen.decision, served.prompt
         if decision.plan is Plan.FETCH:
             await self._fetch(served, decision)
         started = self.context.timers.now()
-        await served.stream.begin(self._engine_request(served))
+        await served.stream.begin(self._engine_request(served, inner))
         seconds = self.context.timers.now() - started
         tokens = max(1, prompt.tokens - decision.pieces * prompt.model.piece_tokens)
         self.routing.tell(
@@ -306,7 +317,7 @@
         self.context.metrics.time("request.first_token", seconds, rank)
 
     async def _fetch(self, served, decision):
-        """Import stored pieces, for at most as long as computing them would take."""
+        """Import stored pieces."""
         prompt = served.prompt
         first = decision.pieces - decision.fetched
         question = FetchPieces(
@@ -317,24 +328,47 @@
             first=first,
             pieces=decision.pieces,
         )
-        saved = decision.fetched * prompt.model.piece_tokens / PREFILL_RATE_GUESS
-        patience = max(LEAST_FETCH_SECONDS, FETCH_PATIENCE * saved)
         reply = Reply()
-        fetched = Fetched()
-        with trio.move_on_after(patience):
-            self.cache.post(question, reply)
-            fetched = await reply.wait()
-        if not reply.done.is_set() and reply.tag is not None:
-            self.cache.tell(TransferCancelled(transfer=reply.tag))
+        self.cache.post(question, reply)
+        try:
+            fetched = await self._wait_fetch(reply, decision, prompt)
+        except trio.Cancelled:
+            self._cancel_fetch(reply)
+            raise
         served.expected = first + fetched.pieces
         if fetched.size:
-            self.routing.tell(
-                FetchDone(
-                    store=decision.store, size=fetched.size, seconds=fetched.seconds
-                )
+            done = FetchDone(
+                store=link_name(decision.store, Tier.MEMORY),
+                size=fetched.size,
+                seconds=fetched.seconds,
+            )
+            self.routing.tell(done)
+
+    async def _wait_fetch(self, reply, decision, prompt):
+        """Wait for a fetch as long as it is better than recomputing."""
+        wait = max(LEAST_FETCH_SECONDS, decision.check_fetch_after)
+        while True:
+            with trio.move_on_after(wait):
+                return await reply.wait()
+            progress = await self.cache.ask(AskProgress(transfer=reply.tag or ""))
+            question = FetchProgress(
+                server=decision.server,
+                store=link_name(decision.store, Tier.MEMORY),
+                ahead=progress.ahead,
+                size=progress.left,
+                tokens=progress.pieces * prompt.model.piece_tokens,
             )
+            answer = await self.routing.ask(question)
+            if not answer:
+                self._cancel_fetch(reply)
+                return Fetched(pieces=decision.fetched - progress.pieces)
+            wait = answer.check_after
 
-    def _engine_request(self, served):
+    def _cancel_fetch(self, reply):
+        if not reply.done.is_set() and reply.tag is not None:
+            self.cache.tell(TransferCancelled(transfer=reply.tag))
+
+    def _engine_request(self, served, inner):
         completion, prompt = served.completion, served.prompt
         body = completion.body
         options = {
@@ -353,6 +387,7 @@
             piece_tokens=prompt.model.piece_tokens,
             priority=int(prompt.rank),
             options=options,
+            trace=self.context.tracer.inject(inner),
         )
 
     async def relay(self, served):
@@ -361,12 +396,15 @@
         :param served: what :meth:`open` returned.
         :return: asynchronous iterator of bytes.
         """
-        stream = served.stream
+        stream, completion = served.stream, served.completion
         self.open_streams.add(stream)
         finished = False
+        hop = self.context.tracer.hop
+        facts = {"server": stream.server.name}
         try:
-            async for event in stream.events():
-                yield event
+            with hop("relay", completion.request_id, completion.parent, **facts):
+                async for event in stream.events():
+                    yield event
             finished = True
         finally:
             self.open_streams.discard(stream)
--- a/wasabistage/entry/_status.py
+++ b/wasabistage/entry/_status.py
@@ -47,9 +47,10 @@
             config_doubtful=bool(in_force and in_force.doubtful),
             everywhere=bool(everywhere),
             running=self.app.running,
+            waiting=len(self.app.plain.admission.waiting),
             members=tuple(_member(item) for item in self.gossip.view.value.members),
             servers=tuple(_server(*item) for item in servers),
-            metrics=dict(self.context.metrics.values),
+            metrics={**self.context.metrics.values, **self.app.count_work()},
         )
 
     async def trace(self, question):
--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -141,7 +141,18 @@
 
     :return: Markdown.
     """
-    lines = ["# Metrics", "", "Sent to statsd by each entry instance.", ""]
+    lines = [
+        "# Metrics",
+        "",
+        "Each entry instance sends them to statsd, if its settings name an address,",
+        "as `PREFIX.NAME`. A meaning that ends in *by rank*, *by kind* or *by task*",
+        "has that as the last part of the name: `request.failed.overload`.",
+        "`wasabistage status --json` shows the same counters and gauges of each entry;",
+        "of a timer it shows how often it was measured.",
+        "",
+        "This page is generated; `python -m wasabistage.observe` prints it.",
+        "",
+    ]
     lines += ["| name | kind | meaning |", "|---|---|---|"]
     for name, (kind, meaning) in sorted(METRICS.items()):
         lines.append(f"| `{name}` | {kind} | {meaning} |")
