--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/platform/_engine.py
@@ -274,12 +274,13 @@
         body = {"staging_id": staging_id, "keys": list(keys), "salt": salt}
         return (await self._transfer("/cache/attach", body))["attached"]
 
-    async def order(self, body, may_send=None):
+    async def order(self, body, may_send=None, timeout=ORDER_TIMEOUT_SECONDS):
         """Send an order.
 
         :param body: the order as a dict with ``fencing`` and ``kind``.
         :param may_send: function without arguments that is asked once connected and
             right before the body leaves; without the body no order takes effect.
+        :param timeout: longest wait for the answer, in seconds.
         :raises UnavailableError: if the engine refused it, or it was held back.
         :raises OutcomeUnknownError: if it may take effect.
         """
@@ -297,7 +298,7 @@
             "POST",
             url,
             json=body,
-            timeout=ORDER_TIMEOUT_SECONDS,
+            timeout=timeout,
             extensions={"trace": check},
         )
 
