Order servers that went silent last, and split the steps of held grants

Cause: a server that reported an old version and then died was claimed first, held its slot for lease plus order_time, and was claimed again: two dead servers stopped a rollout for good.

--- a/wasabistage/entry/_rollout.py
+++ b/wasabistage/entry/_rollout.py
@@ -239,7 +239,7 @@
         self._observe(event, now)
 
     def _count_unsettled(self):
-        holds = self.policy.holds_.values() if self.policy else ()
+        holds = self.policy.held_.holds_.values() if self.policy else ()
         waiting = sum(hold.released_at < hold.taken_at for hold in holds)
         return waiting + self.appending
 
--- a/wasabistage/rollout/_policy.py
+++ b/wasabistage/rollout/_policy.py
@@ -5,7 +5,7 @@
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
 from wasabistage.rollout._fold import GrantFold
-from wasabistage.rollout._holds import Hold, Progress
+from wasabistage.rollout._holds import HeldOrders
 from wasabistage.rollout._messages import (
     AppendEnded,
     AppendRecord,
@@ -14,9 +14,6 @@
     GrantRecord,
     LogRecord,
     OrderEnded,
-    ReadServer,
-    ReleaseRecord,
-    SendOrder,
     ServerRuns,
     TargetsChanged,
     TurnChanged,
@@ -24,6 +21,8 @@
 from wasabistage.rollout._versions import VersionView
 
 MAX_SENT_CLAIMS = 256
+#: Age of a report from which on other servers are ordered first.
+SILENT_SECONDS = 2.0
 #: Slots that every instance's fold knows, whatever number is declared at present.
 MAX_SLOTS = 64
 
@@ -106,8 +105,13 @@
         self.versions_ = VersionView(self.serve_old).reset()
         self.place_ = 0
         self.declared_slots_ = 0
-        self.draining_ = False
-        self.holds_ = {}
+        self.held_ = HeldOrders(
+            self.order_time,
+            self.send_time,
+            self.retry_time,
+            self.append_time,
+            self._record_id,
+        ).reset()
         self.claims_ = {}
         self.seen_at_ = {}
         self.wanted_since_ = {}
@@ -144,11 +148,11 @@
             case TurnChanged():
                 self.place_ = event.place
             case DrainStarted():
-                self.draining_ = True
+                self.held_.drain()
             case ServerRuns():
                 self.versions_.report(event)
             case OrderEnded():
-                self._observe_ended(event, now)
+                self.held_.end(event, now)
 
     def decide(self, query, now):
         """Name the servers that a new request may use.
@@ -157,7 +161,7 @@
         :param now: monotonic time, in seconds.
         :return: :class:`RoutableServers`, or :data:`NO_VERSION`.
         """
-        return self.versions_.routable(query, self._being_ordered())
+        return self.versions_.routable(query, self.held_.being_ordered())
 
     def tick(self, now):
         """Go on with the orders held here and claim slots.
@@ -166,10 +170,8 @@
         :return: a list of :class:`AppendRecord`, :class:`ReadServer` and
             :class:`SendOrder`.
         """
-        actions = self._carry(now)
-        for hold in list(self.holds_.values()):
-            actions += self._advance(hold, now)
-        may_claim = self.fold_.complete_ and not self.draining_
+        actions = self._carry(now) + self.held_.tick(self.versions_, now)
+        may_claim = self.fold_.complete_ and not self.held_.draining_
         if may_claim and now >= self.next_append_:
             takeover = self._next_takeover(now)
             claims = [takeover] if takeover else self._next_claims(now)
@@ -190,20 +192,7 @@
         :param now: monotonic time, read for this call, in seconds.
         :return: ``True`` if the grant is still held for long enough.
         """
-        hold = self.holds_.get(order.fencing)
-        if hold is None or hold.progress is not Progress.ORDERED:
-            return False
-        if hold.attempt != order.attempt:
-            return False
-        return now <= min(hold.send_until, hold.ordered_at + self.send_time)
-
-    def _observe_ended(self, event, now):
-        hold = self.holds_.get(event.fencing)
-        if hold is not None and hold.attempt == event.attempt:
-            # What the server says afterwards counts, not the call's own answer.
-            hold.progress = Progress.READING
-            hold.ended_at = now
-            hold.asked_at = -math.inf
+        return self.held_.may_send(order, now)
 
     def _observe_record(self, event, now):
         record = event.record
@@ -216,10 +205,10 @@
         for slot, state in self.fold_.granted():
             self.seen_at_.setdefault(state.fencing, now)
             mine = state.grant.incarnation == self.incarnation
-            if mine and state.fencing not in self.holds_:
+            if mine and state.fencing not in self.held_.holds_:
                 self._take_hold(slot, state, now)
         held = {state.fencing for _, state in self.fold_.granted()}
-        self.holds_ = {f: hold for f, hold in self.holds_.items() if f in held}
+        self.held_.keep(held)
         self.seen_at_ = {f: at for f, at in self.seen_at_.items() if f in held}
 
     def _plan_carry(self, now):
@@ -243,69 +232,11 @@
         # A claim that isn't remembered is so old that nothing may be sent for it.
         started = self.claims_.pop(state.grant.record_id, -math.inf)
         self.next_append_ = min(self.next_append_, now)
-        self.holds_[state.fencing] = Hold(
-            slot=slot,
-            server=state.grant.server,
-            fencing=state.fencing,
-            send_until=started + state.grant.lease - self.order_time,
-            lapses_at=started + state.grant.lease,
-            taken_at=now,
-        )
-
-    def _advance(self, hold, now):
-        """Return the next actions for a grant held here."""
-        if hold.progress is Progress.ORDERED:
-            if now - hold.ordered_at <= self.send_time + self.order_time:
-                return []
-            hold.progress = Progress.READING
-            hold.ended_at = now
-        if self.draining_:
-            hold.progress = Progress.ENDED
-        if hold.progress is Progress.ENDED:
-            return self._release(hold, now)
-        runs = self.versions_.runs_.get(hold.server)
-        # What was read while the order was under way may be from before it.
-        since = max(hold.taken_at, hold.ended_at)
-        if runs is not None and runs.asked_at >= since and not runs.loading:
-            return self._compare(hold, runs, now)
-        if now > hold.lapses_at + self.order_time:
-            # Out of reach: nothing sent under this grant can be under way any more.
-            hold.progress = Progress.ENDED
-            return self._release(hold, now)
-        if now - hold.asked_at < self.retry_time:
-            return []
-        hold.asked_at = now
-        return [ReadServer(server=hold.server)]
-
-    def _compare(self, hold, runs, now):
-        target = self.versions_.targets_.get(hold.server)
-        done = target is None or target.met_by(runs.runs) or now > hold.send_until
-        if done:
-            hold.progress = Progress.ENDED
-            return self._release(hold, now)
-        hold.progress = Progress.ORDERED
-        hold.ordered_at = now
-        hold.attempt += 1
-        order = SendOrder(
-            server=hold.server,
-            fencing=hold.fencing,
-            attempt=hold.attempt,
-            target=target,
-        )
-        return [order]
-
-    def _release(self, hold, now):
-        if now - hold.released_at < self.append_time:
-            return []
-        hold.released_at = now
-        record = ReleaseRecord(
-            record_id=self._record_id(), slot=hold.slot, grant=hold.fencing
-        )
-        return [AppendRecord(record=record)]
+        self.held_.take(slot, state, started, now)
 
     def _next_takeover(self, now):
         for slot, state in self.fold_.granted():
-            if state.fencing in self.holds_:
+            if state.fencing in self.held_.holds_:
                 continue
             wait = state.grant.lease + self.order_time + self.place_ * self.stagger
             if now > self.seen_at_[state.fencing] + wait:
@@ -322,7 +253,7 @@
         # A slot above the declared number may be held still.
         free = free[: max(0, self.slot_count() - len(ordered))]
         claims = []
-        for server in self.versions_.targets_:
+        for server in self._freshest_first(now):
             if len(claims) == len(free):
                 break
             if server not in ordered and self._is_due(server, len(claims), now):
@@ -330,8 +261,17 @@
                 claims.append(self._claim(slot, self.fold_.state(slot), server))
         return claims
 
+    def _freshest_first(self, now):
+        """Return the servers; those that went silent, maybe for good, come last."""
+        runs = self.versions_.runs_
+
+        def is_silent(server):
+            return server in runs and now - runs[server].asked_at > SILENT_SECONDS
+
+        return sorted(self.versions_.targets_, key=is_silent)
+
     def _is_due(self, server, claimed, now):
-        if not self.versions_.is_due(server):
+        if not self.versions_.is_due(server, now - self.fresh_time):
             self.wanted_since_.pop(server, None)
             return False
         since = self.wanted_since_.setdefault(server, now)
@@ -350,13 +290,6 @@
         )
         return serving - claimed - 1 >= math.floor(self.keep_share * len(peers))
 
-    def _being_ordered(self):
-        return {
-            hold.server
-            for hold in self.holds_.values()
-            if hold.progress is Progress.ORDERED
-        }
-
     def _claim(self, slot, state, server):
         return GrantRecord(
             record_id=self._record_id(),
--- a/wasabistage/rollout/_versions.py
+++ b/wasabistage/rollout/_versions.py
@@ -130,14 +130,17 @@
         target = self.targets_.get(server)
         return target.versions.keys() if target else {}.keys()
 
-    def is_due(self, server):
+    def is_due(self, server, since):
         """Tell whether a server reports something else than what is declared.
 
         :param server: name of a declared server.
-        :return: ``True`` if it does; ``False`` also while it never reported.
+        :param since: monotonic time from which on a report counts, in seconds.
+        :return: ``True`` if it does; ``False`` also if it didn't report lately.
         """
         runs = self.runs_.get(server)
-        return runs is not None and not self.targets_[server].met_by(runs.runs)
+        if runs is None or runs.asked_at < since:
+            return False
+        return not self.targets_[server].met_by(runs.runs)
 
     def _note_old(self, before, after):
         for model in before.keys() & after.keys():
--- a/wasabistage/rollout/tests/test_explore.py
+++ b/wasabistage/rollout/tests/test_explore.py
@@ -22,7 +22,7 @@
 
     def _next_takeover(self, now):
         for slot, state in self.fold_.granted():
-            if state.fencing not in self.holds_:
+            if state.fencing not in self.held_.holds_:
                 return self._claim(slot, state, state.grant.server)
         return None
 
--- a/wasabistage/rollout/tests/test_policy.py
+++ b/wasabistage/rollout/tests/test_policy.py
@@ -10,6 +10,7 @@
     GrantFold,
     GrantRecord,
     LogRecord,
+    ReadServer,
     ReleaseRecord,
     ReportAges,
     RolloutPolicy,
@@ -250,6 +251,19 @@
         self.assertEqual(policy.tick(0.8), [])
         self.assertEqual(len(policy.tick(0.9)), 1)
 
+    def test_silent_servers_come_last_and_hold_no_slot_for_long(self):
+        policy = make(slots=1)
+        policy.observe(runs("m0", V1, 0.0), 0.0)
+        policy.observe(runs("m1", V1, 4.0), 4.0)
+        (claim,) = policy.tick(4.0)
+        self.assertEqual(claim.record.server, "m1")
+        policy.observe(LogRecord(offset=0, record=claim.record), 4.1)
+        self.assertIsInstance(policy.tick(11.0)[0], ReadServer)
+        (release,) = policy.tick(11.1)
+        self.assertIsInstance(release.record, ReleaseRecord)
+        policy.observe(LogRecord(offset=1, record=release.record), 14.2)
+        self.assertEqual(policy.tick(14.2), [])
+
     def test_draining_instance_gives_back_and_claims_no_more(self):
         policy = granted()
         policy.observe(DrainStarted(), 0.6)
