--- a/wasabistage/entry/tests/rollout_load.py
+++ b/wasabistage/entry/tests/rollout_load.py
@@ -178,11 +178,11 @@
             for index in range(self.fleet.options.entries)
         )
 
-    def loaded(self, version):
-        """Name the engines that hold a version now."""
+    def loaded(self, version, engines=()):
+        """Name the engines, of all or of some, that hold a version now."""
         return [
             name
-            for name in self.engines
+            for name in engines or self.engines
             if self.fleet.get(name, "/witness/state")["versions"][MODEL] == version
         ]
 
--- a/wasabistage/entry/tests/test_process_rollout.py
+++ b/wasabistage/entry/tests/test_process_rollout.py
@@ -138,6 +138,17 @@
         self.assertEqual(self.taken_over(), [])
         self.check_witnesses()
 
+    def test_dead_engines_stop_no_rollout(self):
+        dead, living = self.rollouts.engines[:2], self.rollouts.engines[2:]
+        for name in dead:
+            self.fleet.kill(name)
+        version = self.rollouts.publish()
+        wait_until(lambda: self.rollouts.loaded(version, living) == living)
+        for name in dead:
+            self.fleet.restart(name)
+        self.settle(version)
+        self.check_witnesses()
+
     def test_log_down_meanwhile(self):
         with Callers(self.fleet, CALLERS) as callers:
             version, _ = self.begin()
