--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -28,6 +28,7 @@
     "config.alarm": ("counter", "log records that were skipped as bad"),
     "peer.calls": ("counter", "calls sent to other entries"),
     "peer.failures": ("counter", "calls to other entries that failed"),
+    "order.sent": ("counter", "orders sent to backend servers"),
     "log.appends": ("counter", "append calls to the log service"),
     "log.failures": ("counter", "calls to the log service that failed"),
     "task.failure": ("counter", "messages whose handling failed, by task"),
