Ship as one binary that is one process

Cause: the program must run as one file without an installed Python, and a process of it must start no other process.

Ruled out: PyInstaller's one-file mode (run again: loader and child under ps); Nuitka's one-file mode and a shell script as first step (earlier trials); unpacking into /dev/shm (often noexec, and meant for shared memory).

Change: `make binary` lets PyInstaller gather the program in an environment of its own and appends it to a small C launcher, which unpacks it once per version into a private folder and becomes it by exec. The fleet can run its entries from any program.

Conclusion: one file, one process id, no children.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,10 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 DEPLOYMENT ?= padavu
+BINARY_SOURCES := requirements.txt $(wildcard binary/*.*) \
+  $(shell find wasabistage -name '*.py' -not -path '*/tests/*' -o -name '*.yaml')
 
-.PHONY: setup test lint format demo clean
+.PHONY: setup test lint format demo binary binary-check clean
 
 setup: $(VENV)/.ready
 
@@ -27,5 +29,13 @@
 demo: setup
 	$(PY) -m tools.demo --deployment $(DEPLOYMENT)
 
+binary: dist/wasabistage
+
+dist/wasabistage: $(BINARY_SOURCES)
+	$(PYTHON) -m binary.build
+
+binary-check: setup binary
+	$(PY) -m tools.run_tests binary.tests.test_launcher binary.tests.test_binary
+
 clean:
 	rm -rf $(VENV) build dist var
--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the one binary: a small launcher with the program appended to it."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -90,6 +90,7 @@
     :ivar stores: names of the stores to keep; ``None`` for all.
     :ivar without: mechanism that the entries run without, a name of
         :mod:`standins.unsafe_entry`; empty for none.
+    :ivar program: command line that runs ``wasabistage``.
     """
 
     folder: Path = ROOT / "examples" / "padavu"
@@ -101,6 +102,7 @@
     servers: tuple = ()
     stores: tuple | None = None
     without: str = ""
+    program: tuple = (sys.executable, "-m", "wasabistage")
 
 
 class Fleet:
@@ -260,10 +262,11 @@
                 timing=self.options.timing,
             )
             path.write_text(text, encoding="utf-8")
-            command = ["wasabistage", "entry"]
+            command = [*self.options.program, "entry"]
             if self.options.without:
-                command = ["standins.unsafe_entry", self.options.without]
-            arguments = [sys.executable, "-m", *command, str(path)]
+                module = "standins.unsafe_entry"
+                command = [sys.executable, "-m", module, self.options.without]
+            arguments = [*command, str(path)]
             url = f"http://{self.entry_address(index)}/v1/entries"
             self.processes[name] = FleetProcess(name, arguments, url)
 
