--- a/tools/golden.py
+++ b/tools/golden.py
@@ -32,6 +32,7 @@
 PIECES = 2
 #: An entry that has read the outcome from the log answers without its home.
 HOPS_LEFT_OUT = ("once.forward",)
+COUNTED = ("prompt_tokens", "computed_tokens", "cross_account")
 CALM_READS = 3
 CALM_SECONDS = 0.1
 TIMEOUT_SECONDS = 30.0
@@ -79,6 +80,8 @@
         self.http = httpx.Client(timeout=TIMEOUT_SECONDS, trust_env=False)
         self.exchanges = []
         self.names = {}
+        # Calls made while the fleet got ready are no part of the session.
+        self.before = self._engine_counts()
 
     def record(self):
         """Play the session.
@@ -280,6 +283,15 @@
             lines.extend(self._tree(below, spans, depth + 1))
         return lines
 
+    def _engine_counts(self):
+        """Return what each engine's witness counted so far."""
+        counts = {}
+        for server in self.fleet.deployment.servers.values():
+            if server.kind is ServiceKind.MODEL:
+                state = self.fleet.get(server.name, "/witness/state")
+                counts[server.name] = {name: state[name] for name in COUNTED}
+        return counts
+
     def _witnesses(self):
         seen = {}
         for server in self.fleet.deployment.servers.values():
@@ -291,10 +303,9 @@
                     {k: self._clean(v) for k, v in item.items() if k != "traceparent"}
                     for item in kept
                 ]
-            else:
-                state = self.fleet.get(server.name, "/witness/state")
-                names = ("prompt_tokens", "computed_tokens", "cross_account")
-                seen[server.name] = {name: state[name] for name in names}
+        for name, counts in self._engine_counts().items():
+            before = self.before[name]
+            seen[name] = {key: counts[key] - before[key] for key in COUNTED}
         return seen
 
 
