--- a/wasabistage/entry/tests/test_process_isolation.py
+++ b/wasabistage/entry/tests/test_process_isolation.py
@@ -222,7 +222,9 @@
             link.sendall(text.encode())
             answer = b""
             while b"\r\n\r\n" not in answer:
-                answer += link.recv(65536)
+                part = link.recv(65536)
+                self.assertTrue(part, f"no answer to {target!r}")
+                answer += part
 
 
 if __name__ == "__main__":
