--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY := $(VENV)/bin/python
 DEPLOYMENT ?= padavu
 
-.PHONY: setup test lint format demo clean
+.PHONY: setup test lint format bench capacity demo clean
 
 setup: $(VENV)/.ready
 
@@ -24,6 +24,12 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+bench: setup
+	$(PY) -m benchmarks
+
+capacity: setup
+	$(PY) -m benchmarks.capacity
+
 demo: setup
 	$(PY) -m tools.demo --deployment $(DEPLOYMENT)
 
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -6,6 +6,7 @@
 
 import statistics
 import time
+from dataclasses import dataclass
 
 from wasabistage.charts import ChartInterpreter, CompiledChart
 from wasabistage.sessions import (
@@ -70,10 +71,27 @@
     print(f"stream table, in and out: {time_per(ITEMS, buffer_answer):.2f} us/item")
 
 
+@dataclass(frozen=True, kw_only=True)
+class TableCost:
+    """Cost of a full session table.
+
+    :param memory: its size, in bytes.
+    :param evicted: sessions evicted while it was filled to its capacity.
+    :param record: time of one record, in microseconds.
+    :param lookup: time of one lookup, in microseconds.
+    """
+
+    memory: int
+    evicted: int
+    record: float
+    lookup: float
+
+
 def measure_sessions(capacity):
-    """Print the cost of a table filled to its capacity.
+    """Fill a table to its capacity.
 
     :param capacity: sessions.
+    :return: a :class:`TableCost`.
     """
     table = SessionTable(capacity).reset()
     start = time.perf_counter()
@@ -87,9 +105,20 @@
     for number in sample:
         table.lookup(f"account-{number % 750}", f"session-{number}")
     lookup = (time.perf_counter() - start) / len(sample) * 1e6
+    return TableCost(
+        memory=table.memory(), evicted=table.evicted_, record=record, lookup=lookup
+    )
+
+
+def show_sessions(capacity):
+    """Print the cost of a full table.
+
+    :param capacity: sessions.
+    """
+    cost = measure_sessions(capacity)
     print(
-        f"{capacity:9} {table.memory() / 1e6:7.2f} {table.memory() / capacity:8.1f}"
-        f" {table.evicted_ / capacity:8.2%} {record:8.2f} {lookup:8.2f}"
+        f"{capacity:9} {cost.memory / 1e6:7.2f} {cost.memory / capacity:8.1f}"
+        f" {cost.evicted / capacity:8.2%} {cost.record:8.2f} {cost.lookup:8.2f}"
     )
 
 
@@ -118,7 +147,7 @@
     measure_answers()
     print("\n sessions      MB bytes each evicted   record   lookup (us)")
     for capacity in CAPACITIES:
-        measure_sessions(capacity)
+        show_sessions(capacity)
     print()
     for kind in (ChartInterpreter, CompiledChart):
         measure_chart(kind)
