--- a/benchmarks/_pages.py
+++ b/benchmarks/_pages.py
@@ -9,7 +9,7 @@
 
 Written by `make bench`; the JSON and CSV files beside this page hold each repeat's
 value. A figure is the median over the repeats, with the least and the most. *Own*
-rows are the policies that an entry runs by default; the others are baselines on the
+rows are the policies of this project; the others are baselines on the
 same seeded arrivals, and what they miss shows what the policy is for. The policies
 run against simulated time, but for those that state microseconds; `entry_hop` runs
 real processes.
--- a/benchmarks/_suite.py
+++ b/benchmarks/_suite.py
@@ -143,9 +143,7 @@
     if not short:
         kinds["one by one, declared only"] = rollout.OneByOne
         kinds["all at once, declared"] = rollout.AllAtOnce
-    seconds = range(
-        int(rollout.PUBLISH_AT), int(rollout.PUBLISH_AT + rollout.WINDOW)
-    )
+    seconds = range(int(rollout.PUBLISH_AT), int(rollout.PUBLISH_AT + rollout.WINDOW))
     for repeat in range(seed, seed + repeats):
         for name, kind in kinds.items():
             base, _, _ = rollout.run(kind, repeat, publish=False)
