Keep a connection pool per address

A profile of an idle entry at 7 entries and 16 backend servers showed a sixth of its processor time in the HTTP pool, which scans all its connections, and counts the idle ones once per idle one, whenever a request begins or ends: one pool for every address is quadratic in servers and streams. A smaller keep-alive bound was ruled out, since it would reopen connections. Each address has its own pool now, 2,048 at most.

--- a/wasabistage/platform/_http.py
+++ b/wasabistage/platform/_http.py
@@ -1,5 +1,7 @@
 """HTTP calls to the platform and to backend servers, with typed errors."""
 
+import ssl
+
 import httpx
 
 from wasabistage.base import Ran
@@ -9,11 +11,55 @@
 READ_TIMEOUT_SECONDS = 15.0
 MAX_CONNECTIONS = 512
 KEEPALIVE_CONNECTIONS = 64
+#: Addresses with a pool of their own; beyond it the oldest pool is closed.
+MAX_POOLS = 2048
 
 #: Errors raised before a byte of the request left this process.
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
+class PoolPerAddress(httpx.AsyncBaseTransport):
+    """A connection pool for each address.
+
+    A pool looks at all of its connections for each request that begins or ends, so
+    one pool for hundreds of streams and of servers costs more than the requests.
+
+    :param limits: bounds of each pool, :class:`httpx.Limits`.
+    :param max_pools: pools kept; the one made first is closed beyond it.
+    """
+
+    def __init__(self, limits, max_pools=MAX_POOLS):
+        self.limits = limits
+        self.max_pools = max_pools
+        self.pools = {}
+        # Loading the certificates once per pool would cost a megabyte each.
+        self.verify = ssl.create_default_context()
+
+    async def handle_async_request(self, request):
+        """Send a request through the pool of its address.
+
+        :param request: an :class:`httpx.Request`.
+        :return: an :class:`httpx.Response`.
+        """
+        pool = await self._pool(request.url.netloc)
+        return await pool.handle_async_request(request)
+
+    async def _pool(self, address):
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = httpx.AsyncHTTPTransport(verify=self.verify, limits=self.limits)
+            self.pools[address] = pool
+            if len(self.pools) > self.max_pools:
+                await self.pools.pop(next(iter(self.pools))).aclose()
+        return pool
+
+    async def aclose(self):
+        """Close every pool."""
+        pools, self.pools = self.pools, {}
+        for pool in pools.values():
+            await pool.aclose()
+
+
 def make_http_client(read_timeout=READ_TIMEOUT_SECONDS):
     """Build the HTTP client of one process.
 
@@ -25,7 +71,8 @@
         max_connections=MAX_CONNECTIONS,
         max_keepalive_connections=KEEPALIVE_CONNECTIONS,
     )
-    return httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False)
+    transport = PoolPerAddress(limits)
+    return httpx.AsyncClient(timeout=timeout, transport=transport, trust_env=False)
 
 
 async def call_json(client, method, url, **options):
