Spread the questions to backend servers over the entries

Each entry asked each server for its load every 0.5 s and each engine for its cache events every 0.2 s: 50 requests a second of an idle entry with 10 servers, half of its processor time by a profile, and growing with entries times servers. A longer period for all was ruled out: a leaving server must be seen within seconds. Two watchers a server, by rendezvous hashing, ask at full pace, and so does an entry with work there; the rest ask every 2 s, and leaving words go by gossip as before. Questions for events back off to 3.2 s while none come and nothing runs.

--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -10,6 +10,7 @@
 from wasabistage.declarations import ServiceKind
 from wasabistage.entry._admission import SlotsOfService
 from wasabistage.entry._gossip import SendNow
+from wasabistage.entry._polls import EVENTS_SECONDS, PollPlan
 from wasabistage.entry._task import Task
 from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import UnavailableError, WasabistageError
@@ -49,7 +50,6 @@
 )
 
 TICK_SECONDS = 0.25
-EVENTS_SECONDS = 0.2
 DISPATCHED_SECONDS = 0.25
 PLAIN_VERSION = "plain"
 MODEL_PREFIX = "model:"
@@ -184,6 +184,7 @@
         self.random = random.Random(context.incarnation + "routing")
         self.retries = RetryPolicy().reset()
         self.facts = {}
+        self.polls = PollPlan(context.settings.name)
         self.deployment = None
         self.gossip = None
         self.sent = {}
@@ -203,9 +204,15 @@
         self.tell(tick)
 
     async def _poll_loads(self, tick):
-        for server in self.context.config.value.deployment.servers.values():
+        servers = self.context.config.value.deployment.servers
+        view = self.gossip.view.value if self.gossip is not None else None
+        names = [item.instance for item in view.candidates] if view else []
+        self.polls.follow(servers, names)
+        for server in servers.values():
             facts = self.facts.get(server.name)
-            if facts is not None and not facts.polling:
+            if facts is None or facts.polling:
+                continue
+            if self.polls.load_due(server.name, facts.heard, tick.now):
                 facts.polling = True
                 self.nursery.start_soon(self._poll_load, server, facts)
 
@@ -224,7 +231,11 @@
         async with trio.open_nursery() as nursery:
             for server in servers:
                 facts = self.facts.get(server.name)
-                if server.kind is ServiceKind.MODEL and facts and facts.heard:
+                if server.kind is not ServiceKind.MODEL or not facts:
+                    continue
+                busy = facts.load.running + facts.load.queued > 0
+                due = facts.heard and self.polls.events_due(server.name, busy, tick.now)
+                if due:
                     nursery.start_soon(self._poll_event, server, facts)
 
     async def _poll_event(self, server, facts):
@@ -232,6 +243,8 @@
             answer = await self.context.engine(server).cache_events(facts.next_event)
         except WasabistageError:
             return
+        now = self.context.timers.now()
+        self.polls.events_came(server.name, len(answer["events"]), now)
         for event in answer["events"]:
             facts.next_event = max(facts.next_event, event["seq"] + 1)
             self.cache.tell(
@@ -487,6 +500,7 @@
         return self.retries.decide(query, now)
 
     def _start_attempt(self, message, decision, router, now):
+        self.polls.started(decision.server)
         self.health.observe(CallStarted(server=decision.server), now)
         router.observe(
             Dispatched(
@@ -500,6 +514,7 @@
         self.sent[decision.server] = sent + max(1, decision.tokens)
 
     def _end_attempt(self, message, now):
+        self.polls.ended(message.server)
         ended = DispatchEnded(request=message.attempt)
         self.router.observe(ended, now)
         self.plain_router.observe(ended, now)
