--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of cost over size, measured here, and what they give at the target."""
--- a/wasabistage/entry/_once.py
+++ b/wasabistage/entry/_once.py
@@ -53,7 +53,9 @@
 from wasabistage.platform import NewRecord
 
 STREAM = "once"
+#: Time between two ticks while something waits, and while nothing does.
 TICK_SECONDS = 0.02
+IDLE_TICK_SECONDS = 0.25
 NONCE_BYTES = 16
 SECRET_BYTES = 32
 ATTEMPT_BYTES = 12
@@ -132,6 +134,7 @@
         self.gossip = gossip
         self.policy = policy or self._make_policy()
         self.attempts = {}
+        self.ticking = False
 
     def _make_policy(self):
         settings = self.context.settings
@@ -151,11 +154,25 @@
     async def start(self):
         """Begin to tick."""
         timers = self.context.timers
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
+        self.nursery.start_soon(
+            timers.run_subscription, IDLE_TICK_SECONDS, self._on_tick
+        )
 
     async def _on_tick(self, tick):
         self.tell(tick)
 
+    def _keep_ticking(self, now):
+        """Tick fast while an attempt or a record waits; an idle entry need not."""
+        waits = self.attempts or self.policy.batcher_.decide(None, now)
+        if waits and not self.ticking:
+            self.ticking = True
+            self.nursery.start_soon(self._tick_soon)
+
+    async def _tick_soon(self):
+        await trio.sleep(TICK_SECONDS)
+        self.ticking = False
+        self.tell(Tick(now=self.context.timers.now(), period=TICK_SECONDS))
+
     async def handle(self, message, reply):
         """Handle a message; see :meth:`Task.handle`."""
         now = self.context.timers.now()
@@ -175,6 +192,7 @@
             case _:
                 self.policy.observe(message, now)
         self._carry_out(now)
+        self._keep_ticking(now)
         return LATER
 
     def _issue(self, message, now):
