--- a/wasabistage/client/_client.py
+++ b/wasabistage/client/_client.py
@@ -1,7 +1,9 @@
 """The caller's side: ask, keep, fail over, resume, retry."""
 
 import random
+import ssl
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 import httpx
 import trio
@@ -15,6 +17,7 @@
 )
 from wasabistage.client._events import AnswerEnd, AnswerError, read_events
 from wasabistage.exceptions import (
+    IntegrityError,
     NotFoundError,
     OutcomeUnknownError,
     WasabistageError,
@@ -34,6 +37,10 @@
 DEADLINE_SECONDS = 60.0
 KEY_HEADER = "Idempotency-Key"
 INQUIRY_HEADER = "Idempotency-Inquiry"
+#: Refused resumes, at one entry and another, before the prompt is sent again.
+MOST_REFUSED_RESUMES = 2
+#: Errors within a stream after which the prompt is sent again from its start.
+RESTART_KINDS = (IntegrityError.kind, NotFoundError.kind)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -136,6 +143,7 @@
             headers={"Authorization": f"Bearer {self.key}"},
             timeout=timeout,
             trust_env=False,
+            verify=_tls_context(),
         )
         self.policy_ = (self.retries or ClientRetryPolicy()).reset()
         self.random_ = random.Random(self.seed)
@@ -338,6 +346,12 @@
         return (fresh or list(answer.addresses))[0]
 
 
+@lru_cache(maxsize=1)
+def _tls_context():
+    """Build the TLS context once: it costs more than a whole request."""
+    return ssl.create_default_context()
+
+
 class StreamExchange:
     """One completion over any number of connections.
 
@@ -353,6 +367,7 @@
         self.stream_id = ""
         self.assembler = None
         self.end = None
+        self.refused_resumes = 0
 
     @property
     def position(self):
@@ -400,12 +415,17 @@
 
     def _refused(self, response, resume):
         failed = from_response(response)
-        if resume and isinstance(failed.error, NotFoundError):
+        if not resume:
+            return failed
+        self.refused_resumes += 1
+        lost = isinstance(failed.error, NotFoundError)
+        if lost or self.refused_resumes >= MOST_REFUSED_RESUMES:
             return self._restart(failed)
         return failed
 
     def _restart(self, failed):
         """Give the stream up and let the prompt be sent again."""
+        self.refused_resumes = 0
         self.stream_id = ""
         self.assembler = None
         return FailedAttempt(failure=Failure.LOST, error=failed.error)
@@ -432,7 +452,7 @@
             event.message, remedy="resume the stream", ran="unknown"
         )
         failed = FailedAttempt(failure=Failure.LOST, error=error)
-        if event.kind == "integrity":
+        if event.kind in RESTART_KINDS:
             return self._restart(failed)
         return failed
 
