--- a/benchmarks/capacity/_slopes.py
+++ b/benchmarks/capacity/_slopes.py
@@ -311,7 +311,7 @@
             event = CacheEvent(
                 server="server-1",
                 incarnation="1",
-                sequence=step,
+                sequence=step + 1,
                 stored=(f"{step:032x}",),
                 removed=(),
             )
--- a/benchmarks/capacity/_wire.py
+++ b/benchmarks/capacity/_wire.py
@@ -14,6 +14,8 @@
 HOST = "127.0.0.1"
 KEY = "0123456789abcdef0123456789abcdef"
 CALLS = 50
+#: Client accounts in the demand report of a usual call.
+BUSY_ACCOUNTS = 10
 CHUNK = 1 << 16
 #: Addresses of IP and TCP in front of each segment; one segment each way a call.
 SEGMENT_BYTES = 52
