Tick the configuration task every 250 ms

It ticked every 50 ms to see whether the log is due to be read, which is due once in 3.5 s here and on a hint. A version is in force up to 0.2 s later.

--- a/wasabistage/entry/_config.py
+++ b/wasabistage/entry/_config.py
@@ -32,7 +32,7 @@
 from wasabistage.platform import NewRecord
 
 STREAM = "config"
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.25
 PEER_ASK_SECONDS = 1.0
 RECORD_ID_BYTES = 16
 LIVE_STATES = (MemberState.SERVING, MemberState.DRAINING)
