Let subscribers' ticks fall together

A profile of an idle entry showed its time spread over some 200 wake-ups a second, each for one tick or one answer; each tick woke the process on its own. Ticks fall on multiples of their period now.

--- a/wasabistage/entry/_timer.py
+++ b/wasabistage/entry/_timer.py
@@ -6,6 +6,9 @@
 
 import trio
 
+#: Part of a period by which a wake-up may come early for its tick.
+ROUNDING = 1e-6
+
 
 @dataclass(frozen=True, kw_only=True)
 class Tick:
@@ -48,7 +51,14 @@
 
 
 class TrioTimerService(TimerService):
-    """Timer service on trio's clock."""
+    """Timer service on trio's clock.
+
+    Ticks fall on multiples of their period since the service's first one, so that
+    several subscribers wake the process once.
+    """
+
+    def __init__(self):
+        self.origin = None
 
     def now(self):
         """Return trio's time; see :meth:`TimerService.now`."""
@@ -60,8 +70,9 @@
 
     async def run_subscription(self, period, receive):
         """Tick; see :meth:`TimerService.run_subscription`."""
-        due = trio.current_time() + period
+        if self.origin is None:
+            self.origin = trio.current_time()
         while True:
-            await trio.sleep_until(due)
+            turns = int((trio.current_time() - self.origin) / period + ROUNDING)
+            await trio.sleep_until(self.origin + (turns + 1) * period)
             await receive(Tick(now=trio.current_time(), period=period))
-            due = max(due + period, trio.current_time())
