Spread the piece keys of the cache index's slope

The index keeps the first 16 digits of a key, which were zeros in all: one piece was held, and the memory of a piece came out as 2 bytes instead of 105.

--- a/benchmarks/capacity/_slopes.py
+++ b/benchmarks/capacity/_slopes.py
@@ -20,6 +20,7 @@
 from wasabistage.base import Rank
 from wasabistage.cache import (
     CacheEvent,
+    CacheListing,
     Committed,
     PrefixIndex,
     SessionPrefix,
@@ -78,6 +79,15 @@
     )
 
 
+def key(step):
+    """Make a piece key.
+
+    :param step: a number.
+    :return: 32 hex digits; odd constants spread the number over all of them.
+    """
+    return f"{step * SPREAD_HIGH & MASK:016x}{step * SPREAD_LOW & MASK:016x}"
+
+
 def time_each(action, count, repeats=5):
     """Time an action that takes a step number.
 
@@ -269,10 +279,6 @@
     before = resident_bytes("self")
     index = StoreIndex(max_sessions=count).reset()
 
-    def key(step):
-        # Odd constants spread the numbers over the whole key.
-        return f"{step * SPREAD_HIGH & MASK:016x}{step * SPREAD_LOW & MASK:016x}"
-
     start = time.perf_counter()
     for step in range(count):
         event = Committed(
@@ -306,13 +312,15 @@
     for count in counts:
         tracemalloc.start()
         index = PrefixIndex(max_pieces=count).reset()
+        listing = CacheListing(server="server-1", incarnation="1", sequence=0, keys=())
+        index.observe(listing, 0.0)
 
         def store(step, index=index):
             event = CacheEvent(
                 server="server-1",
                 incarnation="1",
                 sequence=step + 1,
-                stored=(f"{step:032x}",),
+                stored=(key(step),),
                 removed=(),
             )
             index.observe(event, step * 0.01)
