Spread calls of plain services by what is outstanding

Cause: over real processes, sequential calls all went to the first of four servers (171, 0, 0, 0): the reported queue alone decided, and ties went by name. Ruled out: health and leaving (all four were ready). Change: LeastOutstandingRouter counts own open requests, and the draw breaks ties. Measured: in the policy's test four idle servers get 25 of 100 calls each; a busy one gets none until its request ends.

--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -40,7 +40,7 @@
     FirstToken,
     HealthPolicy,
     HealthQuery,
-    LeastLoadedRouter,
+    LeastOutstandingRouter,
     LoadReport,
     PeerDispatched,
     PredictiveRouter,
@@ -196,7 +196,7 @@
         self.membership = BackendMembership().reset()
         self.health = HealthPolicy().reset()
         self.router = PredictiveRouter().reset()
-        self.plain_router = LeastLoadedRouter().reset()
+        self.plain_router = LeastOutstandingRouter().reset()
         self.random = random.Random(context.incarnation + "routing")
         self.retries = RetryPolicy().reset()
         self.facts = {}
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -60,6 +60,7 @@
 from wasabistage.routing._router import (
     NO_SERVER,
     LeastLoadedRouter,
+    LeastOutstandingRouter,
     PredictiveRouter,
     RandomRouter,
     RoundRobinRouter,
@@ -86,6 +87,7 @@
     "HealthPolicy",
     "HealthQuery",
     "LeastLoadedRouter",
+    "LeastOutstandingRouter",
     "KeepFetching",
     "LinkQueue",
     "LoadReport",
--- a/wasabistage/routing/_router.py
+++ b/wasabistage/routing/_router.py
@@ -7,7 +7,7 @@
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
 from wasabistage.routing._estimate import FirstTokenEstimator, link_name
-from wasabistage.routing._load import EstimateQuery
+from wasabistage.routing._load import Dispatched, DispatchEnded, EstimateQuery
 from wasabistage.routing._messages import Plan, RouteDecision
 from wasabistage.utils import Sentinel
 
@@ -209,6 +209,53 @@
         return load.queued if load else 0.0
 
 
+class LeastOutstandingRouter(Router):
+    """Fewest requests outstanding, ties spread by the draw; for plain services.
+
+    Outstanding are this entry's own open requests or those that the server reported,
+    whichever are more, by its weight.
+
+    :param estimator: see :class:`Router`.
+    """
+
+    def reset(self):
+        """Forget all requests."""
+        super().reset()
+        self.requests_ = {}
+        self.open_ = {}
+        return self
+
+    def observe(self, event, now):
+        """Count dispatches and their ends; see :meth:`Router.observe`."""
+        super().observe(event, now)
+        if isinstance(event, Dispatched):
+            self._end(event.request)
+            self.requests_[event.request] = event.server
+            self.open_[event.server] = self.open_.get(event.server, 0) + 1
+        elif isinstance(event, DispatchEnded):
+            self._end(event.request)
+
+    def _end(self, request):
+        server = self.requests_.pop(request, None)
+        if server is None:
+            return
+        self.open_[server] -= 1
+        if not self.open_[server]:
+            del self.open_[server]
+
+    def _order(self, query, eligible, now):
+        start = int(query.draw * len(eligible))
+        spread = eligible[start:] + eligible[:start]
+        order = sorted(spread, key=self._outstanding)
+        return [self._hold_option(query, item, now) for item in order]
+
+    def _outstanding(self, candidate):
+        load = self.estimator_.servers_.get(candidate.server)
+        reported = load.running if load else 0
+        own = self.open_.get(candidate.server, 0)
+        return (max(reported, own) + 1) / max(candidate.weight, MIN_WEIGHT)
+
+
 class StickyRouter(Router):
     """Baseline: a session stays on the server that it was first sent to.
 
--- a/wasabistage/routing/tests/test_router.py
+++ b/wasabistage/routing/tests/test_router.py
@@ -18,6 +18,7 @@
     FirstToken,
     FirstTokenEstimator,
     LeastLoadedRouter,
+    LeastOutstandingRouter,
     LinkQueue,
     LoadReport,
     PeerDispatched,
@@ -241,3 +242,48 @@
         self.assertFalse(
             self.estimator.decide(EstimateQuery(server="z", tokens=1), 0.0)
         )
+
+
+class TestLeastOutstandingRouter(unittest.TestCase):
+    def setUp(self):
+        self.router = LeastOutstandingRouter().reset()
+        self.candidates = tuple(
+            Candidate(server=name, version="v") for name in ("a", "b", "c", "d")
+        )
+
+    def choose(self, draw):
+        query = RouteQuery(
+            account="",
+            model="shop",
+            version="v",
+            prompt_tokens=1,
+            candidates=self.candidates,
+            draw=draw,
+        )
+        return self.router.decide(query, 0.0).server
+
+    def dispatch(self, request, server):
+        event = Dispatched(request=request, server=server, tokens=1)
+        self.router.observe(event, 0.0)
+
+    def test_idle_servers_share_the_work(self):
+        found = [self.choose(place / 100) for place in range(100)]
+        self.assertEqual(
+            {name: found.count(name) for name in "abcd"}, dict.fromkeys("abcd", 25)
+        )
+
+    def test_busy_server_is_left_out_until_its_request_ends(self):
+        self.dispatch("r1", "a")
+        self.assertNotIn("a", {self.choose(place / 100) for place in range(100)})
+        self.router.observe(DispatchEnded(request="r1"), 0.0)
+        self.assertIn("a", {self.choose(place / 100) for place in range(100)})
+        self.assertEqual(self.router.open_, {})
+
+    def test_a_retry_moves_its_request(self):
+        self.dispatch("r1", "a")
+        self.dispatch("r1", "b")
+        self.assertEqual(self.router.open_, {"b": 1})
+
+    def test_reported_load_counts(self):
+        self.router.observe(LoadReport(server="c", running=5), 0.0)
+        self.assertNotIn("c", {self.choose(place / 100) for place in range(100)})
