Answer the addresses of entries without known slots last

Cause: an entry that had just started refused model calls ('no slot at this entry') until it had heard its backend servers, and was answered to callers all the same; no task reported the load by which addresses are ranked. Change: admission reports its load to the gossip task, 1 while it knows no slot. Conclusion: callers still may reach it by an old answer; then the refusal says not run, and the client goes on to another entry.

--- a/wasabistage/entry/_admission.py
+++ b/wasabistage/entry/_admission.py
@@ -21,12 +21,14 @@
     SendReport,
     ShareLimiter,
 )
+from wasabistage.entry._gossip import ReportLoad
 from wasabistage.entry._task import LATER, Task
 from wasabistage.exceptions import WasabistageError
 from wasabistage.membership import MemberState
 from wasabistage.observe import make_logger
 
 TICK_SECONDS = 0.1
+LOAD_STEP = 0.05
 log = make_logger("admission")
 LIVE_STATES = (MemberState.SERVING, MemberState.DRAINING, MemberState.SUSPECT)
 
@@ -68,6 +70,7 @@
         self.deployment = deployment
         self.members = {}
         self.slots = {}
+        self.load = 1.0
 
     async def start(self):
         """Begin to tick."""
@@ -97,8 +100,22 @@
     def _tick(self, now):
         self._follow_config(now)
         self._follow_members(now)
+        self._report_load()
         self._carry_out(self.policy.tick(now))
 
+    def _report_load(self):
+        """Tell the peers how full this entry is; full while it knows no slot.
+
+        Addresses of a full entry are answered last, so that callers leave one alone
+        that has just started.
+        """
+        running = sum(self.policy.limiter_.running_.values())
+        share = sum(self.slots.values()) / max(1, len(self.members))
+        load = min(1.0, running / share) if share else 1.0
+        if self.gossip is not None and abs(load - self.load) >= LOAD_STEP:
+            self.load = load
+            self.gossip.tell(ReportLoad(load=load))
+
     def _set_slots(self, message, now):
         if self.slots.get(message.service) == message.slots:
             return
--- a/wasabistage/entry/_gossip.py
+++ b/wasabistage/entry/_gossip.py
@@ -158,7 +158,8 @@
         self.resumed = {}
         self.commits = {}
         self.dispatched = {}
-        self.load = 0.0
+        # Full until admission knows a slot.
+        self.load = 1.0
         self.phase = Phase.SERVING
         self.config = ReportConfig(version=0, next_offset=0)
         self.names = {}
