--- a/wasabistage/entry/_admission.py
+++ b/wasabistage/entry/_admission.py
@@ -22,12 +22,11 @@
     ShareLimiter,
 )
 from wasabistage.entry._gossip import ReportLoad
-from wasabistage.entry._task import LATER, Task
+from wasabistage.entry._task import LATER, TickingTask
 from wasabistage.exceptions import WasabistageError
 from wasabistage.membership import MemberState
 from wasabistage.observe import make_logger
 
-TICK_SECONDS = 0.1
 LOAD_STEP = 0.05
 log = make_logger("admission")
 LIVE_STATES = (MemberState.SERVING, MemberState.DRAINING, MemberState.SUSPECT)
@@ -45,17 +44,17 @@
     slots: int
 
 
-class AdmissionTask(Task):
+class AdmissionTask(TickingTask):
     """Owns the queues and limits of this entry.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
     """
 
     name = "admission"
+    tick_seconds = 0.1
 
     def __init__(self, context):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         deployment = context.config.value.deployment
         self.policy = EntryAdmission(
             limiter=ShareLimiter(
@@ -72,14 +71,6 @@
         self.slots = {}
         self.load = 1.0
 
-    async def start(self):
-        """Begin to tick."""
-        timers = self.context.timers
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
-
-    async def _on_tick(self, tick):
-        self.tell(tick)
-
     async def handle(self, message, reply):
         """Handle a message; see :meth:`Task.handle`."""
         now = self.context.timers.now()
--- a/wasabistage/entry/_attempts.py
+++ b/wasabistage/entry/_attempts.py
@@ -3,7 +3,7 @@
 import trio
 
 from wasabistage.base import Ran
-from wasabistage.entry._routing import AskRetry, VersionPendingError
+from wasabistage.entry._routing_messages import AskRetry, VersionPendingError
 from wasabistage.exceptions import OverloadError, UnavailableError, WasabistageError
 from wasabistage.retries import Failure, FreshRequest
 
--- a/wasabistage/entry/_cache.py
+++ b/wasabistage/entry/_cache.py
@@ -43,14 +43,13 @@
 )
 from wasabistage.entry._exports import Exporter
 from wasabistage.entry._staging import Stager
-from wasabistage.entry._task import LATER, Task
+from wasabistage.entry._task import LATER, TickingTask
 from wasabistage.entry._timer import Tick
 from wasabistage.entry._transfers import ChunkDone, ChunkMover, Job, committed_event
 from wasabistage.exceptions import WasabistageError
 from wasabistage.routing import LinkQueue, link_name
 from wasabistage.sessions import SessionTable
 
-TICK_SECONDS = 0.25
 TRANSFER_ID_BYTES = 8
 MAX_SESSIONS = 100_000
 
@@ -61,17 +60,17 @@
     records: tuple
 
 
-class CacheTask(Task):
+class CacheTask(TickingTask):
     """Owns the indexes of pieces and the links to the stores.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
     """
 
     name = "cache"
+    tick_seconds = 0.25
 
     def __init__(self, context):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         self.prefixes = PrefixIndex().reset()
         self.stores = StoreIndex(max_sessions=MAX_SESSIONS).reset()
         self.links = LinkScheduler().reset()
@@ -87,14 +86,6 @@
         self.known_stores = set()
         self.gossip = None
 
-    async def start(self):
-        """Begin to tick."""
-        timers = self.context.timers
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
-
-    async def _on_tick(self, tick):
-        self.tell(tick)
-
     async def handle(self, message, reply):
         """Handle a message; see :meth:`Task.handle`."""
         now = self.context.timers.now()
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -1,30 +1,27 @@
 """Serves chat completions: admit, route, fetch pieces, relay."""
 
 import secrets
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import trio
 
 from wasabistage.admission import Arrive
 from wasabistage.cache import (
-    BYTES_PER_TOKEN,
     Tier,
     TransferCancelled,
-    piece_keys,
 )
 from wasabistage.entry._attempts import run_attempts
-from wasabistage.entry._cache import text_piece_bytes
 from wasabistage.entry._cache_messages import (
     AskProgress,
     Fetched,
     FetchPieces,
     FindPieces,
-    Prompt,
     TurnEnded,
 )
 from wasabistage.entry._gossip import StreamResumed
+from wasabistage.entry._prompts import Served, describe_prompt
 from wasabistage.entry._relay import EngineStream
-from wasabistage.entry._routing import (
+from wasabistage.entry._routing_messages import (
     AttemptEnded,
     ChooseServer,
     VersionMissing,
@@ -36,7 +33,6 @@
     DeadlineError,
     NotFoundError,
     OverloadError,
-    TooLargeError,
     UnavailableError,
     WasabistageError,
 )
@@ -57,91 +53,6 @@
 ENGINE_OPTIONS = ("temperature", "top_p", "seed", "stop")
 
 
-@dataclass(frozen=True, kw_only=True)
-class Completion:
-    """One chat completion under way.
-
-    :param request_id: identifier of the request.
-    :param account: the client account.
-    :param resolved: the declared call.
-    :param body: the checked body.
-    :param parent: trace context of the caller.
-    """
-
-    request_id: str
-    account: object
-    resolved: object
-    body: object
-    parent: object = None
-
-
-@dataclass
-class Served:
-    """An answer that is being relayed.
-
-    :ivar completion: the :class:`Completion`.
-    :ivar prompt: the :class:`wasabistage.entry._cache.Prompt`.
-    :ivar stream: the :class:`wasabistage.entry._relay.EngineStream`.
-    :ivar slot: the admission slot.
-    :ivar attempt: identifier of the attempt.
-    :ivar expected: pieces that routing expected to be reused.
-    :ivar pace: first-token time as a multiple of the predicted one.
-    """
-
-    completion: Completion
-    prompt: Prompt
-    stream: EngineStream
-    slot: object = None
-    attempt: str = ""
-    expected: int = 0
-    pace: float = 1.0
-    settled: bool = field(default=False)
-
-
-def prompt_text(messages):
-    """Join chat messages into the text whose pieces are named.
-
-    :param messages: the checked messages.
-    :return: bytes.
-    """
-    return "".join(f"{item.role}\n{item.content}\n" for item in messages).encode()
-
-
-def describe_prompt(completion):
-    """Compute what the cache needs to know of a prompt.
-
-    :param completion: a :class:`Completion`.
-    :return: a :class:`wasabistage.entry._cache.Prompt`.
-    :raises UnavailableError: if the service's model is not declared.
-    :raises TooLargeError: if the prompt exceeds the model's context.
-    """
-    resolved, body = completion.resolved, completion.body
-    model = resolved.model
-    if model is None:
-        raise UnavailableError(
-            f"service {resolved.service.name} has no declared model",
-            remedy="declare its model and publish",
-        )
-    text = prompt_text(body.messages)
-    tokens = -(-len(text) // BYTES_PER_TOKEN)
-    if tokens + body.max_tokens > model.context_tokens:
-        raise TooLargeError(
-            f"the prompt and its answer exceed {model.context_tokens} tokens",
-            remedy="shorten the conversation or lower max_tokens",
-        )
-    account = completion.account.name
-    return Prompt(
-        account=account,
-        model=model,
-        session=body.session or "",
-        keys=piece_keys(
-            account, model.name, model.version, text, text_piece_bytes(model)
-        ),
-        tokens=tokens,
-        rank=resolved.call.rank,
-    )
-
-
 class CompletionServer:
     """Serves completions of one entry.
 
--- a/wasabistage/entry/_config.py
+++ b/wasabistage/entry/_config.py
@@ -24,7 +24,7 @@
 from wasabistage.declarations import LogRecord as FoldRecord
 from wasabistage.entry._context import ConfigInForce
 from wasabistage.entry._gossip import ReportConfig, SendNow
-from wasabistage.entry._task import Task
+from wasabistage.entry._task import TickingTask
 from wasabistage.entry._wire import CONFIG, ConfigAsk, ConfigTold
 from wasabistage.exceptions import WasabistageError
 from wasabistage.membership import Heartbeat, MemberState
@@ -32,7 +32,6 @@
 from wasabistage.platform import NewRecord
 
 STREAM = "config"
-TICK_SECONDS = 0.25
 PEER_ASK_SECONDS = 1.0
 RECORD_ID_BYTES = 16
 LIVE_STATES = (MemberState.SERVING, MemberState.DRAINING)
@@ -58,17 +57,17 @@
     return LogRead(start=begin, end=end, records=records, tail=page.next_offset)
 
 
-class ConfigTask(Task):
+class ConfigTask(TickingTask):
     """Owns the folded configuration and puts versions into force.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
     """
 
     name = "config"
+    tick_seconds = 0.25
 
     def __init__(self, context):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         settings = context.settings
         self.fold = ConfigFold().reset()
         self.peers = ConfigPeerView(poll_interval=settings.config_poll).reset()
@@ -82,14 +81,10 @@
 
     async def start(self):
         """Begin to tick and ask the seeds for what they have in force."""
-        timers = self.context.timers
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
+        await super().start()
         for address in self.context.settings.peers:
             self._ask_peer(address)
 
-    async def _on_tick(self, tick):
-        self.tell(tick)
-
     async def handle(self, message, reply):
         """Handle a message; see :meth:`Task.handle`."""
         now = self.context.timers.now()
--- a/wasabistage/entry/_gossip.py
+++ b/wasabistage/entry/_gossip.py
@@ -7,7 +7,8 @@
 
 from wasabistage.admission import DemandReport
 from wasabistage.cache import Committed
-from wasabistage.entry._task import Task
+from wasabistage.entry._task import TickingTask
+from wasabistage.entry._timer import Tick
 from wasabistage.entry._wire import (
     GOSSIP,
     SIGNS,
@@ -40,7 +41,6 @@
 from wasabistage.routing import PeerDispatched
 from wasabistage.utils import Watched
 
-TICK_SECONDS = 0.1
 LIST_SECONDS = 1.0
 MAX_SIGNS = 64
 MAX_RESUMED = 256
@@ -121,12 +121,7 @@
     """Sends gossip at once, since something changed."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Ticked:
-    now: float
-
-
-class GossipTask(Task):
+class GossipTask(TickingTask):
     """Owns the view of the entries.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
@@ -134,10 +129,10 @@
     """
 
     name = "gossip"
+    tick_seconds = 0.1
 
     def __init__(self, context, listeners):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         self.listeners = listeners
         settings = context.settings
         self.policy = MembershipPolicy(
@@ -166,19 +161,15 @@
 
     async def start(self):
         """Begin to tick, to read the list and to greet the seeds."""
-        timers = self.context.timers
         self._greet_seeds()
         self._refresh_view()
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
-        self.nursery.start_soon(timers.run_subscription, LIST_SECONDS, self._read_list)
+        await super().start()
+        self.subscribe(LIST_SECONDS, self._read_list)
 
     def _greet_seeds(self):
         for address in self.context.settings.peers:
             self.nursery.start_soon(self._send, address, self._gossip())
 
-    async def _on_tick(self, tick):
-        self.tell(_Ticked(now=tick.now))
-
     async def _read_list(self, tick):
         client = HttpListClient(self.context.http, self.context.settings.live_list)
         try:
@@ -190,7 +181,7 @@
         """Handle a message; see :meth:`Task.handle`."""
         now = self.context.timers.now()
         match message:
-            case _Ticked():
+            case Tick():
                 self._tick(now)
             case Gossip():
                 self._receive(message, now)
--- a/wasabistage/entry/_once.py
+++ b/wasabistage/entry/_once.py
@@ -10,7 +10,7 @@
 from wasabistage.entry._calls import resolve_plain
 from wasabistage.entry._gossip import FindIncarnation
 from wasabistage.entry._plain import PlainAnswer, PlainCall
-from wasabistage.entry._task import LATER, Reply, Task
+from wasabistage.entry._task import LATER, Reply, TickingTask
 from wasabistage.entry._timer import Tick
 from wasabistage.entry._wire import ONCE, OnceAnswered, OnceForward
 from wasabistage.exceptions import (
@@ -55,8 +55,8 @@
 
 STREAM = "once"
 #: Time between two ticks while something waits, and while nothing does.
-TICK_SECONDS = 0.02
-IDLE_TICK_SECONDS = 0.25
+#: Time between two ticks while an attempt or a record waits.
+BUSY_TICK_SECONDS = 0.02
 NONCE_BYTES = 16
 SECRET_BYTES = 32
 ATTEMPT_BYTES = 12
@@ -119,7 +119,7 @@
     handled: bool = False
 
 
-class OnceTask(Task):
+class OnceTask(TickingTask):
     """Owns the once-only decisions and carries their actions out.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
@@ -129,10 +129,10 @@
     """
 
     name = "once"
+    tick_seconds = 0.25
 
     def __init__(self, context, plain, gossip, policy=None):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         self.plain = plain
         self.gossip = gossip
         self.policy = policy or self._make_policy()
@@ -154,16 +154,6 @@
             batcher=LogBatcher(interval=settings.log_batch),
         ).reset()
 
-    async def start(self):
-        """Begin to tick."""
-        timers = self.context.timers
-        self.nursery.start_soon(
-            timers.run_subscription, IDLE_TICK_SECONDS, self._on_tick
-        )
-
-    async def _on_tick(self, tick):
-        self.tell(tick)
-
     def _keep_ticking(self, now):
         """Tick fast while an attempt or a record waits; an idle entry need not."""
         waits = self.attempts or self.policy.batcher_.decide(None, now)
@@ -172,9 +162,9 @@
             self.nursery.start_soon(self._tick_soon)
 
     async def _tick_soon(self):
-        await trio.sleep(TICK_SECONDS)
+        await trio.sleep(BUSY_TICK_SECONDS)
         self.ticking = False
-        self.tell(Tick(now=self.context.timers.now(), period=TICK_SECONDS))
+        self.tell(Tick(now=self.context.timers.now(), period=BUSY_TICK_SECONDS))
 
     async def handle(self, message, reply):
         """Handle a message; see :meth:`Task.handle`."""
--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -9,7 +9,7 @@
 from wasabistage.admission import Arrive
 from wasabistage.base import Ran
 from wasabistage.entry._attempts import run_attempts
-from wasabistage.entry._routing import AttemptEnded, ChooseServer
+from wasabistage.entry._routing_messages import AttemptEnded, ChooseServer
 from wasabistage.exceptions import (
     DeadlineError,
     OutcomeUnknownError,
--- a/wasabistage/entry/_rollout.py
+++ b/wasabistage/entry/_rollout.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from wasabistage.entry._routing import LoadArrived
+from wasabistage.entry._routing_messages import LoadArrived
 from wasabistage.entry._targets import find_place, make_targets, order_bodies
-from wasabistage.entry._task import Task
+from wasabistage.entry._task import TickingTask
 from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import UnavailableError, WasabistageError
 from wasabistage.membership import MemberState, Phase
@@ -34,7 +34,6 @@
 )
 
 STREAM = "orders"
-TICK_SECONDS = 0.1
 #: Longest wait of one read for a new record.
 READ_WAIT_SECONDS = 5.0
 READ_PAUSE_SECONDS = 0.1
@@ -67,7 +66,7 @@
     """Asks how many grants and appends are not settled yet."""
 
 
-class RolloutTask(Task):
+class RolloutTask(TickingTask):
     """Owns the decisions on orders and carries their actions out.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
@@ -78,10 +77,10 @@
     """
 
     name = "rollout"
+    tick_seconds = 0.1
 
     def __init__(self, context, routing, gossip, make_policy=RolloutPolicy):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         self.routing = routing
         self.gossip = gossip
         self.make_policy = make_policy
@@ -97,13 +96,9 @@
 
     async def start(self):
         """Begin to tick and to follow the order stream."""
-        timers = self.context.timers
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
+        await super().start()
         self.nursery.start_soon(self._follow_log)
 
-    async def _on_tick(self, tick):
-        self.tell(tick)
-
     async def _follow_log(self):
         start, wait = 0, 0.0
         while True:
--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -5,13 +5,22 @@
 
 import trio
 
-from wasabistage.base import Rank
 from wasabistage.cache import CacheEvent, CacheQuiet, ServerGone
 from wasabistage.declarations import ServiceKind
 from wasabistage.entry._admission import SlotsOfService
 from wasabistage.entry._gossip import SendNow
 from wasabistage.entry._polls import EVENTS_SECONDS, PollPlan
-from wasabistage.entry._task import Task
+from wasabistage.entry._routing_messages import (
+    AskRetry,
+    AskServers,
+    AttemptEnded,
+    ChooseServer,
+    Chosen,
+    LoadArrived,
+    VersionMissing,
+    VersionPendingError,
+)
+from wasabistage.entry._task import TickingTask
 from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import UnavailableError, WasabistageError
 from wasabistage.membership import (
@@ -28,7 +37,7 @@
 from wasabistage.membership import ServerReport as MembershipReport
 from wasabistage.observe import make_logger
 from wasabistage.platform import EngineLoad
-from wasabistage.retries import Failure, FreshRequest, RetryPolicy, RetryQuery
+from wasabistage.retries import FreshRequest, RetryPolicy, RetryQuery
 from wasabistage.routing import (
     CallEnded,
     CallStarted,
@@ -49,7 +58,6 @@
     ServerSeen,
 )
 
-TICK_SECONDS = 0.25
 DISPATCHED_SECONDS = 0.25
 PLAIN_VERSION = "plain"
 MODEL_PREFIX = "model:"
@@ -57,111 +65,6 @@
 log = make_logger("routing")
 
 
-@dataclass(frozen=True, kw_only=True)
-class LoadArrived:
-    """A load report that arrived, or its failure.
-
-    :param name: name of the backend server.
-    :param load: the report, or ``None`` if none came.
-    :param asked_at: monotonic time of the question, in seconds.
-    """
-
-    name: str
-    load: EngineLoad | None
-    asked_at: float = 0.0
-
-
-@dataclass(frozen=True, kw_only=True)
-class VersionMissing:
-    """Tells that a server does not hold a version that it reported.
-
-    :param server: name of the backend server.
-    :param model: name of the model.
-    """
-
-    server: str
-    model: str
-
-
-class VersionPendingError(UnavailableError):
-    """No backend server has loaded the declared version of a model yet."""
-
-
-@dataclass(frozen=True, kw_only=True)
-class ChooseServer:
-    """Asks for the backend server of one attempt.
-
-    Answered with a :class:`Chosen`.
-
-    :param attempt: identifier of the attempt.
-    :param service: the :class:`wasabistage.declarations.Service`.
-    :param tried: names of the servers tried before.
-    :param rank: rank of the call.
-    :param prompt: the :class:`wasabistage.entry._cache.Prompt`, for a model.
-    :param found: where its pieces are, for a model.
-    """
-
-    attempt: str
-    service: object
-    tried: tuple = ()
-    rank: Rank = Rank.INTERACTIVE
-    prompt: object = None
-    found: object = None
-
-
-@dataclass(frozen=True, kw_only=True)
-class Chosen:
-    """The backend server of one attempt.
-
-    :param server: the :class:`wasabistage.declarations.BackendServer`.
-    :param decision: the :class:`wasabistage.routing.RouteDecision`.
-    """
-
-    server: object
-    decision: object
-
-
-@dataclass(frozen=True, kw_only=True)
-class AttemptEnded:
-    """Tells how an attempt ended.
-
-    :param attempt: identifier of the attempt.
-    :param server: name of the backend server.
-    :param good: whether the server answered well.
-    :param seconds: seconds per unit of expected time, or plain seconds.
-    """
-
-    attempt: str
-    server: str
-    good: bool
-    seconds: float = 0.0
-
-
-@dataclass(frozen=True, kw_only=True)
-class AskRetry:
-    """Asks whether a failed attempt may be repeated.
-
-    Answered with a :class:`wasabistage.retries.Retry` or a sentinel.
-
-    :param service: the :class:`wasabistage.declarations.Service`.
-    :param idempotent: whether the call may be repeated.
-    :param failure: a :class:`wasabistage.retries.Failure`.
-    :param tried: names of the servers tried so far.
-    :param deadline_at: latest useful time of the first byte, monotonic seconds.
-    """
-
-    service: object
-    idempotent: bool
-    failure: Failure
-    tried: tuple
-    deadline_at: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class AskServers:
-    """Asks for the state of every backend server."""
-
-
 @dataclass
 class ServerFacts:
     """What this entry knows of one backend server.
@@ -178,7 +81,7 @@
     next_event: int = 0
 
 
-class RoutingTask(Task):
+class RoutingTask(TickingTask):
     """Owns the state of the backend servers.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
@@ -187,10 +90,10 @@
     """
 
     name = "routing"
+    tick_seconds = 0.25
 
     def __init__(self, context, admission, cache):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         self.admission = admission
         self.cache = cache
         self.membership = BackendMembership().reset()
@@ -209,16 +112,9 @@
 
     async def start(self):
         """Begin to poll the load reports and the cache events."""
-        timers = self.context.timers
-        period = self.context.settings.heartbeat_interval
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
-        self.nursery.start_soon(timers.run_subscription, period, self._poll_loads)
-        self.nursery.start_soon(
-            timers.run_subscription, EVENTS_SECONDS, self._poll_events
-        )
-
-    async def _on_tick(self, tick):
-        self.tell(tick)
+        await super().start()
+        self.subscribe(self.context.settings.heartbeat_interval, self._poll_loads)
+        self.subscribe(EVENTS_SECONDS, self._poll_events)
 
     async def _poll_loads(self, tick):
         servers = self.context.config.value.deployment.servers
--- a/wasabistage/entry/_status.py
+++ b/wasabistage/entry/_status.py
@@ -1,7 +1,7 @@
 """Answers operators who ask for the status and the traces of this entry."""
 
 from wasabistage.declarations import EverywhereQuery, InForceQuery
-from wasabistage.entry._routing import AskServers
+from wasabistage.entry._routing_messages import AskServers
 from wasabistage.entry._wire import (
     MemberStatus,
     ServerStatus,
--- a/wasabistage/entry/_streams.py
+++ b/wasabistage/entry/_streams.py
@@ -3,13 +3,12 @@
 from dataclasses import dataclass
 
 from wasabistage.entry._gossip import StreamResumed
-from wasabistage.entry._task import Task
+from wasabistage.entry._task import TickingTask
 from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import WasabistageError
 
 RESUME_WINDOW_SECONDS = 10.0
 MAX_ABANDONED = 4096
-TICK_SECONDS = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -26,7 +25,7 @@
     server: str
 
 
-class StreamsTask(Task):
+class StreamsTask(TickingTask):
     """Owns the list of abandoned streams.
 
     A caller may resume at another entry, which tells its peers; a stream that nobody
@@ -37,20 +36,12 @@
     """
 
     name = "streams"
+    tick_seconds = 1.0
 
     def __init__(self, context):
-        super().__init__(context.metrics)
-        self.context = context
+        super().__init__(context)
         self.abandoned = {}
 
-    async def start(self):
-        """Begin to tick."""
-        timers = self.context.timers
-        self.nursery.start_soon(timers.run_subscription, TICK_SECONDS, self._on_tick)
-
-    async def _on_tick(self, tick):
-        self.tell(tick)
-
     async def handle(self, message, reply):
         """Handle a message; see :meth:`Task.handle`."""
         now = self.context.timers.now()
--- a/wasabistage/entry/_task.py
+++ b/wasabistage/entry/_task.py
@@ -157,6 +157,36 @@
         """
 
 
+class TickingTask(Task):
+    """A task that gets a :class:`wasabistage.entry._timer.Tick` once per period.
+
+    :param context: the :class:`wasabistage.entry._context.EntryContext`.
+    """
+
+    #: Time between two ticks, in seconds.
+    tick_seconds = 0.1
+
+    def __init__(self, context):
+        super().__init__(context.metrics)
+        self.context = context
+
+    async def start(self):
+        """Begin to tick."""
+        self.subscribe(self.tick_seconds, self._on_tick)
+
+    def subscribe(self, period, receive):
+        """Have the timer service call a function once per period.
+
+        :param period: seconds between two calls.
+        :param receive: asynchronous function that takes a tick.
+        """
+        timers = self.context.timers
+        self.nursery.start_soon(timers.run_subscription, period, receive)
+
+    async def _on_tick(self, tick):
+        self.tell(tick)
+
+
 class _Later:
     """Type of the value that postpones an answer."""
 
