Let work that moves between entries wait for the next reports only

Cause: in the demo, callers whose account was far below its limit were told to come back in 7 to 13 s: the entry they had moved to still had its small part of the limit. Ruled out: the account being over its limit (its demand over all entries was below). The demo's filler prompts come from large accounts, within their limits.

--- a/tools/_morning.py
+++ b/tools/_morning.py
@@ -226,12 +226,17 @@
     async def _turn_over(self):
         async with trio.open_nursery() as nursery:
             for _ in range(FILLERS * 6):
-                account = self.random.choice(self.accounts)
+                account = self.random.choice(self._large_accounts())
                 text = self._text(FILLER_PIECES * self._piece_tokens())
                 messages = [{"role": "user", "content": text}]
                 nursery.start_soon(self._filler, account, messages)
                 await trio.sleep(0.05)
 
+    def _large_accounts(self):
+        """Return the accounts whose limits leave room for many long prompts."""
+        accounts = self.fleet.deployment.accounts
+        return [name for name in self.accounts if accounts[name].weight > 1]
+
     async def _filler(self, account, messages):
         await self._ask(account, self.cast.chat, messages, "filler", 2)
 
--- a/wasabistage/admission/_limits.py
+++ b/wasabistage/admission/_limits.py
@@ -6,6 +6,8 @@
 from wasabistage.admission._shares import SlotDivision, apportion
 from wasabistage.exceptions import SettingError
 
+#: Reports after which the parts have followed demand that moved.
+REPORTS_TO_FOLLOW = 2
 EQUAL_PART = 0.05
 
 
@@ -140,6 +142,21 @@
             saturated=division.saturated(),
         )
 
+    def _wait(self, account, event, now):
+        """Return the seconds until a request fits; 0 when it does now.
+
+        An account whose work has moved here while it asks for less than its limit
+        waits for the next reports only: then the parts follow it.
+        """
+        wait = super()._wait(account, event, now)
+        if not wait or not account.rate:
+            return wait
+        fresh = self.table_.fresh(now)
+        asked = sum(self.table_.rates_of(account.name, fresh).values())
+        if asked > account.rate:
+            return wait
+        return min(wait, REPORTS_TO_FOLLOW * self.report_interval)
+
     def rate_at_entry(self, account, now):
         """Return this entry's part of the rate, by demand."""
         pool, parts = self._parts(account.name, now)
--- a/wasabistage/admission/tests/test_limits.py
+++ b/wasabistage/admission/tests/test_limits.py
@@ -235,3 +235,34 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestMovedWork(unittest.TestCase):
+    def refuse_at(self, limiter, now):
+        for n in range(100):
+            (answer,) = limiter.observe(arrive(f"{now}-{n}", cost=50.0), now)
+            if isinstance(answer, Refuse):
+                return answer
+            limiter.observe(Finished(request_id=f"{now}-{n}"), now)
+        self.fail("nothing was refused")
+
+    def test_work_that_moves_here_waits_for_the_reports_only(self):
+        limiters = make_limiters(account=ClientAccount(name="a", rate=700.0))
+        first, second = limiters["entry-0"], limiters["entry-1"]
+        for step in range(20):
+            for n in range(2):
+                first.observe(arrive(f"{step}-{n}", cost=50.0), step * 0.5)
+                first.observe(Finished(request_id=f"{step}-{n}"), step * 0.5)
+            exchange(limiters, step * 0.5)
+        refused = self.refuse_at(second, 10.0)
+        # The wait of two reports, spread over up to twice as long.
+        self.assertLess(refused.retry_after, 2 * 2 * second.report_interval)
+
+    def test_work_over_the_whole_limit_waits_its_time(self):
+        limiters = make_limiters(account=ClientAccount(name="a", rate=70.0))
+        for step in range(20):
+            for limiter in limiters.values():
+                limiter.observe(arrive(f"{step}", cost=500.0), step * 0.5)
+            exchange(limiters, step * 0.5)
+        (refused,) = limiters["entry-1"].observe(arrive("x", cost=50.0), 10.0)
+        self.assertGreater(refused.retry_after, 2.0)
