Charge client accounts for the prompt work expected, not for the whole prompt

Cause: a small account's returning session of 6,000 tokens was charged whole at its arrival, though 98 in 100 tokens were cached, and then waited at its limit. Ruled out: the correction at the end, which came too late for the next arrival. Change: the cost at arrival is the prompt less what an engine or a store is believed to hold, by its trust; the end still corrects it to what was computed.

--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -19,7 +19,7 @@
     TurnEnded,
 )
 from wasabistage.entry._gossip import StreamResumed
-from wasabistage.entry._prompts import Served, describe_prompt
+from wasabistage.entry._prompts import Served, describe_prompt, expected_work
 from wasabistage.entry._relay import EngineStream
 from wasabistage.entry._routing_messages import (
     AttemptEnded,
@@ -118,12 +118,14 @@
 
     async def _admit(self, completion, prompt, deadline_at):
         call = completion.resolved.call
+        found = await self.cache.ask(FindPieces(prompt=prompt))
+        work = expected_work(prompt, found) + completion.body.max_tokens
         arrive = Arrive(
             request_id=completion.request_id,
             account=completion.account.name,
             rank=call.rank,
             service=completion.resolved.service.name,
-            cost=call.cost or prompt.tokens + completion.body.max_tokens,
+            cost=call.cost or work,
             deadline_at=deadline_at,
         )
         hop = self.context.tracer.hop
--- a/wasabistage/entry/_prompts.py
+++ b/wasabistage/entry/_prompts.py
@@ -100,3 +100,19 @@
         tokens=tokens,
         rank=resolved.call.rank,
     )
+
+
+def expected_work(prompt, found):
+    """Estimate the prompt tokens that an engine will have to compute.
+
+    A client account is charged for this, so that a long history that returns costs
+    it what it costs the engines.
+
+    :param prompt: a :class:`wasabistage.entry._cache_messages.Prompt`.
+    :param found: the :class:`wasabistage.entry._cache_messages.FoundPieces`.
+    :return: tokens, 1 or more.
+    """
+    places = found.held + found.stored
+    pieces = max((place.pieces * place.trust for place in places), default=0.0)
+    reused = int(pieces * prompt.model.piece_tokens)
+    return max(1, prompt.tokens - reused)
