Hold work at its account's limit for two seconds at most

Work over its account's limit was held for a fifth of the time to its deadline, which is 24 s for a background call of two minutes. Change: a hold ends after two seconds; the refusal sends the caller to another entry.

--- a/wasabistage/admission/_delays.py
+++ b/wasabistage/admission/_delays.py
@@ -29,11 +29,14 @@
 
     :param wait_part: longest wait, as a part of the time to the deadline.
     :param max_held: requests held per account.
+    :param max_wait: longest wait, in seconds, also for distant deadlines: a caller
+        that hears nothing for long takes its connection for broken.
     """
 
-    def __init__(self, *, wait_part=0.2, max_held=32):
+    def __init__(self, *, wait_part=0.2, max_held=32, max_wait=2.0):
         self.wait_part = wait_part
         self.max_held = max_held
+        self.max_wait = max_wait
 
     def reset(self):
         """Check the arguments and hold nothing.
@@ -41,10 +44,10 @@
         :return: the policy itself.
         :raises SettingError: if an argument is out of range.
         """
-        if not 0 <= self.wait_part < 1 or self.max_held < 0:
+        if not 0 <= self.wait_part < 1 or min(self.max_held, self.max_wait) < 0:
             raise SettingError(
-                "wait_part is not below 1 or max_held is negative",
-                remedy="use wait_part=0.2 and max_held=32",
+                "wait_part is not below 1, or max_held or max_wait is negative",
+                remedy="use wait_part=0.2, max_held=32 and max_wait=2",
             )
         self.held_ = {}
         self.counts_ = {}
@@ -68,7 +71,8 @@
         """
         event = query.event
         arrived = self.ends_.get(event.request_id)
-        end = arrived or now + self.wait_part * (event.deadline_at - now)
+        longest = min(self.max_wait, self.wait_part * (event.deadline_at - now))
+        end = arrived or now + longest
         due = now + query.wait
         known = event.request_id in self.held_
         if due > end or (not known and self._is_full(event.account)):
--- a/wasabistage/admission/tests/test_delays.py
+++ b/wasabistage/admission/tests/test_delays.py
@@ -65,6 +65,15 @@
         self.assertIsInstance(refused, Refuse)
         self.assertEqual(refused.reason.name, ACCOUNT_LIMIT.name)
 
+    def test_distant_deadline_does_not_hold_a_caller_for_long(self):
+        self.observe(arrive("a", deadline_at=120.0), 0.0)
+        for index in range(20):
+            self.observe(arrive(f"r{index}", deadline_at=120.0), 0.0)
+        ended = self.run_until(4.0)
+        self.assertEqual(len(ended), 20)
+        longest = self.admission.delays_.max_wait
+        self.assertLessEqual(max(at for _, at in ended), longest + 0.2)
+
     def test_gone_caller_is_never_granted(self):
         self.observe(arrive("a"), 0.0)
         self.observe(arrive("b"), 0.0)
