--- a/wasabistage/entry/_gossip.py
+++ b/wasabistage/entry/_gossip.py
@@ -3,8 +3,6 @@
 import random
 from dataclasses import dataclass, replace
 
-import trio
-
 from wasabistage.admission import DemandReport
 from wasabistage.cache import Committed
 from wasabistage.entry._task import TickingTask
@@ -436,14 +434,3 @@
         :param listing: a :class:`wasabistage.membership.ServerListing`.
         """
         self.routing.tell(listing)
-
-
-async def wait_for_view(view, seconds):
-    """Wait a while for the first peers.
-
-    :param view: :class:`Watched` of a member view.
-    :param seconds: longest wait.
-    """
-    with trio.move_on_after(seconds):
-        while not (view.value and view.value.members):
-            await view.wait_change()
