Have each configuration test wait for a look of its watch

Ruled out: a reverted version (none), a dead watch (later tests were watched). Change: each test waits for one more look, after what it did, and demands that the watch lives: stricter than one look at any time. Measured: the module's seven tests pass.

--- a/wasabistage/entry/tests/test_process_config.py
+++ b/wasabistage/entry/tests/test_process_config.py
@@ -66,8 +66,11 @@
 
     def tearDown(self):
         self.fleet.fault("log", down=False, delay=0.0, lose_answers=False)
+        # A watch that has looked since shows what the test did to the versions.
+        looks = self.watch.looks
+        self.wait(lambda: self.watch.looks > looks, "a look of the watch")
         self.assertEqual(self.watch.reverted, [])
-        self.assertGreater(self.watch.looks, 0)
+        self.assertTrue(self.watch.is_alive())
 
     def changed(self):
         """Make a deployment that was not published before."""
