Check the retry policies' arguments in one place

Cause: the entry's and the client's retry policy held the same eleven lines of checks, and no test ran them. Ruled out: a common base class, since what the two decide has nothing else in common. No bound is changed.

--- a/wasabistage/retries/_backoff.py
+++ b/wasabistage/retries/_backoff.py
@@ -1,5 +1,25 @@
 """Backoff and the retry budget."""
 
+from wasabistage.exceptions import SettingError
+
+
+def check_params(policy):
+    """Check the arguments that every policy with a budget and backoff takes.
+
+    :param policy: a retry policy.
+    :raises SettingError: if an argument is out of range.
+    """
+    if policy.max_attempts < 1 or policy.max_saved < 1:
+        raise SettingError(
+            "max_attempts or max_saved is below 1", remedy="set both to 1 or more"
+        )
+    delays = (policy.base_delay, policy.max_delay)
+    if min(policy.ratio, policy.floor, *delays) < 0:
+        raise SettingError(
+            "a rate or delay of the retry policy is negative",
+            remedy="set ratio, floor, base_delay and max_delay to 0 or more",
+        )
+
 
 def backoff_delay(attempts, draw, base, longest):
     """Return an exponential delay with full jitter.
--- a/wasabistage/retries/_server_retries.py
+++ b/wasabistage/retries/_server_retries.py
@@ -3,8 +3,7 @@
 from abc import abstractmethod
 
 from wasabistage.base import Policy
-from wasabistage.exceptions import SettingError
-from wasabistage.retries._backoff import RetryBudget, backoff_delay
+from wasabistage.retries._backoff import RetryBudget, backoff_delay, check_params
 from wasabistage.retries._messages import (
     ANSWER_BEGUN,
     ATTEMPTS_SPENT,
@@ -98,15 +97,7 @@
         :return: the policy itself.
         :raises SettingError: if an argument is out of range.
         """
-        if self.max_attempts < 1 or self.max_saved < 1:
-            raise SettingError(
-                "max_attempts or max_saved is below 1", remedy="set both to 1 or more"
-            )
-        if min(self.ratio, self.floor, self.base_delay, self.max_delay) < 0:
-            raise SettingError(
-                "a rate or delay of the retry policy is negative",
-                remedy="set ratio, floor, base_delay and max_delay to 0 or more",
-            )
+        check_params(self)
         self.budgets_ = {}
         return self
 
