--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,7 +22,7 @@
 from wasabistage.declarations import ServiceKind, check_folder
 from wasabistage.entry import TrioTimerService
 from wasabistage.operators import publish_deployment
-from wasabistage.platform import HttpLogClient, make_http_client
+from wasabistage.reference import HttpLogClient, make_http_client
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
--- a/wasabistage/cache/__init__.py
+++ b/wasabistage/cache/__init__.py
@@ -73,6 +73,8 @@
     session_key,
     short_key,
 )
+from wasabistage.cache._part_keys import part_cache_key, version_of_cache_key
+from wasabistage.cache._part_map import SAVE_TIME, PartMap, SourceParts
 from wasabistage.cache._staging import (
     Import,
     Lift,
@@ -156,14 +158,17 @@
     "NoStaging",
     "OVERWRITTEN",
     "OfferTransfer",
+    "PartMap",
     "PrefixIndex",
     "PrefixOutcome",
     "QUEUE_FULL",
     "RequestListing",
     "RequestRecords",
     "Returned",
+    "SAVE_TIME",
     "ServerGone",
     "SessionPrefix",
+    "SourceParts",
     "StageQuery",
     "StageUsed",
     "StagingPolicy",
@@ -187,9 +192,11 @@
     "content_digest",
     "decode_record",
     "encode_record",
+    "part_cache_key",
     "piece_keys",
     "session_key",
     "short_key",
     "verify_piece",
     "verify_record",
+    "version_of_cache_key",
 ]
--- a/wasabistage/client/_errors.py
+++ b/wasabistage/client/_errors.py
@@ -18,7 +18,7 @@
     UnavailableError,
     WasabistageError,
 )
-from wasabistage.platform import NOT_SENT
+from wasabistage.reference import NOT_SENT
 from wasabistage.retries import Failure
 
 OVERLOADED = 429
--- /dev/null
+++ b/wasabistage/edge/_choice.py
@@ -0,0 +1,145 @@
+"""Builds the questions that routing answers for one request."""
+
+from dataclasses import dataclass
+
+from wasabistage.cache import part_cache_key
+from wasabistage.fleet import ServerRecord
+from wasabistage.routing import (
+    NO_SERVER,
+    Candidate,
+    HealthQuery,
+    PartCandidate,
+    PartDecision,
+    PartQuery,
+    PartStore,
+    RouteQuery,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Choice:
+    """A backend server for one attempt.
+
+    :param record: its :class:`wasabistage.fleet.ServerRecord`.
+    :param plan: a :class:`wasabistage.routing.PartDecision`, or ``None`` without a
+        prompt.
+    """
+
+    record: ServerRecord
+    plan: PartDecision | None = None
+
+
+def choose_service(state, route, draw):
+    """Return the name of the service that takes a request.
+
+    :param state: an :class:`EdgeState`.
+    :param route: a :class:`wasabistage.fleet.Route`.
+    :param draw: random number from 0 up to 1.
+    """
+    total = sum(weight for _, weight in route.targets)
+    at = draw * total
+    for service, weight in route.targets:
+        at -= weight
+        if at < 0:
+            return service
+    return route.targets[-1][0]
+
+
+def choose_server(state, request, account, service, excluded, now):
+    """Choose the backend server of an attempt.
+
+    :param state: an :class:`EdgeState`.
+    :param request: a :class:`CallerRequest`.
+    :param account: a :class:`wasabistage.fleet.ClientAccount`, or ``None``.
+    :param service: name of the service.
+    :param excluded: ids of the servers that failed this request.
+    :param now: monotonic time, in seconds.
+    :return: a :class:`Choice`, or ``NO_SERVER``.
+    """
+    weights = {
+        item.server: item.weight
+        for item in state.health.decide(HealthQuery(service=service), now)
+        if item.usable
+    }
+    records = [
+        record
+        for record in state.servers.usable(service)
+        if record.server in weights and record.server not in excluded
+    ]
+    if not records:
+        return NO_SERVER.because("no backend server of the service may be tried now")
+    spec = state.routes.configuration.services.get(service)
+    if request.prompt is not None and spec is not None and spec.engine is not None:
+        return choose_engine(state, request, account, records, weights, spec, now)
+    query = RouteQuery(
+        account="",
+        model="",
+        version="",
+        prompt_tokens=1,
+        candidates=tuple(
+            Candidate(server=item.server, version="", weight=weights[item.server])
+            for item in records
+        ),
+        draw=state.random.random(),
+    )
+    decision = state.plain_router.decide(query, now)
+    return Choice(record=next(r for r in records if r.server == decision.server))
+
+
+def choose_engine(state, request, account, records, weights, spec, now):
+    """Choose the model engine of a prompt; see :func:`choose_server`."""
+    model = request.prompt.model
+    dedicated = account.name if account is not None and account.is_dedicated else ""
+    candidates = []
+    for record in records:
+        version = state.swap.version(record.server, model)
+        if version is None or state.swap.is_ordered(record.server, now):
+            continue
+        candidates.append(
+            PartCandidate(
+                server=record.server,
+                address=record.address,
+                version=version,
+                cache_key=part_cache_key(model, version, dedicated),
+                weight=weights[record.server],
+                failure_domain=record.failure_domain,
+                memory_tokens=spec.engine.memory_tokens,
+            )
+        )
+    newest = max((item.version for item in candidates), default=0)
+    fresh = [item for item in candidates if item.version == newest]
+    stores = tuple(
+        PartStore(
+            address=store.address,
+            failure_domain=store.failure_domain,
+            capacity_tokens=store.capacity_tokens,
+            link_bytes=store.link_bytes,
+            first_byte=store.first_byte,
+        )
+        for store in state.routes.configuration.stores.values()
+    )
+    query = PartQuery(
+        parts=request.prompt.parts,
+        prompt_tokens=request.prompt.prompt_tokens,
+        output_tokens=request.prompt.output_tokens,
+        candidates=tuple(prefer_fresh(candidates, fresh)),
+        stores=stores,
+        token_bytes=spec.engine.token_bytes,
+        link_bytes=spec.engine.link_bytes,
+        draw=state.random.random(),
+    )
+    decision = state.part_router.decide(query, now)
+    if not decision:
+        return decision
+    server = decision.candidate.server
+    record = next(item for item in records if item.server == server)
+    return Choice(record=record, plan=decision)
+
+
+def prefer_fresh(candidates, fresh):
+    """Return the engines of the newest version once they can carry the load.
+
+    :param candidates: all engines.
+    :param fresh: those that run the newest version.
+    """
+    return fresh if 2 * len(fresh) >= len(candidates) else candidates
--- /dev/null
+++ b/wasabistage/edge/_facts.py
@@ -0,0 +1,131 @@
+"""What the store told one entry, passed on to entries that the store turns away."""
+
+import h11
+import msgspec
+import trio
+
+from wasabistage.fleet import CallerLimits, StoredRecord, StoreError, Topic
+from wasabistage.http1 import (
+    CallerChannel,
+    CallerGoneError,
+    ChannelError,
+    HttpClient,
+)
+
+CALL_TIMEOUT = 0.4  # seconds; peers answer in some milliseconds
+FACTS_PATH = b"/facts/"
+
+
+class Facts(msgspec.Struct, array_like=True):
+    """The newest records of one topic, as one entry knows them.
+
+    :param age: seconds since the begin of the read that confirmed them.
+    :param end: offset up to which they are known.
+    :param records: rows of key, offset, value.
+    """
+
+    age: float
+    end: int
+    records: list[tuple[str, int, bytes]]
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Facts)
+
+
+class FactsDesk:
+    """Answers other entries' questions for facts.
+
+    :param state: an :class:`EdgeState`.
+    :param watches: dict of topic to :class:`RecordWatch`.
+    """
+
+    def __init__(self, state, watches):
+        self.state = state
+        self.watches = watches
+        self.limits = CallerLimits()
+
+    async def serve(self, sock):
+        """Serve one channel to its end.
+
+        :param sock: the accepted trio socket.
+        """
+        channel = CallerChannel(sock, self.state.timer, self.limits)
+        try:
+            while (request := await channel.read_request()) is not None:
+                facts = self._facts(request.target)
+                status = 200 if facts is not None else 404
+                body = ENCODER.encode(facts) if facts is not None else b""
+                await channel.respond(status, [], body)
+                if not channel.start_next():
+                    return
+        except (CallerGoneError, trio.TooSlowError, h11.RemoteProtocolError):
+            self.state.metrics.count("channel.ended")
+
+    def _facts(self, target):
+        name = target.removeprefix(FACTS_PATH).decode("latin-1")
+        watch = self.watches.get(name)
+        if watch is None or watch.position is None:
+            return None
+        return Facts(
+            age=self.state.timer.now() - watch.confirmed_at,
+            end=watch.position,
+            records=[
+                (record.key, record.offset, record.value)
+                for record in watch.raw.values()
+            ],
+        )
+
+
+class FactsClient:
+    """Asks other entries for facts.
+
+    :param state: an :class:`EdgeState`.
+    """
+
+    def __init__(self, state):
+        self.state = state
+        self.clients = {}
+
+    async def ask(self, topic):
+        """Ask one entry, one that reaches the store if there is one.
+
+        :param topic: a :class:`wasabistage.fleet.Topic`.
+        :return: a tuple of :class:`Facts`, its records as
+            :class:`wasabistage.fleet.StoredRecord`, and when it was asked, monotonic
+            seconds.
+        :raises StoreError: if no entry answered.
+        """
+        address = self._address()
+        if address not in self.clients:
+            self.clients[address] = HttpClient(address, self.state.timer)
+        asked_at = self.state.timer.now()
+        target = FACTS_PATH + str(topic).encode()
+        try:
+            reply = await self.clients[address].call(
+                b"GET", target, timeout=CALL_TIMEOUT
+            )
+            if reply.status != 200:
+                raise StoreError(f"peer {address} knows nothing yet")
+            facts = DECODER.decode(reply.body)
+        except (ChannelError, msgspec.DecodeError) as error:
+            raise StoreError(f"peer {address} gave no facts: {error}") from error
+        records = tuple(
+            StoredRecord(offset=offset, key=key, value=value)
+            for key, offset, value in facts.records
+        )
+        return facts, records, asked_at
+
+    def _address(self):
+        state = self.state
+        port = state.settings.listen.peers.rpartition(":")[2]
+        own = state.settings.instance.ip
+        ips = [peer.report.ip for peer in state.peers.values() if peer.report.has_store]
+        ips = ips or [ip for ip in state.gossip.addresses.values() if ip != own]
+        if not ips:
+            raise StoreError("no other entry is known")
+        return f"{state.random.choice(ips)}:{port}"
+
+
+#: Topics that entries pass on.
+SHARED_TOPICS = (Topic.CONFIGURATION, Topic.SERVERS)
--- /dev/null
+++ b/wasabistage/edge/_orders.py
@@ -0,0 +1,259 @@
+"""The task that brings engines to the named weight version, and frees old parts."""
+
+import msgspec
+import trio
+
+from wasabistage.cache import version_of_cache_key
+from wasabistage.edge._messages import OrderAnswer, VersionOrder
+from wasabistage.edge._watches import OrderRecord
+from wasabistage.fleet import OvertakenError, StoreError, Topic
+from wasabistage.http1 import ChannelError
+from wasabistage.rollout import (
+    Refused,
+    ServerOrdered,
+    ServerVersion,
+    SwapCandidate,
+    SwapQuery,
+    WaveAppended,
+    WaveQuery,
+    WaveRecord,
+)
+
+PERIOD = 0.1  # seconds between two looks at what is to be ordered
+LEAD_TIME = 0.04  # seconds for the other entries to lead requests away
+REPORT_PERIOD = 0.1  # seconds between two questions for a loading server's state
+CALL_TIMEOUT = 0.5  # seconds; servers answer orders in milliseconds
+LOAD_LIMIT = 3.0  # seconds for runs to end and weights to load
+FREE_DELAY = 4.0  # seconds; longer than any fetch that was allowed may last
+FREE_GUARD = 1.0  # seconds within which a request to free must arrive
+FREE_BATCH = 500  # parts freed by one call
+
+
+class OrderTask:
+    """Orders weight versions while this entry holds the lease.
+
+    :param state: an :class:`EdgeState`.
+    :param store: a :class:`wasabistage.fleet.RecordStore`.
+    """
+
+    def __init__(self, state, store):
+        self.state = state
+        self.store = store
+        self.nursery = None
+        self.current_since = {}
+
+    async def run(self):
+        """Order until cancelled."""
+        async with trio.open_nursery() as self.nursery:
+            while True:
+                await trio.sleep(PERIOD)
+                if not self.state.is_draining:
+                    await self._look()
+
+    async def _look(self):
+        state, now = self.state, self.state.timer.now()
+        candidates = self._candidates()
+        swaps = state.swap.decide(SwapQuery(candidates=candidates), now)
+        wanted = tuple(swap.server for swap in swaps)
+        query = WaveQuery(servers=wanted, place=self._place())
+        claim = state.lease.decide(query, now)
+        if not swaps:
+            await self._free_old(candidates, now)
+            return
+        if not claim:
+            return
+        if not await self._claim(claim):
+            return
+        for swap in swaps:
+            if swap.server in claim.servers:
+                state.swap.observe(ServerOrdered(server=swap.server), now)
+                state.gossip.ordered.append(swap.server)
+                self.nursery.start_soon(self._order, swap)
+        await state.gossip.tell()
+
+    def _candidates(self):
+        state = self.state
+        configuration = state.routes.configuration
+        if configuration is None:
+            return ()
+        records = [
+            record
+            for service in configuration.services.values()
+            if service.engine is not None
+            for record in state.servers.usable(service.name)
+        ]
+        return tuple(
+            SwapCandidate(
+                server=record.server,
+                incarnation=record.incarnation,
+                models=tuple(record.versions),
+                outstanding=state.part_router.promised_.get(record.server, 0),
+            )
+            for record in records
+        )
+
+    def _place(self):
+        """Return this entry's place: the last holder first, then by name."""
+        state = self.state
+        own = state.settings.instance.name
+        names = [
+            peer.report.name
+            for peer in state.peers.values()
+            if peer.report.is_ready and peer.report.has_store
+        ]
+        last = state.lease.last_.holder if state.lease.last_ is not None else ""
+        order = sorted([*names, own], key=lambda name: (name != last, name))
+        return order.index(own)
+
+    async def _claim(self, claim):
+        """Append the record of a wave; return whether this entry may order."""
+        state = self.state
+        name, begun_at = state.settings.instance.name, state.timer.now()
+        value = OrderRecord(
+            holder=name, incarnation=state.incarnation, servers=list(claim.servers)
+        )
+        try:
+            offset = await self.store.append(
+                Topic.ORDERS,
+                msgspec.json.encode(value),
+                expected_end=claim.expected_end,
+            )
+        except OvertakenError:
+            state.log.write("order_lease_overtaken", end=claim.expected_end)
+            return False
+        except StoreError as error:
+            state.log.write("order_lease_failed", reason=str(error))
+            return False
+        record = WaveRecord(
+            offset=offset,
+            holder=name,
+            incarnation=state.incarnation,
+            servers=claim.servers,
+        )
+        state.lease.observe(
+            WaveAppended(record=record, begun_at=begun_at), state.timer.now()
+        )
+        state.log.write("order_lease_held", offset=offset, servers=claim.servers)
+        return True
+
+    async def _order(self, swap):
+        """Order one server and wait until it runs the version."""
+        state = self.state
+        record = state.servers.get(swap.server)
+        if record is None:
+            return
+        with trio.move_on_after(LOAD_LIMIT):
+            try:
+                report = await state.platform.read_report(record.address, CALL_TIMEOUT)
+                state.note_server_clock(report.clock)
+                if report.versions.get(swap.model) == swap.version:
+                    self._note_version(record, swap.model, swap.version)
+                    return
+                await trio.sleep(LEAD_TIME)
+                if await self._send(record, swap, report):
+                    await self._wait_loaded(record, swap)
+            except ChannelError as error:
+                state.log.write("order_failed", server=swap.server, reason=str(error))
+
+    async def _send(self, record, swap, report):
+        state = self.state
+        order = VersionOrder(
+            server=swap.server,
+            model=swap.model,
+            version=swap.version,
+            holder=state.settings.instance.name,
+            fencing=state.lease.fencing_,
+            orders=report.orders,
+        )
+        if not state.lease.may_send(swap.server, state.timer.now()):
+            state.log.write("order_withheld", server=swap.server, fencing=order.fencing)
+            return False
+        answer = await state.platform.send_order(record.address, order, CALL_TIMEOUT)
+        state.metrics.count("order.sent", label=answer)
+        state.log.write(
+            "order_sent",
+            server=swap.server,
+            version=swap.version,
+            fencing=order.fencing,
+            precondition=report.orders,
+            answer=answer,
+        )
+        if answer is OrderAnswer.FENCED:
+            state.lease.observe(Refused(), state.timer.now())
+        return answer in (OrderAnswer.ACCEPTED, OrderAnswer.HOLDS, OrderAnswer.BUSY)
+
+    async def _wait_loaded(self, record, swap):
+        """Ask a loading server for its state until it runs the version."""
+        state = self.state
+        while True:
+            await trio.sleep(REPORT_PERIOD)
+            report = await state.platform.read_report(record.address, CALL_TIMEOUT)
+            version = report.versions.get(swap.model)
+            if (
+                version is not None
+                and version >= swap.version
+                and not report.is_loading
+            ):
+                self._note_version(record, swap.model, version)
+                await state.gossip.tell()
+                return
+
+    def _note_version(self, record, model, version):
+        state, now = self.state, self.state.timer.now()
+        event = ServerVersion(
+            server=record.server,
+            incarnation=record.incarnation,
+            model=model,
+            version=version,
+        )
+        state.swap.observe(event, now)
+        state.gossip.note_version(record.server, record.incarnation, model, version)
+        state.log.write("server_loaded", server=record.server, version=version)
+
+    async def _free_old(self, candidates, now):
+        """Free the parts of versions that no server runs any more."""
+        state = self.state
+        lowest = {}
+        for item in candidates:
+            for model in item.models:
+                version = state.swap.version(item.server, model)
+                if version is not None:
+                    lowest[model] = min(lowest.get(model, version), version)
+        for model, version in lowest.items():
+            known = self.current_since.get(model)
+            if known is None or known[0] != version:
+                self.current_since[model] = (version, now)
+        if not lowest or self._place() != 0:
+            return
+        old = {
+            model: version
+            for model, (version, since) in self.current_since.items()
+            if now - since >= FREE_DELAY
+        }
+        for store in state.routes.configuration.stores.values():
+            if store.keeps_all:
+                await self._free_at(store, old, now)
+
+    async def _free_at(self, store, old, now):
+        def is_old(cache_key):
+            named = version_of_cache_key(cache_key)
+            return named is not None and named[1] < old.get(named[0], 0)
+
+        state = self.state
+        parts = state.parts.names(store.address, is_old)[:FREE_BATCH]
+        until = state.server_time(now + FREE_GUARD)
+        if not parts or until is None:
+            return
+        epoch = state.parts.source(store.address).epoch
+        try:
+            freed = await state.platform.free_parts(store.address, parts, epoch, until)
+        except ChannelError as error:
+            state.log.write("free_failed", store=store.address, reason=str(error))
+            return
+        state.log.write(
+            "parts_freed", store=store.address, parts=len(parts), freed=freed
+        )
+        if freed:
+            source = state.parts.source(store.address)
+            for name in parts:
+                source.set(name, 0)
--- /dev/null
+++ b/wasabistage/edge/_peers.py
@@ -0,0 +1,183 @@
+"""What entries tell each other: load by datagrams, facts on request."""
+
+import msgspec
+import trio
+
+from wasabistage.rollout import ServerOrdered, ServerVersion
+from wasabistage.routing import PeerDispatched
+
+GOSSIP_PERIOD = 0.2  # seconds between two datagrams to a peer
+SILENT_AFTER = 1.2  # seconds; six datagrams in a row are lost
+MAX_DATAGRAM = 60000  # bytes; below the largest UDP payload
+MAX_PEERS = 1024  # entries; above the target size
+
+
+class PeerEntry(msgspec.Struct):
+    """Value of an entry's record: where it is."""
+
+    ip: str
+
+
+class PeerReport(msgspec.Struct, array_like=True):
+    """A datagram.
+
+    :param name: name of the entry.
+    :param incarnation: its life.
+    :param callers: address for callers.
+    :param failure_domain: failure domain it stands in.
+    :param is_ready: whether callers should be sent there.
+    :param sent: dict of server to prompt tokens sent since the last report.
+    :param ordered: servers that were just ordered to load a version.
+    :param versions: rows of server, incarnation, model, version learned lately.
+    :param known: addresses of the entries that it knows.
+    :param has_store: whether it reaches the store of records.
+    """
+
+    name: str
+    incarnation: str
+    ip: str
+    callers: str
+    failure_domain: str
+    is_ready: bool
+    has_store: bool
+    sent: dict[str, int] = {}
+    ordered: list[str] = []
+    versions: list[tuple[str, int, str, int]] = []
+    known: list[str] = []
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(PeerReport)
+
+
+class Peer:
+    """What is known of another entry.
+
+    :param report: its last :class:`PeerReport`.
+    :param heard_at: when it came, monotonic seconds.
+    """
+
+    def __init__(self, report, heard_at):
+        self.report = report
+        self.heard_at = heard_at
+
+
+class GossipTask:
+    """Owns the UDP socket.
+
+    :param state: an :class:`EdgeState`.
+    """
+
+    def __init__(self, state):
+        self.state = state
+        self.sock = None
+        self.addresses = {}
+        self.sent = {}
+        self.ordered = []
+        self.versions = []
+        self.has_store = False
+
+    def know(self, name, ip):
+        """Note where an entry is.
+
+        :param name: its name.
+        :param ip: its IP.
+        """
+        if ip != self.state.settings.instance.ip and len(self.addresses) < MAX_PEERS:
+            self.addresses[name] = ip
+
+    def note_sent(self, server, tokens):
+        """Note prompt tokens that were sent to a server."""
+        self.sent[server] = self.sent.get(server, 0) + tokens
+
+    def note_version(self, server, incarnation, model, version):
+        """Note a version that was just learned, to be told once."""
+        self.versions.append((server, incarnation, model, version))
+
+    async def open(self):
+        """Open the socket and learn the seeds."""
+        settings = self.state.settings
+        self.sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+        address = (settings.instance.ip, settings.listen.gossip_port)
+        await self.sock.bind(address)
+        for seed in settings.peers.seeds.split(","):
+            ip = seed.strip().rpartition(":")[0]
+            if ip:
+                self.know(f"seed {ip}", ip)
+
+    async def run_sending(self, tick):
+        """Tell every peer; a subscriber of the timer service."""
+        await self.tell()
+        self.drop_silent()
+
+    async def tell(self):
+        """Send what changed to every entry that is known."""
+        settings = self.state.settings
+        ips = set(self.addresses.values())
+        report = PeerReport(
+            name=settings.instance.name,
+            incarnation=self.state.incarnation,
+            ip=settings.instance.ip,
+            callers=settings.listen.callers,
+            failure_domain=settings.instance.failure_domain,
+            is_ready=self.state.is_ready,
+            has_store=self.has_store,
+            sent=self.sent,
+            ordered=self.ordered,
+            versions=self.versions[-64:],
+            known=sorted(ips)[:64],
+        )
+        self.sent, self.ordered, self.versions = {}, [], []
+        data = ENCODER.encode(report)
+        for ip in ips:
+            try:
+                await self.sock.sendto(data, (ip, settings.listen.gossip_port))
+            except OSError:
+                self.state.metrics.count("peer.failures")
+
+    def drop_silent(self):
+        """Forget the peers that fell silent."""
+        now = self.state.timer.now()
+        for name, peer in list(self.state.peers.items()):
+            if now - peer.heard_at > SILENT_AFTER:
+                del self.state.peers[name]
+                self.state.log.write(
+                    "peer_lost", peer=name, silent=round(now - peer.heard_at, 3)
+                )
+
+    async def run_receiving(self):
+        """Take in datagrams until cancelled."""
+        while True:
+            data, _ = await self.sock.recvfrom(MAX_DATAGRAM)
+            try:
+                report = DECODER.decode(data)
+            except msgspec.DecodeError:
+                self.state.metrics.count("peer.failures")
+                continue
+            self.take(report, self.state.timer.now())
+
+    def take(self, report, now):
+        """Take in a peer's report.
+
+        :param report: a :class:`PeerReport`.
+        :param now: monotonic time, in seconds.
+        """
+        if report.name == self.state.settings.instance.name:
+            return
+        known = self.state.peers.get(report.name)
+        if known is None:
+            self.state.log.write("peer_found", peer=report.name, ip=report.ip)
+        self.state.peers[report.name] = Peer(report, now)
+        self.know(report.name, report.ip)
+        for ip in report.known:
+            self.know(f"seed {ip}", ip)
+        for server, tokens in report.sent.items():
+            event = PeerDispatched(server=server, tokens=tokens, lag=GOSSIP_PERIOD / 2)
+            self.state.part_router.observe(event, now)
+        for server in report.ordered:
+            self.state.swap.observe(ServerOrdered(server=server), now)
+        for server, incarnation, model, version in report.versions:
+            event = ServerVersion(
+                server=server, incarnation=incarnation, model=model, version=version
+            )
+            self.state.swap.observe(event, now)
--- a/wasabistage/entry/__init__.py
+++ b/wasabistage/entry/__init__.py
@@ -5,7 +5,6 @@
 from wasabistage.entry._once import STREAM as ONCE_STREAM
 from wasabistage.entry._peers import PeerClient, log_loop_error
 from wasabistage.entry._process import run_entry
-from wasabistage.entry._timer import Tick, TimerService, TrioTimerService
 from wasabistage.entry._wire import (
     CONFIG,
     STATUS,
@@ -17,6 +16,7 @@
     StatusTold,
     TraceAsk,
 )
+from wasabistage.timing import Tick, TimerService, TrioTimerService
 
 __all__ = [
     "CONFIG",
--- a/wasabistage/entry/_cache.py
+++ b/wasabistage/entry/_cache.py
@@ -44,11 +44,11 @@
 from wasabistage.entry._exports import Exporter
 from wasabistage.entry._staging import Stager
 from wasabistage.entry._task import LATER, TickingTask
-from wasabistage.entry._timer import Tick
 from wasabistage.entry._transfers import ChunkDone, ChunkMover, Job, committed_event
 from wasabistage.exceptions import WasabistageError
 from wasabistage.routing import LinkQueue, link_name
 from wasabistage.sessions import SessionTable
+from wasabistage.timing import Tick
 
 TRANSFER_ID_BYTES = 8
 MAX_SESSIONS = 100_000
--- a/wasabistage/entry/_completions.py
+++ b/wasabistage/entry/_completions.py
@@ -36,7 +36,7 @@
     UnavailableError,
     WasabistageError,
 )
-from wasabistage.platform import EngineRequest
+from wasabistage.reference import EngineRequest
 from wasabistage.routing import (
     FetchDone,
     FetchProgress,
--- a/wasabistage/entry/_config.py
+++ b/wasabistage/entry/_config.py
@@ -29,7 +29,7 @@
 from wasabistage.exceptions import WasabistageError
 from wasabistage.membership import Heartbeat, MemberState
 from wasabistage.observe import make_logger
-from wasabistage.platform import NewRecord
+from wasabistage.reference import NewRecord
 
 STREAM = "config"
 PEER_ASK_SECONDS = 1.0
@@ -41,7 +41,7 @@
 def fold_read(page, start, wall):
     """Turn a page of the log into the event that the fold takes.
 
-    :param page: a :class:`wasabistage.platform.LogPage`.
+    :param page: a :class:`wasabistage.reference.LogPage`.
     :param start: the offset that was asked for.
     :param wall: wall-clock time, in seconds since 1970.
     :return: a :class:`wasabistage.declarations.LogRead`.
--- a/wasabistage/entry/_context.py
+++ b/wasabistage/entry/_context.py
@@ -6,10 +6,10 @@
 
 from wasabistage.declarations import Deployment
 from wasabistage.entry._peers import PeerClient
-from wasabistage.entry._timer import TimerService
 from wasabistage.observe import Metrics, Tracer
-from wasabistage.platform import HttpEngineClient, HttpStoreClient, LogClient
+from wasabistage.reference import HttpEngineClient, HttpStoreClient, LogClient
 from wasabistage.settings import EntrySettings
+from wasabistage.timing import TimerService
 from wasabistage.utils import Watched
 
 
--- a/wasabistage/entry/_frames.py
+++ b/wasabistage/entry/_frames.py
@@ -29,7 +29,7 @@
     """Build the events that end a whole answer.
 
     :param stream_id: identifier of the stream.
-    :param last: the engine's last :class:`wasabistage.platform.EngineFrame`.
+    :param last: the engine's last :class:`wasabistage.reference.EngineFrame`.
     :param digest: hex digest of the whole answer.
     :return: bytes.
     """
--- a/wasabistage/entry/_gossip.py
+++ b/wasabistage/entry/_gossip.py
@@ -6,7 +6,6 @@
 from wasabistage.admission import DemandReport
 from wasabistage.cache import Committed
 from wasabistage.entry._task import TickingTask
-from wasabistage.entry._timer import Tick
 from wasabistage.entry._wire import (
     GOSSIP,
     SIGNS,
@@ -35,8 +34,9 @@
     ViewQuery,
 )
 from wasabistage.observe import make_logger
-from wasabistage.platform import HttpListClient, LiveList
+from wasabistage.reference import HttpListClient, LiveList
 from wasabistage.routing import PeerDispatched
+from wasabistage.timing import Tick
 from wasabistage.utils import Watched
 
 LIST_SECONDS = 1.0
--- a/wasabistage/entry/_once.py
+++ b/wasabistage/entry/_once.py
@@ -11,7 +11,6 @@
 from wasabistage.entry._gossip import FindIncarnation
 from wasabistage.entry._plain import PlainAnswer, PlainCall
 from wasabistage.entry._task import LATER, Reply, TickingTask
-from wasabistage.entry._timer import Tick
 from wasabistage.entry._wire import ONCE, OnceAnswered, OnceForward
 from wasabistage.exceptions import (
     ConflictError,
@@ -51,7 +50,8 @@
     error_of,
 )
 from wasabistage.once import Reply as OnceReply
-from wasabistage.platform import NewRecord
+from wasabistage.reference import NewRecord
+from wasabistage.timing import Tick
 
 STREAM = "once"
 #: Time between two ticks while something waits, and while nothing does.
@@ -447,7 +447,7 @@
 def records_read(page, start, wall):
     """Turn a page of the log into the event that the decisions take.
 
-    :param page: a :class:`wasabistage.platform.LogPage`.
+    :param page: a :class:`wasabistage.reference.LogPage`.
     :param start: the offset that was asked for.
     :param wall: wall-clock time after the answer arrived, in seconds.
     :return: a :class:`wasabistage.once.RecordsRead`.
--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -16,7 +16,7 @@
     UnavailableError,
     WasabistageError,
 )
-from wasabistage.platform import NOT_SENT
+from wasabistage.reference import NOT_SENT
 
 LEAST_COST = 1
 FIRST_SERVER_ERROR = 500
--- a/wasabistage/entry/_process.py
+++ b/wasabistage/entry/_process.py
@@ -25,7 +25,6 @@
 from wasabistage.entry._routing import RoutingTask
 from wasabistage.entry._status import StatusAnswerer
 from wasabistage.entry._streams import StreamsTask
-from wasabistage.entry._timer import TrioTimerService
 from wasabistage.entry._wire import (
     CONFIG,
     GOSSIP,
@@ -37,7 +36,8 @@
 )
 from wasabistage.membership import SignsQuery, make_incarnation
 from wasabistage.observe import Tracer, make_log_handler, make_logger, make_metrics
-from wasabistage.platform import HttpLogClient, make_http_client
+from wasabistage.reference import HttpLogClient, make_http_client
+from wasabistage.timing import TrioTimerService
 from wasabistage.utils import Watched
 
 INCARNATION_BYTES = 8
--- a/wasabistage/entry/_rollout.py
+++ b/wasabistage/entry/_rollout.py
@@ -7,11 +7,10 @@
 from wasabistage.entry._routing_messages import LoadArrived
 from wasabistage.entry._targets import find_place, make_targets, order_bodies
 from wasabistage.entry._task import TickingTask
-from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import UnavailableError, WasabistageError
 from wasabistage.membership import MemberState, Phase
 from wasabistage.observe import make_logger
-from wasabistage.platform import LogPage, NewRecord
+from wasabistage.reference import LogPage, NewRecord
 from wasabistage.rollout import (
     NO_RECORD,
     AppendEnded,
@@ -32,6 +31,7 @@
     decode_order_record,
     encode_order_record,
 )
+from wasabistage.timing import Tick
 
 STREAM = "orders"
 #: Longest wait of one read for a new record.
@@ -54,7 +54,7 @@
     """A page of the order stream.
 
     :param start: the offset that was asked for.
-    :param page: the :class:`wasabistage.platform.LogPage`.
+    :param page: the :class:`wasabistage.reference.LogPage`.
     """
 
     start: int
@@ -335,7 +335,7 @@
 def page_end(page, start):
     """Return the offset from which to read on.
 
-    :param page: a :class:`wasabistage.platform.LogPage`.
+    :param page: a :class:`wasabistage.reference.LogPage`.
     :param start: the offset that was asked for.
     :return: an offset.
     """
--- a/wasabistage/entry/_routing.py
+++ b/wasabistage/entry/_routing.py
@@ -21,7 +21,6 @@
     VersionPendingError,
 )
 from wasabistage.entry._task import TickingTask
-from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import UnavailableError, WasabistageError
 from wasabistage.membership import (
     AskSigns,
@@ -36,7 +35,7 @@
 )
 from wasabistage.membership import ServerReport as MembershipReport
 from wasabistage.observe import make_logger
-from wasabistage.platform import EngineLoad
+from wasabistage.reference import EngineLoad
 from wasabistage.retries import FreshRequest, RetryPolicy, RetryQuery
 from wasabistage.routing import (
     CallEnded,
@@ -57,6 +56,7 @@
     ServerRemoved,
     ServerSeen,
 )
+from wasabistage.timing import Tick
 
 DISPATCHED_SECONDS = 0.25
 PLAIN_VERSION = "plain"
--- a/wasabistage/entry/_routing_messages.py
+++ b/wasabistage/entry/_routing_messages.py
@@ -4,7 +4,7 @@
 
 from wasabistage.base import Rank
 from wasabistage.exceptions import UnavailableError
-from wasabistage.platform import EngineLoad
+from wasabistage.reference import EngineLoad
 from wasabistage.retries import Failure
 
 
--- a/wasabistage/entry/_streams.py
+++ b/wasabistage/entry/_streams.py
@@ -4,8 +4,8 @@
 
 from wasabistage.entry._gossip import StreamResumed
 from wasabistage.entry._task import TickingTask
-from wasabistage.entry._timer import Tick
 from wasabistage.exceptions import WasabistageError
+from wasabistage.timing import Tick
 
 RESUME_WINDOW_SECONDS = 10.0
 MAX_ABANDONED = 4096
--- a/wasabistage/entry/_task.py
+++ b/wasabistage/entry/_task.py
@@ -158,7 +158,7 @@
 
 
 class TickingTask(Task):
-    """A task that gets a :class:`wasabistage.entry._timer.Tick` once per period.
+    """A task that gets a :class:`wasabistage.timing.Tick` once per period.
 
     :param context: the :class:`wasabistage.entry._context.EntryContext`.
     """
--- /dev/null
+++ b/wasabistage/fleet/__init__.py
@@ -0,0 +1,67 @@
+"""What an entry knows of routes, client accounts, backend servers and records."""
+
+from wasabistage.fleet._configuration import (
+    CacheStore,
+    CallerLimits,
+    ClientAccount,
+    Configuration,
+    EngineSpec,
+    Route,
+    RouteKind,
+    Service,
+)
+from wasabistage.fleet._records import (
+    OvertakenError,
+    RecordPage,
+    RecordStore,
+    StoredRecord,
+    StoreError,
+    Topic,
+    TrimmedError,
+)
+from wasabistage.fleet._route_table import (
+    NO_CONFIGURATION,
+    NO_KEY,
+    NO_ROUTE,
+    STALE_KEYS,
+    UNKNOWN_KEY,
+    Caller,
+    KeyFreshness,
+    RouteTable,
+)
+from wasabistage.fleet._servers import (
+    RETURN_TIME,
+    ListedServer,
+    ServerRecord,
+    ServerTable,
+)
+
+__all__ = [
+    "NO_CONFIGURATION",
+    "NO_KEY",
+    "NO_ROUTE",
+    "RETURN_TIME",
+    "STALE_KEYS",
+    "UNKNOWN_KEY",
+    "CacheStore",
+    "Caller",
+    "CallerLimits",
+    "ClientAccount",
+    "Configuration",
+    "EngineSpec",
+    "KeyFreshness",
+    "ListedServer",
+    "OvertakenError",
+    "RecordPage",
+    "RecordStore",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "ServerRecord",
+    "ServerTable",
+    "Service",
+    "StoreError",
+    "StoredRecord",
+    "Topic",
+    "TrimmedError",
+]
--- /dev/null
+++ b/wasabistage/http1/_channel.py
@@ -0,0 +1,239 @@
+"""One channel to a server."""
+
+import socket
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+READ_BYTES = 65536  # bytes a read; the largest common socket buffer
+KEEPALIVE_IDLE = 1  # seconds, the least that the system takes
+KEEPALIVE_INTERVAL = 1  # seconds, the least that the system takes
+KEEPALIVE_PROBES = 2  # probes; one may be lost on a bad link
+UNACKNOWLEDGED_LIMIT = 3000  # milliseconds; the idle time plus two probes
+
+
+class ChannelError(Exception):
+    """The channel failed or sent what is no response; the request may have run."""
+
+
+class NotSentError(ChannelError):
+    """The channel could not be opened; no byte of the request left."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ResponseHead:
+    """Status line and headers of a response.
+
+    :param status: HTTP status.
+    :param reason: reason phrase, bytes.
+    :param headers: list of (name, value) pairs of bytes as they came.
+    :param fields: dict of lower-case name to value, both bytes, last one wins.
+    """
+
+    status: int
+    reason: bytes
+    headers: list
+    fields: dict = field(default_factory=dict)
+
+
+def set_liveness_options(sock):
+    """Let the system notice a peer that fell silent.
+
+    :param sock: a TCP socket.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT)
+
+
+async def open_channel(address, timeout):
+    """Open a channel.
+
+    :param address: tuple of host and port.
+    :param timeout: longest time to connect, in seconds.
+    :return: a :class:`Channel`.
+    :raises NotSentError: if it can't be opened in time.
+    """
+    sock = trio.socket.socket()
+    try:
+        with trio.fail_after(timeout):
+            await sock.connect(address)
+        set_liveness_options(sock)
+    except (OSError, trio.TooSlowError) as error:
+        sock.close()
+        raise NotSentError(f"cannot connect: {error or 'timeout'}") from error
+    except BaseException:
+        sock.close()
+        raise
+    return Channel(sock, address)
+
+
+class Channel:
+    """One HTTP/1.1 channel to a server, for one request at a time.
+
+    :param sock: connected trio socket.
+    :param address: tuple of host and port.
+    """
+
+    def __init__(self, sock, address):
+        self.sock = sock
+        self.address = address
+        self.connection = h11.Connection(h11.CLIENT)
+        self.request = None
+        self.sent_all = True
+        self.closed = False
+        self.used = 0
+        self.idle_until = 0.0
+        self.heard_at = 0.0
+
+    def close(self):
+        """Close at once; a server stops the work of a closed channel."""
+        if not self.closed:
+            self.closed = True
+            self.sock.close()
+
+    def is_quiet(self):
+        """Tell whether an idle channel is open and holds no unexpected bytes."""
+        if self.closed:
+            return False
+        try:
+            # The raw socket is non-blocking: no bytes means that it is still open.
+            self.sock._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def send_request(self, method, target, headers, body):
+        """Send a whole request.
+
+        :param method: bytes.
+        :param target: bytes, sent as they are.
+        :param headers: list of (name, value) pairs of bytes, framing included.
+        :param body: bytes.
+        :raises ChannelError: if the channel broke.
+        """
+        self.used += 1
+        self.sent_all = False
+        self.request = h11.Request(method=method, target=target, headers=headers)
+        data = self.connection.send(self.request)
+        if body:
+            data += self.connection.send(h11.Data(data=body))
+        data += self.connection.send(h11.EndOfMessage())
+        try:
+            await self._send_all(data)
+        except OSError as error:
+            raise ChannelError(f"send failed: {error}") from error
+        self.sent_all = True
+
+    async def _send_all(self, data):
+        view = memoryview(data)
+        while view:
+            sent = await self.sock.send(view)
+            view = view[sent:]
+
+    async def next_event(self):
+        """Return the next h11 event of the response.
+
+        :raises ChannelError: if the channel broke or sent no HTTP.
+        """
+        try:
+            while True:
+                event = self.connection.next_event()
+                if event is h11.NEED_DATA:
+                    self.connection.receive_data(await self.sock.recv(READ_BYTES))
+                    continue
+                return event
+        except OSError as error:
+            raise ChannelError(f"receive failed: {error}") from error
+        except h11.RemoteProtocolError as error:
+            raise ChannelError(f"not a response: {error}") from error
+
+    async def read_head(self):
+        """Return the :class:`ResponseHead` of the final response.
+
+        :raises ChannelError: if there is none.
+        """
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ChannelError("the channel ended before a response")
+            headers = event.headers.raw_items()
+            return ResponseHead(
+                status=event.status_code,
+                reason=event.reason,
+                headers=headers,
+                fields=dict(event.headers),
+            )
+
+    async def read_piece(self):
+        """Return the next bytes of the body; empty at its complete end.
+
+        :raises ChannelError: if the body breaks off.
+        """
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.Data):
+                if event.data:
+                    return bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return b""
+            else:
+                raise ChannelError("the body broke off")
+
+    async def read_body(self, limit):
+        """Return the whole body.
+
+        :param limit: most bytes.
+        :raises ChannelError: if it breaks off or is larger.
+        """
+        body = bytearray()
+        while piece := await self.read_piece():
+            body += piece
+            if len(body) > limit:
+                raise ChannelError("the body is larger than its limit")
+        return bytes(body)
+
+    async def skip_response(self):
+        """Pass over a whole response that answers an earlier request.
+
+        The request that was sent last is still unanswered afterwards.
+
+        :raises ChannelError: if the response breaks off.
+        """
+        while await self.read_piece():
+            pass
+        trailing, _ = self.connection.trailing_data
+        fresh = h11.Connection(h11.CLIENT)
+        # The framing of a response depends on the method alone.
+        headers = [(b"host", b"replayed"), (b"content-length", b"0")]
+        fresh.send(
+            h11.Request(method=self.request.method, target=b"/", headers=headers)
+        )
+        fresh.send(h11.EndOfMessage())
+        if trailing:
+            fresh.receive_data(trailing)
+        self.connection = fresh
+
+    def start_next(self):
+        """Get ready for another request.
+
+        :return: whether the channel may be used again.
+        """
+        if self.closed or not self.sent_all:
+            return False
+        trailing, ended = self.connection.trailing_data
+        if trailing or ended:
+            return False
+        try:
+            self.connection.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -1,9 +1,9 @@
 """Metrics, sent to statsd over UDP."""
 
-from abc import ABC, abstractmethod
-
 from statsd import StatsClient
 
+from wasabistage.telemetry import Metrics
+
 #: Every metric: name to kind and meaning.
 METRICS = {
     "request.received": ("counter", "requests received from callers"),
@@ -35,36 +35,6 @@
 }
 
 
-class Metrics(ABC):
-    """Sink of metrics."""
-
-    @abstractmethod
-    def count(self, name, value=1, label=""):
-        """Add to a counter.
-
-        :param name: a key of ``METRICS``.
-        :param value: how much to add.
-        :param label: last part of the metric's name, such as a rank.
-        """
-
-    @abstractmethod
-    def gauge(self, name, value):
-        """Set a gauge.
-
-        :param name: a key of ``METRICS``.
-        :param value: the new value.
-        """
-
-    @abstractmethod
-    def time(self, name, seconds, label=""):
-        """Record a duration.
-
-        :param name: a key of ``METRICS``.
-        :param seconds: the duration.
-        :param label: last part of the metric's name, such as a rank.
-        """
-
-
 class MemoryMetrics(Metrics):
     """Metrics kept in this process, for ``status`` and for tests."""
 
--- a/wasabistage/operators/_commands.py
+++ b/wasabistage/operators/_commands.py
@@ -15,7 +15,7 @@
 from wasabistage.operators._in_force import ConfigFound, find_in_force
 from wasabistage.operators._publish import run_publication
 from wasabistage.operators._status import read_states
-from wasabistage.platform import HttpLogClient, make_http_client
+from wasabistage.reference import HttpLogClient, make_http_client
 
 PUBLICATION_ID_BYTES = 16
 
--- a/wasabistage/operators/_in_force.py
+++ b/wasabistage/operators/_in_force.py
@@ -32,7 +32,7 @@
 async def find_in_force(log, timers, states=()):
     """Find out which configuration is in force.
 
-    :param log: a :class:`wasabistage.platform.LogClient`.
+    :param log: a :class:`wasabistage.reference.LogClient`.
     :param timers: a timer service.
     :param states: folded states that running entries told.
     :return: a :class:`ConfigFound`; doubtful if the log could not be read to its end.
--- a/wasabistage/operators/_publish.py
+++ b/wasabistage/operators/_publish.py
@@ -14,7 +14,7 @@
 )
 from wasabistage.entry import CONFIG_STREAM, fold_read
 from wasabistage.exceptions import UnavailableError, WasabistageError
-from wasabistage.platform import NewRecord
+from wasabistage.reference import NewRecord
 
 PUBLICATION_ID_BYTES = 16
 STEP_SECONDS = 0.02
@@ -23,7 +23,7 @@
 async def publish_deployment(log, deployment, timers, states=(), **options):
     """Publish a deployment and wait for the outcome.
 
-    :param log: a :class:`wasabistage.platform.LogClient`.
+    :param log: a :class:`wasabistage.reference.LogClient`.
     :param deployment: the :class:`wasabistage.declarations.Deployment`.
     :param timers: a timer service.
     :param states: folded states that running entries told, for a trimmed log.
@@ -40,7 +40,7 @@
 async def run_publication(log, policy, timers, states=()):
     """Carry the actions of a publication out until its outcome is known.
 
-    :param log: a :class:`wasabistage.platform.LogClient`.
+    :param log: a :class:`wasabistage.reference.LogClient`.
     :param policy: a :class:`wasabistage.declarations.PublishPolicy`.
     :param timers: a timer service.
     :param states: folded states that running entries told.
--- a/wasabistage/platform/__init__.py
+++ b/wasabistage/platform/__init__.py
@@ -1,47 +1,9 @@
-"""Clients of the platform and of the backend servers."""
+"""Adapter to the users' platform: names, formats and calls; it decides nothing.
 
-from wasabistage.platform._engine import (
-    EngineClient,
-    EngineFrame,
-    EngineLoad,
-    EngineRequest,
-    HttpEngineClient,
-    PieceRead,
-)
-from wasabistage.platform._http import NOT_SENT, call_json, make_http_client
-from wasabistage.platform._livelist import (
-    HttpListClient,
-    ListClient,
-    ListedInstance,
-    LiveList,
-)
-from wasabistage.platform._log import (
-    HttpLogClient,
-    LogClient,
-    LogPage,
-    LogRecord,
-    NewRecord,
-)
-from wasabistage.platform._store import HttpStoreClient
+Every name of the platform's wire stands in this folder alone. Fields are decoded here,
+once, into types of this project.
+"""
 
-__all__ = [
-    "NOT_SENT",
-    "EngineClient",
-    "EngineFrame",
-    "EngineLoad",
-    "EngineRequest",
-    "HttpEngineClient",
-    "HttpListClient",
-    "HttpLogClient",
-    "HttpStoreClient",
-    "ListClient",
-    "ListedInstance",
-    "LiveList",
-    "LogClient",
-    "LogPage",
-    "LogRecord",
-    "NewRecord",
-    "PieceRead",
-    "call_json",
-    "make_http_client",
-]
+from wasabistage.platform._adapter import UsersPlatform
+
+__all__ = ["UsersPlatform"]
--- /dev/null
+++ b/wasabistage/platform/_records.py
@@ -0,0 +1,286 @@
+"""Records that the operators and the servers write."""
+
+import msgspec
+
+from wasabistage.edge import NamedVersion
+from wasabistage.fleet import (
+    CacheStore,
+    CallerLimits,
+    ClientAccount,
+    Configuration,
+    EngineSpec,
+    Route,
+    RouteKind,
+    ServerRecord,
+    Service,
+)
+
+MILLISECONDS = 1000.0
+BYTES_PER_MEGABIT = 125_000.0
+CONFIGURATION_KEY = "config"
+VERSION_PREFIX = "version/"
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.ONCE,
+    "streaming": RouteKind.STREAM,
+}
+READY = "ready"
+DRAINING = "draining"
+
+
+class WireTarget(msgspec.Struct):
+    """A service with its share of a route."""
+
+    service: str
+    weight: float = 1.0
+
+
+class WireRoute(msgspec.Struct, rename="camel"):
+    """A route as the operators write it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    #: Time within which an answer earns its full worth, not a deadline.
+    goal_ms: float = 1000.0
+    #: A rank, 0 first.
+    priority: int = 0
+    service: str = ""
+    split: list[WireTarget] = []
+    #: Servers that one request may be sent to, not tries.
+    attempts: int = 1
+    anonymous: bool = False
+    #: Requests carry a prompt whose parts servers may have cached.
+    sticky: bool = False
+    resumable: bool = False
+
+
+class WireEngine(msgspec.Struct, rename="camel"):
+    """What a service of model engines has."""
+
+    slots: int = 1
+    #: In tokens.
+    kv_capacity: int = 0
+    kv_token_bytes: int = 1
+    link_mbps: float = 1000.0
+    #: Calls for cache events held at once, not requests.
+    max_inflight: int = 1
+
+
+class WireService(msgspec.Struct, rename="camel"):
+    """A service, or a store of KV cache if it has a store's address."""
+
+    name: str
+    max_conns: int = 0
+    engine: WireEngine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
+    kv_capacity: int = 0
+    link_mbps: float = 1000.0
+    max_inflight: int = 1
+    #: The store drops nothing by itself.
+    is_managed: bool = False
+    #: Added to each transfer, in milliseconds.
+    first_ms: float = msgspec.field(default=0.0, name="first_ms")
+
+
+class WireLimits(msgspec.Struct, rename="camel"):
+    """Bounds on callers."""
+
+    max_header_bytes: int = 65536
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+class WireTenant(msgspec.Struct):
+    """A client account."""
+
+    name: str
+    keys: list[str] = []
+    priority: int | None = None
+    dedicated: bool = False
+
+
+class WireConfiguration(msgspec.Struct):
+    """The whole configuration."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService] = []
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTenant] = []
+
+
+class WireModel(msgspec.Struct):
+    """A model that a server holds."""
+
+    name: str
+    version: int = 1
+
+
+class WireServer(msgspec.Struct):
+    """A server's own record."""
+
+    service: str
+    address: str
+    state: str
+    born: int = 0
+    zone: str = ""
+    slots: int = 1
+    models: list[WireModel] = []
+
+
+class WireNamedVersion(msgspec.Struct):
+    """Weights named by the operators."""
+
+    model: str
+    version: int
+
+
+CONFIGURATION_DECODER = msgspec.json.Decoder(WireConfiguration)
+SERVER_DECODER = msgspec.json.Decoder(WireServer)
+NAMED_DECODER = msgspec.json.Decoder(WireNamedVersion)
+
+
+def decode_configuration(value):
+    """Decode a configuration.
+
+    :param value: bytes.
+    :return: a :class:`wasabistage.fleet.Configuration`, or ``None`` if it can't be
+        used.
+    """
+    try:
+        wire = CONFIGURATION_DECODER.decode(value)
+        routes = tuple(make_route(item) for item in wire.routes)
+    except (msgspec.DecodeError, KeyError, UnicodeError):
+        return None
+    services = [item for item in wire.services if not item.kv_store_addr]
+    stores = [item for item in wire.services if is_address(item.kv_store_addr)]
+    return Configuration(
+        version=wire.version,
+        routes=routes,
+        services={item.name: make_service(item) for item in services},
+        stores={item.name: make_store(item) for item in stores},
+        accounts={item.name: make_account(item) for item in wire.tenants},
+        limits=make_limits(wire.limits),
+    )
+
+
+def make_route(wire):
+    """Return a :class:`wasabistage.fleet.Route`."""
+    targets = tuple((item.service, item.weight) for item in wire.split)
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        path_prefix=wire.path_prefix.encode(),
+        kind=KINDS[wire.kind],
+        targets=targets or ((wire.service, 1.0),),
+        timeout=wire.timeout_ms / MILLISECONDS,
+        objective=wire.goal_ms / MILLISECONDS,
+        rank=wire.priority,
+        max_servers=max(1, wire.attempts),
+        is_anonymous=wire.anonymous,
+        has_prompt=wire.sticky,
+        is_resumable=wire.resumable,
+    )
+
+
+def make_service(wire):
+    """Return a :class:`wasabistage.fleet.Service`."""
+    engine = wire.engine and EngineSpec(
+        slots=wire.engine.slots,
+        memory_tokens=wire.engine.kv_capacity,
+        token_bytes=wire.engine.kv_token_bytes,
+        link_bytes=wire.engine.link_mbps * BYTES_PER_MEGABIT,
+        max_event_reads=wire.engine.max_inflight,
+    )
+    return Service(name=wire.name, max_channels=wire.max_conns, engine=engine)
+
+
+def make_store(wire):
+    """Return a :class:`wasabistage.fleet.CacheStore`."""
+    return CacheStore(
+        name=wire.name,
+        address=wire.kv_store_addr,
+        failure_domain=wire.zone,
+        capacity_tokens=wire.kv_capacity,
+        link_bytes=wire.link_mbps * BYTES_PER_MEGABIT,
+        first_byte=wire.first_ms / MILLISECONDS,
+        keeps_all=wire.is_managed,
+        max_event_reads=wire.max_inflight,
+    )
+
+
+def make_account(wire):
+    """Return a :class:`wasabistage.fleet.ClientAccount`."""
+    return ClientAccount(
+        name=wire.name,
+        keys=frozenset(wire.keys),
+        rank=wire.priority,
+        is_dedicated=wire.dedicated,
+    )
+
+
+def make_limits(wire):
+    """Return a :class:`wasabistage.fleet.CallerLimits`."""
+    return CallerLimits(
+        header_bytes=wire.max_header_bytes,
+        body_bytes=wire.max_body_bytes,
+        header_seconds=wire.header_timeout_ms / MILLISECONDS,
+        idle_seconds=wire.idle_timeout_ms / MILLISECONDS,
+    )
+
+
+def is_address(text):
+    """Tell whether a text is ``IP:PORT``."""
+    host, _, port = text.rpartition(":")
+    numbers = host.split(".")
+    return (
+        port.isdigit()
+        and 0 < int(port) < 65536
+        and len(numbers) == 4
+        and all(item.isdigit() and int(item) < 256 for item in numbers)
+    )
+
+
+def decode_server(record):
+    """Decode a server's record.
+
+    :param record: a :class:`wasabistage.fleet.StoredRecord` with a value.
+    :return: a :class:`wasabistage.fleet.ServerRecord`, or ``None`` if it names no
+        server to use.
+    """
+    try:
+        wire = SERVER_DECODER.decode(record.value)
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+    if wire.state not in (READY, DRAINING) or not is_address(wire.address):
+        return None
+    return ServerRecord(
+        server=record.key,
+        incarnation=wire.born,
+        service=wire.service,
+        address=wire.address,
+        failure_domain=wire.zone,
+        slots=max(1, wire.slots),
+        is_leaving=wire.state == DRAINING,
+        versions={item.name: item.version for item in wire.models},
+    )
+
+
+def decode_named_version(record):
+    """Decode a record that names a weight version.
+
+    :param record: a :class:`wasabistage.fleet.StoredRecord`.
+    :return: a :class:`wasabistage.edge.NamedVersion`, or ``None``.
+    """
+    if not record.key.startswith(VERSION_PREFIX) or record.value is None:
+        return None
+    try:
+        wire = NAMED_DECODER.decode(record.value)
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+    return NamedVersion(model=wire.model, version=wire.version)
--- /dev/null
+++ b/wasabistage/platform/_servers.py
@@ -0,0 +1,190 @@
+"""Calls to model engines and cache stores other than requests."""
+
+import msgspec
+
+from wasabistage.edge import CacheEvent, CacheEvents, EngineReport, OrderAnswer
+from wasabistage.http1 import ChannelError, HttpClient
+
+MILLISECONDS = 1000.0
+CALL_TIMEOUT = 1.0  # seconds; the calls need no slot and take milliseconds
+LONGEST_WAIT = 1.0  # seconds, the most that an engine holds a call for events
+MAX_CLIENTS = 4096  # addresses; twice the servers of the largest deployment
+ORDER_ANSWERS = {
+    200: OrderAnswer.HOLDS,
+    202: OrderAnswer.ACCEPTED,
+    409: OrderAnswer.BUSY,
+    412: OrderAnswer.FENCED,
+}
+EXPECT_SERVER = b"Wasabistage-Expect-Instance"
+
+
+class WireModel(msgspec.Struct):
+    """A model that an engine holds."""
+
+    name: str
+    version: int = 1
+
+
+class WireReport(msgspec.Struct):
+    """State of an engine."""
+
+    models: list[WireModel] = []
+    #: An order is in progress; not that requests run.
+    busy: bool = False
+    #: Orders accepted, not records.
+    seq: int = 0
+    queued: int = 0
+    active: int = 0
+    #: Wall clock of the servers, in milliseconds.
+    clock_ms: float | None = None
+    #: Millisecond of its start.
+    born: int | None = None
+
+
+class WireEvents(msgspec.Struct):
+    """Changes of what is cached."""
+
+    epoch: int
+    #: Value of ``since`` for the next read.
+    next: int
+    #: Some events between the reads are gone.
+    lost: bool = False
+    #: Rows of number, sign, cache key, part, tokens kept now, model.
+    events: list[tuple[int, str, str, str, int, str]] = []
+    clock_ms: float | None = None
+
+
+class WireListing(msgspec.Struct):
+    """All that is cached."""
+
+    epoch: int
+    next: int
+    #: Rows of cache key, part, tokens, model.
+    held: list[tuple[str, str, int, str]] = []
+    clock_ms: float | None = None
+
+
+REPORT_DECODER = msgspec.json.Decoder(WireReport)
+EVENTS_DECODER = msgspec.json.Decoder(WireEvents, strict=False)
+LISTING_DECODER = msgspec.json.Decoder(WireListing, strict=False)
+
+
+class ServerCalls:
+    """Calls to engines and stores, over one small client per address.
+
+    :param timer: a :class:`wasabistage.timing.TimerService`.
+    """
+
+    def __init__(self, timer):
+        self.timer = timer
+        self.clients = {}
+
+    def _client(self, address):
+        if address not in self.clients:
+            if len(self.clients) >= MAX_CLIENTS:
+                self.clients.pop(next(iter(self.clients))).close()
+            self.clients[address] = HttpClient(address, self.timer)
+        return self.clients[address]
+
+    async def read_report(self, address, timeout=CALL_TIMEOUT):
+        """Return the :class:`wasabistage.edge.EngineReport` of a server."""
+        client = self._client(address)
+        reply = await client.call(b"GET", b"/v1/report", timeout=timeout)
+        wire = decode(REPORT_DECODER, reply)
+        return EngineReport(
+            versions={item.name: item.version for item in wire.models},
+            is_loading=wire.busy,
+            orders=wire.seq,
+            clock=to_seconds(wire.clock_ms),
+            incarnation=wire.born,
+            running=wire.active,
+            waiting=wire.queued,
+        )
+
+    async def send_order(self, address, order, timeout=CALL_TIMEOUT):
+        """Send a :class:`wasabistage.edge.VersionOrder`."""
+        body = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "method": "wait",
+            "holder": order.holder,
+            "fence": order.fencing,
+        }
+        if order.orders is not None:
+            body["precondition"] = order.orders
+        headers = (
+            (b"Content-Type", b"application/json"),
+            (EXPECT_SERVER, order.server.encode()),
+        )
+        client = self._client(address)
+        data = msgspec.json.encode(body)
+        reply = await client.call(b"POST", b"/v1/order", data, headers, timeout)
+        return ORDER_ANSWERS.get(reply.status, OrderAnswer.REFUSED)
+
+    async def read_events(self, address, position, wait):
+        """Return the :class:`wasabistage.edge.CacheEvents` after a position."""
+        wait = min(wait, LONGEST_WAIT)
+        target = f"/v1/kv-events?since={position}".encode()
+        headers = ((b"Wait-Ms", b"%d" % int(wait * MILLISECONDS)),)
+        client = self._client(address)
+        timeout = wait + CALL_TIMEOUT
+        reply = await client.call(b"GET", target, headers=headers, timeout=timeout)
+        wire = decode(EVENTS_DECODER, reply)
+        events = tuple(
+            CacheEvent(cache_key=row[2], part=row[3], tokens=row[4])
+            for row in wire.events
+        )
+        return CacheEvents(
+            epoch=wire.epoch,
+            position=wire.next,
+            has_gap=wire.lost,
+            events=events,
+            clock=to_seconds(wire.clock_ms),
+        )
+
+    async def list_cache(self, address):
+        """Return all that is cached, as :class:`wasabistage.edge.CacheEvents`."""
+        reply = await self._client(address).call(b"GET", b"/v1/kv-list")
+        wire = decode(LISTING_DECODER, reply)
+        events = tuple(
+            CacheEvent(cache_key=row[0], part=row[1], tokens=row[2])
+            for row in wire.held
+        )
+        return CacheEvents(
+            epoch=wire.epoch,
+            position=wire.next,
+            has_gap=False,
+            events=events,
+            clock=to_seconds(wire.clock_ms),
+        )
+
+    async def free_parts(self, address, parts, epoch, until):
+        """Free parts at a store; return whether it did."""
+        body = {"parts": [list(row) for row in parts], "epoch": epoch}
+        body["until_ms"] = int(until * MILLISECONDS)
+        headers = ((b"Content-Type", b"application/json"),)
+        data = msgspec.json.encode(body)
+        client = self._client(address)
+        reply = await client.call(b"POST", b"/v1/kv-free", data, headers)
+        return reply.status == 200
+
+
+def to_seconds(milliseconds):
+    """Return seconds, or ``None`` for ``None``."""
+    return None if milliseconds is None else milliseconds / MILLISECONDS
+
+
+def decode(decoder, reply):
+    """Decode a reply.
+
+    :param decoder: a msgspec decoder.
+    :param reply: a :class:`wasabistage.http1.Reply`.
+    :raises ChannelError: if it is no success or can't be decoded.
+    """
+    if reply.status != 200:
+        raise ChannelError(f"the server answered {reply.status}")
+    try:
+        return decoder.decode(reply.body)
+    except msgspec.DecodeError as error:
+        raise ChannelError(f"unexpected reply: {error}") from error
--- a/wasabistage/platform/_store.py
+++ b/wasabistage/platform/_store.py
@@ -1,86 +1,189 @@
-"""Client of a KV cache store."""
+"""Client of the platform's store of records."""
 
 import base64
+import struct
+from urllib.parse import quote
 
-import httpx
+import msgspec
 
-from wasabistage.exceptions import UnavailableError
-from wasabistage.platform._http import call_json
+from wasabistage.fleet import (
+    OvertakenError,
+    RecordPage,
+    RecordStore,
+    StoredRecord,
+    StoreError,
+    Topic,
+    TrimmedError,
+)
+from wasabistage.http1 import ChannelError, HttpClient
 
-CONTROL_TIMEOUT_SECONDS = 2.0
-LIFT_TIMEOUT_SECONDS = 30.0
+TOPICS = {
+    Topic.CONFIGURATION: "keyed.op",
+    Topic.SERVERS: "keyed.servers",
+    Topic.ENTRIES: "keyed.entries",
+    Topic.ORDERS: "orders",
+}
+KEYED_PREFIX = "keyed."
+CALL_TIMEOUT = 1.0  # seconds; the store answers in some milliseconds when it is well
+READ_KIB = 1024  # KiB a read, the store's own default
+MAX_PAGES = 64  # pages of newest records, 500 records each
+POSITIONS = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
 
 
-class HttpStoreClient:
-    """Store behind HTTP.
+class WireItem(msgspec.Struct):
+    """The newest record of a key."""
 
-    :param client: an :class:`httpx.AsyncClient`.
-    :param address: ``IP:PORT`` of the store.
+    key: str
+    offset: int
+    value: str = ""
+
+
+class WireNewest(msgspec.Struct, rename="camel"):
+    """A page of newest records."""
+
+    end: int
+    items: list[WireItem] = []
+    more_pages: bool = False
+
+
+class WireAppended(msgspec.Struct):
+    """Answer to an append."""
+
+    #: Offset of the first record that was appended.
+    offset: int
+
+
+NEWEST_DECODER = msgspec.json.Decoder(WireNewest)
+APPENDED_DECODER = msgspec.json.Decoder(WireAppended)
+
+
+class PlatformRecordStore(RecordStore):
+    """The platform's store over HTTP.
+
+    :param address: ``IP:PORT``.
+    :param timer: a :class:`wasabistage.timing.TimerService`.
     """
 
-    def __init__(self, client, address):
-        self.client = client
-        self.address = address
-
-    async def commit(self, commit_id, record):
-        """Write a commit record, after its pieces.
-
-        :param commit_id: identifier of the record.
-        :param record: its bytes.
-        """
-        url = f"http://{self.address}/commits/{commit_id}"
-        await call_json(
-            self.client, "PUT", url, content=record, timeout=CONTROL_TIMEOUT_SECONDS
-        )
-
-    async def read_commit(self, commit_id):
-        """Read one commit record.
-
-        :param commit_id: identifier of the record.
-        :return: its bytes.
-        :raises UnavailableError: if the store does not answer or has no such record.
-        """
-        url = f"http://{self.address}/commits/{commit_id}"
+    def __init__(self, address, timer):
+        self.client = HttpClient(address, timer)
+
+    async def read_newest(self, topic):
+        """See :meth:`wasabistage.fleet.RecordStore.read_newest`."""
+        records, end, after = [], None, ""
+        for _ in range(MAX_PAGES):
+            query = f"topic={TOPICS[topic]}&part=0"
+            if after:
+                query += f"&after={quote(after, safe='')}"
+            page = await self._newest_page(query)
+            # Records may follow while pages are read: read on from the first page.
+            end = page.end if end is None else end
+            records += [decode_item(item) for item in page.items]
+            if not page.more_pages or not page.items:
+                return RecordPage(records=tuple(records), end=end)
+            after = page.items[-1].key
+        raise StoreError("the newest records have too many pages")
+
+    async def _newest_page(self, query):
+        target = f"/v1/log-newest?{query}".encode()
+        reply = await self._call(b"GET", target, timeout=CALL_TIMEOUT)
+        if reply.status == 404:
+            return WireNewest(end=0)
+        check_status(reply)
+        try:
+            return NEWEST_DECODER.decode(reply.body)
+        except msgspec.DecodeError as error:
+            raise StoreError(f"not a page of records: {error}") from error
+
+    async def read(self, topic, start, wait):
+        """See :meth:`wasabistage.fleet.RecordStore.read`."""
+        name = TOPICS[topic]
+        query = f"topic={name}&part=0&from={start}&maxKb={READ_KIB}"
+        target = f"/v1/log-read?{query}&waitMs={int(wait * 1000)}".encode()
+        reply = await self._call(b"GET", target, timeout=wait + CALL_TIMEOUT)
+        if reply.status == 404:
+            return RecordPage(records=(), end=start)
+        if reply.status == 410:
+            raise TrimmedError("records were dropped")
+        check_status(reply)
+        return decode_page(reply.body, start, name.startswith(KEYED_PREFIX))
+
+    async def append(self, topic, value, *, key="", expected_end=None):
+        """See :meth:`wasabistage.fleet.RecordStore.append`."""
+        name = TOPICS[topic]
+        if name.startswith(KEYED_PREFIX):
+            encoded = key.encode()
+            value = bytes([len(encoded)]) + encoded + value
+        query = f"topic={name}&part=0"
+        if expected_end is not None:
+            query += f"&asOf={expected_end}"
+        target = f"/v1/log-append?{query}".encode()
+        body = LENGTH.pack(len(value)) + value
+        reply = await self._call(b"POST", target, body, timeout=CALL_TIMEOUT)
+        if reply.status == 412:
+            raise OvertakenError("the topic has newer records")
+        check_status(reply)
+        try:
+            return APPENDED_DECODER.decode(reply.body).offset
+        except msgspec.DecodeError as error:
+            raise StoreError(f"not an answer to an append: {error}") from error
+
+    async def _call(self, method, target, body=b"", timeout=CALL_TIMEOUT):
         try:
-            answer = await self.client.get(url, timeout=CONTROL_TIMEOUT_SECONDS)
-        except httpx.HTTPError as error:
-            raise UnavailableError(
-                f"the store at {self.address} did not answer",
-                remedy="the prompt is computed instead",
-            ) from error
-        if answer.status_code != 200:
-            raise UnavailableError(
-                f"the store at {self.address} answered {answer.status_code}",
-                remedy="the prompt is computed instead",
-            )
-        return answer.content
-
-    async def commits(self):
-        """List the commit records.
-
-        :return: tuple of their bytes.
-        """
-        url = f"http://{self.address}/commits"
-        answer = await call_json(
-            self.client, "GET", url, timeout=CONTROL_TIMEOUT_SECONDS
-        )
-        return tuple(base64.b64decode(item) for item in answer["commits"].values())
-
-    async def lift(self, keys):
-        """Move pieces from disk to memory.
-
-        :param keys: piece keys.
-        """
-        url = f"http://{self.address}/lift"
-        body = {"keys": list(keys)}
-        await call_json(
-            self.client, "POST", url, json=body, timeout=LIFT_TIMEOUT_SECONDS
-        )
-
-    async def load(self):
-        """Read the use of the store.
-
-        :return: the decoded answer with ``used`` and ``capacity`` in bytes.
-        """
-        url = f"http://{self.address}/load"
-        return await call_json(self.client, "GET", url, timeout=CONTROL_TIMEOUT_SECONDS)
+            return await self.client.call(method, target, body, timeout=timeout)
+        except ChannelError as error:
+            raise StoreError(str(error)) from error
+
+
+def check_status(reply):
+    """Raise unless a call succeeded.
+
+    :param reply: a :class:`wasabistage.http1.Reply`.
+    :raises StoreError: if it did not.
+    """
+    if reply.status != 200:
+        raise StoreError(f"the store answered {reply.status}")
+
+
+def decode_item(item):
+    """Return the :class:`wasabistage.fleet.StoredRecord` of a :class:`WireItem`."""
+    try:
+        value = base64.b64decode(item.value)
+    except ValueError as error:
+        raise StoreError("a record's value is not base64") from error
+    return StoredRecord(offset=item.offset, key=item.key, value=value)
+
+
+def decode_page(body, start, is_keyed):
+    """Decode the answer to a read.
+
+    :param body: bytes: the topic's end, its first offset, then the records.
+    :param start: offset of the first record.
+    :param is_keyed: whether each record begins with a key.
+    :return: a :class:`wasabistage.fleet.RecordPage`.
+    :raises StoreError: if the answer is cut.
+    """
+    if len(body) < POSITIONS.size:
+        raise StoreError("the answer to a read is cut")
+    records, at, offset = [], POSITIONS.size, start
+    while at < len(body):
+        if at + LENGTH.size > len(body):
+            raise StoreError("a record is cut")
+        (size,) = LENGTH.unpack_from(body, at)
+        at += LENGTH.size
+        data = body[at : at + size]
+        if len(data) != size:
+            raise StoreError("a record is cut")
+        at += size
+        records.append(decode_record(data, offset, is_keyed))
+        offset += 1
+    return RecordPage(records=tuple(records), end=offset)
+
+
+def decode_record(data, offset, is_keyed):
+    """Return the :class:`wasabistage.fleet.StoredRecord` of a record's bytes."""
+    if not is_keyed:
+        return StoredRecord(offset=offset, value=data)
+    size = data[0] if data else 0
+    key = data[1 : 1 + size].decode("utf-8", "replace")
+    return StoredRecord(offset=offset, key=key, value=data[1 + size :] or None)
--- a/wasabistage/platform/_engine.py
+++ b/wasabistage/reference/_engine.py
@@ -14,7 +14,7 @@
     OutcomeUnknownError,
     UnavailableError,
 )
-from wasabistage.platform._http import NOT_SENT, call_json
+from wasabistage.reference._http import NOT_SENT, call_json
 
 CONTROL_TIMEOUT_SECONDS = 2.0
 TRANSFER_TIMEOUT_SECONDS = 30.0
--- a/wasabistage/platform/_livelist.py
+++ b/wasabistage/reference/_livelist.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from wasabistage.platform._http import call_json
+from wasabistage.reference._http import call_json
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/platform/_log.py
+++ b/wasabistage/reference/_log.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from wasabistage.platform._http import call_json
+from wasabistage.reference._http import call_json
 
 READ_LIMIT = 500
 READ_SLACK_SECONDS = 2.0
--- a/wasabistage/platform/tests/test_http.py
+++ b/wasabistage/reference/tests/test_http.py
@@ -5,7 +5,7 @@
 import httpx
 import trio
 
-from wasabistage.platform._http import PoolPerAddress
+from wasabistage.reference._http import PoolPerAddress
 
 
 class TestPoolPerAddress(unittest.TestCase):
--- a/wasabistage/platform/tests/test_orders.py
+++ b/wasabistage/reference/tests/test_orders.py
@@ -6,7 +6,7 @@
 from standins._serve import serve_app
 from standins.engine import create_app
 from wasabistage.exceptions import UnavailableError
-from wasabistage.platform import HttpEngineClient, make_http_client
+from wasabistage.reference import HttpEngineClient, make_http_client
 
 ORDER = {"fencing": 7, "kind": "adapter", "adapter": "malayalam"}
 
--- a/wasabistage/platform/tests/test_trace_headers.py
+++ b/wasabistage/reference/tests/test_trace_headers.py
@@ -4,7 +4,7 @@
 import trio
 
 from wasabistage.observe import Tracer
-from wasabistage.platform import EngineRequest, HttpEngineClient
+from wasabistage.reference import EngineRequest, HttpEngineClient
 
 
 class TestTraceHeaders(unittest.TestCase):
--- a/wasabistage/retries/__init__.py
+++ b/wasabistage/retries/__init__.py
@@ -43,6 +43,7 @@
     NeverRetry,
     RetryPolicy,
 )
+from wasabistage.retries._window_budget import WindowBudget
 
 __all__ = [
     "ANSWER_BEGUN",
@@ -67,5 +68,6 @@
     "RetryQuery",
     "TryEntry",
     "TryNewKey",
+    "WindowBudget",
     "backoff_delay",
 ]
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -57,6 +57,16 @@
     PeerDispatched,
 )
 from wasabistage.routing._messages import Candidate, Plan, RouteDecision, RouteQuery
+from wasabistage.routing._part_router import (
+    MemoryPromised,
+    MemoryReturned,
+    PartCandidate,
+    PartDecision,
+    PartQuery,
+    PartRouter,
+    PartStore,
+    order_stores,
+)
 from wasabistage.routing._router import (
     NO_SERVER,
     LeastLoadedRouter,
@@ -91,8 +101,15 @@
     "KeepFetching",
     "LinkQueue",
     "LoadReport",
+    "MemoryPromised",
+    "MemoryReturned",
     "NO_SERVER",
     "NoEjection",
+    "PartCandidate",
+    "PartDecision",
+    "PartQuery",
+    "PartRouter",
+    "PartStore",
     "PeerDispatched",
     "Plan",
     "PredictiveRouter",
@@ -108,4 +125,5 @@
     "StickyRouter",
     "UNKNOWN_SERVER",
     "link_name",
+    "order_stores",
 ]
--- a/wasabistage/sessions/__init__.py
+++ b/wasabistage/sessions/__init__.py
@@ -10,6 +10,7 @@
 The client keeps an :class:`AnswerAssembler` over all its connections.
 """
 
+from wasabistage.sessions._event_stream import EventSplitter
 from wasabistage.sessions._frames import (
     AnswerAssembler,
     AnswerDigest,
@@ -42,15 +43,15 @@
 
 __all__ = [
     "AHEAD",
-    "NO_SESSION",
-    "NO_STREAM",
-    "TRIMMED",
     "AnswerAssembler",
     "AnswerDigest",
     "EndFrame",
+    "EventSplitter",
     "Fault",
     "Frame",
     "FrameCheck",
+    "NO_SESSION",
+    "NO_STREAM",
     "Rejection",
     "ResumeToken",
     "SessionHint",
@@ -59,6 +60,7 @@
     "StreamId",
     "StreamRead",
     "StreamTable",
+    "TRIMMED",
     "engine_stream_id",
     "make_stream_id",
     "parse_stream_id",
--- a/wasabistage/entry/_timer.py
+++ b/wasabistage/timing/_timer.py
@@ -76,3 +76,16 @@
             turns = int((trio.current_time() - self.origin) / period + ROUNDING)
             await trio.sleep_until(self.origin + (turns + 1) * period)
             await receive(Tick(now=trio.current_time(), period=period))
+
+
+class BootTimerService(TrioTimerService):
+    """Timer service whose time also counts while the instance is suspended.
+
+    Leases and the age of facts are measured with it: trio's own clock stands still
+    during a suspension, so that a lease would seem to be held for longer than others
+    grant it.
+    """
+
+    def now(self):
+        """Return the time since boot; see :meth:`TimerService.now`."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
