Keep runs through a load of weights, after a lead of 0.3 s without new requests

Ruled out: too few engines ordered at once; the loads themselves (0.2 s). Change: engines are led away from, then loaded under their runs; long outputs avoid the engines that come next; old versions are used at a rising price, then not at all; a wave no longer ends the permission of the one before it.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -15,6 +15,15 @@
     RouteQuery,
 )
 
+#: Seconds after a version was named from which an older one lowers an answer's worth.
+OLD_VERSION_GRACE = 1.0
+#: What an answer by an older version costs, as a share of the route's objective.
+OLD_VERSION_PENALTY = 0.5
+#: Share of the time to bring a version in force in which an older one may be used.
+OLD_VERSION_SHARE = 0.9
+#: Seconds of an engine's run per generated token, in a batch of usual size.
+RUN_SECONDS_PER_TOKEN = 0.005
+
 
 @dataclass(frozen=True, kw_only=True)
 class Choice:
@@ -45,11 +54,12 @@
     return route.targets[-1][0]
 
 
-def choose_server(state, request, account, service, excluded, now):
+def choose_server(state, request, route, account, service, excluded, now):
     """Choose the backend server of an attempt.
 
     :param state: an :class:`EdgeState`.
     :param request: a :class:`CallerRequest`.
+    :param route: its :class:`wasabistage.fleet.Route`.
     :param account: a :class:`wasabistage.fleet.ClientAccount`, or ``None``.
     :param service: name of the service.
     :param excluded: ids of the servers that failed this request.
@@ -70,7 +80,9 @@
         return NO_SERVER.because("no backend server of the service may be tried now")
     spec = state.routes.configuration.services.get(service)
     if request.prompt is not None and spec is not None and spec.engine is not None:
-        return choose_engine(state, request, account, records, weights, spec, now)
+        return choose_engine(
+            state, request, route, account, records, weights, spec, now
+        )
     query = RouteQuery(
         account="",
         model="",
@@ -86,44 +98,37 @@
     return Choice(record=next(r for r in records if r.server == decision.server))
 
 
-def choose_engine(state, request, account, records, weights, spec, now):
+def choose_engine(state, request, route, account, records, weights, spec, now):
     """Choose the model engine of a prompt; see :func:`choose_server`."""
-    model = request.prompt.model
+    prompt = request.prompt
     dedicated = account.name if account is not None and account.is_dedicated else ""
+    soon = state.swap.soon([record.server for record in records], prompt.model)
     candidates = []
     for record in records:
-        version = state.swap.version(record.server, model)
+        version = state.swap.version(record.server, prompt.model)
         if version is None or state.swap.is_ordered(record.server, now):
             continue
+        penalty = version_penalty(state, route, prompt, record.server, soon, now)
+        if penalty is None:
+            continue
         candidates.append(
             PartCandidate(
                 server=record.server,
                 address=record.address,
                 version=version,
-                cache_key=part_cache_key(model, version, dedicated),
+                cache_key=part_cache_key(prompt.model, version, dedicated),
                 weight=weights[record.server],
                 failure_domain=record.failure_domain,
                 memory_tokens=spec.engine.memory_tokens,
+                penalty=penalty,
             )
         )
-    newest = max((item.version for item in candidates), default=0)
-    fresh = [item for item in candidates if item.version == newest]
-    stores = tuple(
-        PartStore(
-            address=store.address,
-            failure_domain=store.failure_domain,
-            capacity_tokens=store.capacity_tokens,
-            link_bytes=store.link_bytes,
-            first_byte=store.first_byte,
-        )
-        for store in state.routes.configuration.stores.values()
-    )
     query = PartQuery(
-        parts=request.prompt.parts,
-        prompt_tokens=request.prompt.prompt_tokens,
-        output_tokens=request.prompt.output_tokens,
-        candidates=tuple(prefer_fresh(candidates, fresh)),
-        stores=stores,
+        parts=prompt.parts,
+        prompt_tokens=prompt.prompt_tokens,
+        output_tokens=prompt.output_tokens,
+        candidates=tuple(candidates),
+        stores=part_stores(state),
         token_bytes=spec.engine.token_bytes,
         link_bytes=spec.engine.link_bytes,
         draw=state.random.random(),
@@ -136,10 +141,32 @@
     return Choice(record=record, plan=decision)
 
 
-def prefer_fresh(candidates, fresh):
-    """Return the engines of the newest version once they can carry the load.
+def version_penalty(state, route, prompt, server, soon, now):
+    """Return the seconds that count against an engine for its weight version.
 
-    :param candidates: all engines.
-    :param fresh: those that run the newest version.
+    :param soon: ids of the engines that load the named version next.
+    :return: seconds, or ``None`` if the engine may not be used any more.
     """
-    return fresh if 2 * len(fresh) >= len(candidates) else candidates
+    if not state.swap.is_behind(server, prompt.model):
+        return 0.0
+    age = state.swap.age(prompt.model, now)
+    if age > OLD_VERSION_SHARE * state.settings.bounds.version_ms / 1000.0:
+        return None
+    penalty = OLD_VERSION_PENALTY * route.objective if age > OLD_VERSION_GRACE else 0.0
+    if server in soon:
+        penalty += RUN_SECONDS_PER_TOKEN * prompt.output_tokens
+    return penalty
+
+
+def part_stores(state):
+    """Return the cache stores as :class:`wasabistage.routing.PartStore`."""
+    return tuple(
+        PartStore(
+            address=store.address,
+            failure_domain=store.failure_domain,
+            capacity_tokens=store.capacity_tokens,
+            link_bytes=store.link_bytes,
+            first_byte=store.first_byte,
+        )
+        for store in state.routes.configuration.stores.values()
+    )
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -44,6 +44,7 @@
     :param reason: what happened.
     :param answer: whole plain answer (head, body) that the server gave, if any.
     :param retry_after: seconds that the server named, or ``None``.
+    :param first: seconds to its first event, or ``None``.
     :param is_version_mismatch: whether the server runs another weight version than
         was expected.
     """
@@ -55,6 +56,7 @@
     reason: str = ""
     answer: tuple | None = None
     retry_after: float | None = None
+    first: float | None = None
     is_version_mismatch: bool = False
 
 
@@ -138,6 +140,7 @@
         return choose_server(
             self.state,
             exchange.request,
+            exchange.route,
             exchange.account,
             exchange.service,
             excluded,
@@ -424,12 +427,13 @@
         begun_at = exchange.request.begun_at
         label = str(exchange.route.rank)
         state.metrics.time("request.first_token", now - begun_at, label)
+        attempt.first = now - attempt.begun_at
         plan = attempt.choice.plan
         if plan is None:
             return
         event = FirstToken(
             request=attempt.name,
-            seconds=now - attempt.begun_at,
+            seconds=attempt.first,
             learn=not plan.fetched,
         )
         state.part_router.observe(event, now)
@@ -461,6 +465,7 @@
             fields.update(
                 weight_version=plan.candidate.version,
                 predicted=round(plan.seconds, 4),
+                first=attempt.first and round(attempt.first, 4),
                 computed=plan.tokens,
                 kept=plan.kept,
                 fetched=plan.fetched,
--- a/wasabistage/edge/_messages.py
+++ b/wasabistage/edge/_messages.py
@@ -200,6 +200,16 @@
     clock: float | None = None
 
 
+class OrderMethod(StrEnum):
+    """What happens to the runs under way at an engine that loads weights.
+
+    ``FINISH_RUNS``: they end first. ``KEEP_RUNS``: they go on under the new version.
+    """
+
+    FINISH_RUNS = auto()
+    KEEP_RUNS = auto()
+
+
 @dataclass(frozen=True, kw_only=True)
 class VersionOrder:
     """An order to a model engine to load a weight version.
@@ -209,6 +219,7 @@
     :param version: the weight version.
     :param holder: name of the entry that orders.
     :param fencing: fencing number.
+    :param method: an :class:`OrderMethod`.
     :param orders: orders that the server must have accepted before, or ``None``.
     """
 
@@ -217,6 +228,7 @@
     version: int
     holder: str
     fencing: int
+    method: OrderMethod = OrderMethod.FINISH_RUNS
     orders: int | None = None
 
 
--- a/wasabistage/edge/_orders.py
+++ b/wasabistage/edge/_orders.py
@@ -4,7 +4,7 @@
 import trio
 
 from wasabistage.cache import version_of_cache_key
-from wasabistage.edge._messages import OrderAnswer, VersionOrder
+from wasabistage.edge._messages import OrderAnswer, OrderMethod, VersionOrder
 from wasabistage.edge._watches import OrderRecord
 from wasabistage.fleet import OvertakenError, StoreError, Topic
 from wasabistage.http1 import ChannelError
@@ -13,6 +13,7 @@
     ServerOrdered,
     ServerVersion,
     SwapCandidate,
+    SwapEnded,
     SwapQuery,
     WaveAppended,
     WaveQuery,
@@ -20,10 +21,10 @@
 )
 
 PERIOD = 0.1  # seconds between two looks at what is to be ordered
-LEAD_TIME = 0.04  # seconds for the other entries to lead requests away
+LEAD_TIME = 0.3  # seconds without new requests, in which most runs end
 REPORT_PERIOD = 0.1  # seconds between two questions for a loading server's state
 CALL_TIMEOUT = 0.5  # seconds; servers answer orders in milliseconds
-LOAD_LIMIT = 3.0  # seconds for runs to end and weights to load
+LOAD_LIMIT = 5.0  # seconds for runs to end and weights to load
 FREE_DELAY = 4.0  # seconds; longer than any fetch that was allowed may last
 FREE_GUARD = 1.0  # seconds within which a request to free must arrive
 FREE_BATCH = 500  # parts freed by one call
@@ -67,7 +68,7 @@
         for swap in swaps:
             if swap.server in claim.servers:
                 state.swap.observe(ServerOrdered(server=swap.server), now)
-                state.gossip.ordered.append(swap.server)
+                state.gossip.ordering.add(swap.server)
                 self.nursery.start_soon(self._order, swap)
         await state.gossip.tell()
 
@@ -87,7 +88,6 @@
                 server=record.server,
                 incarnation=record.incarnation,
                 models=tuple(record.versions),
-                outstanding=state.part_router.promised_.get(record.server, 0),
             )
             for record in records
         )
@@ -138,22 +138,34 @@
 
     async def _order(self, swap):
         """Order one server and wait until it runs the version."""
+        state, ok = self.state, False
+        try:
+            with trio.move_on_after(LOAD_LIMIT):
+                ok = await self._order_once(swap)
+        except ChannelError as error:
+            state.log.write("order_failed", server=swap.server, reason=str(error))
+        finally:
+            state.gossip.ordering.discard(swap.server)
+            event = SwapEnded(server=swap.server, ok=ok)
+            state.swap.observe(event, state.timer.now())
+
+    async def _order_once(self, swap):
+        """Order one server; return whether it runs the version."""
         state = self.state
         record = state.servers.get(swap.server)
         if record is None:
-            return
-        with trio.move_on_after(LOAD_LIMIT):
-            try:
-                report = await state.platform.read_report(record.address, CALL_TIMEOUT)
-                state.note_server_clock(report.clock)
-                if report.versions.get(swap.model) == swap.version:
-                    self._note_version(record, swap.model, swap.version)
-                    return
-                await trio.sleep(LEAD_TIME)
-                if await self._send(record, swap, report):
-                    await self._wait_loaded(record, swap)
-            except ChannelError as error:
-                state.log.write("order_failed", server=swap.server, reason=str(error))
+            return False
+        await trio.sleep(LEAD_TIME)
+        report = await state.platform.read_report(record.address, CALL_TIMEOUT)
+        state.note_server_clock(report.clock)
+        version = report.versions.get(swap.model, 0)
+        if version >= swap.version:
+            self._note_version(record, swap.model, version)
+            return True
+        if not await self._send(record, swap, report):
+            return False
+        await self._wait_loaded(record, swap)
+        return True
 
     async def _send(self, record, swap, report):
         state = self.state
@@ -163,6 +175,7 @@
             version=swap.version,
             holder=state.settings.instance.name,
             fencing=state.lease.fencing_,
+            method=OrderMethod.KEEP_RUNS,
             orders=report.orders,
         )
         if not state.lease.may_send(swap.server, state.timer.now()):
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -27,7 +27,7 @@
     :param failure_domain: failure domain it stands in.
     :param is_ready: whether callers should be sent there.
     :param sent: dict of server to prompt tokens sent since the last report.
-    :param ordered: servers that were just ordered to load a version.
+    :param ordering: servers that it has ordered to load a version and that haven't yet.
     :param versions: rows of server, incarnation, model, version learned lately.
     :param known: addresses of the entries that it knows.
     :param has_store: whether it reaches the store of records.
@@ -41,7 +41,7 @@
     is_ready: bool
     has_store: bool
     sent: dict[str, int] = {}
-    ordered: list[str] = []
+    ordering: list[str] = []
     versions: list[tuple[str, int, str, int]] = []
     known: list[str] = []
 
@@ -73,7 +73,7 @@
         self.sock = None
         self.addresses = {}
         self.sent = {}
-        self.ordered = []
+        self.ordering = set()
         self.versions = []
         self.has_store = False
 
@@ -123,11 +123,15 @@
             is_ready=self.state.is_ready,
             has_store=self.has_store,
             sent=self.sent,
-            ordered=self.ordered,
+            ordering=sorted(self.ordering),
             versions=self.versions[-64:],
             known=sorted(ips)[:64],
         )
-        self.sent, self.ordered, self.versions = {}, [], []
+        self.sent, self.versions = {}, []
+        for server in self.ordering:
+            self.state.swap.observe(
+                ServerOrdered(server=server), self.state.timer.now()
+            )
         data = ENCODER.encode(report)
         for ip in ips:
             try:
@@ -174,7 +178,7 @@
         for server, tokens in report.sent.items():
             event = PeerDispatched(server=server, tokens=tokens, lag=GOSSIP_PERIOD / 2)
             self.state.part_router.observe(event, now)
-        for server in report.ordered:
+        for server in report.ordering:
             self.state.swap.observe(ServerOrdered(server=server), now)
         for server, incarnation, model, version in report.versions:
             event = ServerVersion(
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -58,6 +58,8 @@
     #: Repeats that all entries may send besides.
     retry_extra: float = 50.0
     retry_window_s: float = 10.0
+    #: From the naming of a weight version until no older one may begin work.
+    version_ms: float = 6000.0
     #: Between two holders' orders to one server.
     order_turn_ms: float = 3000.0
     #: From the signal to stop until the process is killed.
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -29,7 +29,7 @@
 
     topic = None
     #: Longest time that a read waits for a record, in seconds.
-    wait = 1.0
+    wait = 1.4
     #: Pause between two reads, in seconds: several records come with one call.
     pause = 0.0
 
@@ -200,7 +200,7 @@
     """Follows the list of backend servers."""
 
     topic = Topic.SERVERS
-    pause = 0.3
+    pause = 0.5
 
     def start_over(self, records, now):
         """See :meth:`RecordWatch.start_over`."""
--- a/wasabistage/platform/_servers.py
+++ b/wasabistage/platform/_servers.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from wasabistage.edge import CacheEvent, CacheEvents, EngineReport, OrderAnswer
+from wasabistage.edge import (
+    CacheEvent,
+    CacheEvents,
+    EngineReport,
+    OrderAnswer,
+    OrderMethod,
+)
 from wasabistage.http1 import ChannelError, HttpClient
 
 MILLISECONDS = 1000.0
@@ -15,6 +21,7 @@
     409: OrderAnswer.BUSY,
     412: OrderAnswer.FENCED,
 }
+METHODS = {OrderMethod.FINISH_RUNS: "wait", OrderMethod.KEEP_RUNS: "retain"}
 EXPECT_SERVER = b"Wasabistage-Expect-Instance"
 
 
@@ -107,7 +114,7 @@
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "method": "wait",
+            "method": METHODS[order.method],
             "holder": order.holder,
             "fence": order.fencing,
         }
--- a/wasabistage/rollout/_order_lease.py
+++ b/wasabistage/rollout/_order_lease.py
@@ -118,10 +118,8 @@
         self.last_at_ = float("-inf")
         self.fencing_ = 0
         self.ordered_ = {}
-        self.mine_until_ = float("-inf")
-        self.mine_servers_ = frozenset()
+        self.allowed_ = {}
         self.wanted_since_ = None
-        self.refused_ = False
         return self
 
     def observe(self, event, now):
@@ -137,11 +135,10 @@
             self.end_ = max(event.end, self.end_ or 0)
         elif isinstance(event, WaveAppended):
             self._read(event.record, now)
-            self.mine_until_ = event.begun_at + self.lease
-            self.mine_servers_ = frozenset(event.record.servers)
+            until = event.begun_at + self.lease
+            self.allowed_.update(dict.fromkeys(event.record.servers, until))
         elif isinstance(event, Refused):
-            self.mine_until_ = float("-inf")
-            self.refused_ = True
+            self.allowed_ = {}
 
     def _read(self, record, now):
         if self.end_ is not None and record.offset < self.end_:
@@ -149,9 +146,8 @@
         if self.last_ is None or not self._same_life(record, self.last_):
             # Offsets begin at 0 and a server takes 0 for a missing number.
             self.fencing_ = record.offset + 1
-            self.refused_ = False
         if not self._is_mine(record):
-            self.mine_until_ = float("-inf")
+            self.allowed_ = {}
         self.last_, self.last_at_ = record, now
         self.end_ = record.offset + 1
         for server in record.servers:
@@ -204,4 +200,4 @@
         :param server: id of the server.
         :param now: monotonic time, read for this call, in seconds.
         """
-        return now < self.mine_until_ and server in self.mine_servers_
+        return now < self.allowed_.get(server, float("-inf"))
--- a/wasabistage/rollout/_swap.py
+++ b/wasabistage/rollout/_swap.py
@@ -45,6 +45,18 @@
     server: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class SwapEnded:
+    """An order sent by this entry came to its end.
+
+    :param server: id of the server.
+    :param ok: whether the server runs the version now.
+    """
+
+    server: str
+    ok: bool
+
+
 @dataclass(frozen=True, kw_only=True)
 class SwapCandidate:
     """A server that may be ordered.
@@ -52,13 +64,11 @@
     :param server: its id.
     :param incarnation: its life.
     :param models: names of the models that it holds.
-    :param outstanding: work that it has left; the least is ordered first.
     """
 
     server: str
     incarnation: int
     models: tuple[str, ...]
-    outstanding: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -86,36 +96,53 @@
 
 
 class VersionSwap(Policy):
-    """Brings engines to the named version a few at a time, the idlest first.
+    """Brings engines to the named version a few at a time, in the order of their ids.
+
+    All entries know that order, so that each can keep long work away from the engines
+    that come next: an engine loads once its runs have ended.
 
     :param at_once: servers that load at the same time; beyond that each load takes
         longer.
-    :param load_time: time after an order until the server is asked or ordered again,
-        in seconds.
+    :param word_time: time for which a server counts as loading after the last word
+        that it does, in seconds.
+    :param retry_time: time until a server whose order failed is ordered again, in
+        seconds.
     """
 
-    def __init__(self, *, at_once=2, load_time=2.0):
+    def __init__(self, *, at_once=2, word_time=0.7, retry_time=0.5):
         self.at_once = at_once
-        self.load_time = load_time
+        self.word_time = word_time
+        self.retry_time = retry_time
 
     def reset(self):
         """Forget versions and orders."""
         self.named_ = {}
+        self.named_at_ = {}
         self.versions_ = {}
         self.ordered_ = {}
+        self.failed_ = {}
         return self
 
     def observe(self, event, now):
-        """Take in a :class:`VersionNamed`, :class:`ServerVersion` or
-        :class:`ServerOrdered`.
+        """Take in a version, an order or its end.
+
+        :param event: :class:`VersionNamed`, :class:`ServerVersion`,
+            :class:`ServerOrdered` or :class:`SwapEnded`.
+        :param now: monotonic time, in seconds.
         """
         if isinstance(event, VersionNamed):
-            known = self.named_.get(event.model, 0)
-            self.named_[event.model] = max(known, event.version)
+            if event.version > self.named_.get(event.model, 0):
+                self.named_[event.model] = event.version
+                self.named_at_[event.model] = now
         elif isinstance(event, ServerVersion):
             self._see(event)
         elif isinstance(event, ServerOrdered):
             self.ordered_[event.server] = now
+        elif isinstance(event, SwapEnded):
+            self.ordered_.pop(event.server, None)
+            self.failed_.pop(event.server, None)
+            if not event.ok:
+                self.failed_[event.server] = now
 
     def _see(self, event):
         key = (event.server, event.model)
@@ -140,7 +167,11 @@
 
     def is_ordered(self, server, now):
         """Tell whether a server is believed to be loading a version."""
-        return now < self.ordered_.get(server, float("-inf")) + self.load_time
+        return now < self.ordered_.get(server, float("-inf")) + self.word_time
+
+    def age(self, model, now):
+        """Return how long ago the named version of a model became known, in seconds."""
+        return now - self.named_at_.get(model, now)
 
     def is_behind(self, server, model):
         """Tell whether a server runs an older version than the one named."""
@@ -156,18 +187,36 @@
             nothing is to be ordered now.
         """
         loading = sum(self.is_ordered(item.server, now) for item in query.candidates)
-        waiting = sorted(
-            (
-                item
-                for item in query.candidates
-                if not self.is_ordered(item.server, now)
-            ),
-            key=lambda item: (item.outstanding, item.server),
+        swaps = self.waiting(query.candidates, now)
+        return swaps[: max(0, self.at_once - loading)]
+
+    def waiting(self, candidates, now):
+        """Return the servers that are still to be ordered, the next one first.
+
+        :param candidates: :class:`SwapCandidate` objects.
+        :param now: monotonic time, in seconds.
+        :return: tuple of :class:`Swap`.
+        """
+        order = sorted(
+            candidates, key=lambda item: (item.server in self.failed_, item.server)
         )
-        swaps = [
+        return tuple(
             Swap(server=item.server, model=model, version=self.named_[model])
-            for item in waiting
+            for item in order
             for model in item.models
-            if self.is_behind(item.server, model)
-        ]
-        return tuple(swaps[: max(0, self.at_once - loading)])
+            if self.is_behind(item.server, model) and self._may_order(item.server, now)
+        )
+
+    def soon(self, servers, model):
+        """Return the servers that are ordered next and the time after.
+
+        :param servers: ids of all servers of the model.
+        :param model: name of the model.
+        :return: set of ids.
+        """
+        behind = sorted(name for name in servers if self.is_behind(name, model))
+        return set(behind[: 2 * self.at_once])
+
+    def _may_order(self, server, now):
+        failed_at = self.failed_.get(server, float("-inf"))
+        return not self.is_ordered(server, now) and now >= failed_at + self.retry_time
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -21,6 +21,8 @@
     :param weight: share of its normal work, 0 to 1.
     :param failure_domain: failure domain it stands in.
     :param memory_tokens: its KV cache memory, in tokens.
+    :param penalty: seconds that count against it besides, for what it would cost the
+        request other than time.
     """
 
     server: str
@@ -30,6 +32,7 @@
     weight: float = 1.0
     failure_domain: str = ""
     memory_tokens: int = 0
+    penalty: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -220,7 +223,7 @@
             fetched=fetched,
             fetch_from=fetch_from,
             seconds=seconds,
-            score=seconds + self.work_weight * own,
+            score=seconds + self.work_weight * own + candidate.penalty,
         )
 
     def _kept(self, query, candidate):
