Charge engines of older weights less, so that fresh ones are not overrun

Cause: for two seconds after a naming nearly every prompt went to the two engines that had loaded first; their first tokens took seconds. Change: the charge for an older version is a tenth of the objective, for loading soon 2 ms a token.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -18,11 +18,12 @@
 #: Seconds after a version was named from which an older one lowers an answer's worth.
 OLD_VERSION_GRACE = 1.0
 #: What an answer by an older version costs, as a share of the route's objective.
-OLD_VERSION_PENALTY = 0.5
+OLD_VERSION_PENALTY = 0.1
 #: Share of the time to bring a version in force in which an older one may be used.
 OLD_VERSION_SHARE = 0.9
-#: Seconds of an engine's run per generated token, in a batch of usual size.
-RUN_SECONDS_PER_TOKEN = 0.005
+#: Seconds that count against an engine that loads soon, per token to be generated: a
+#: longer run is more likely to go on under other weights, which lowers its worth.
+LOADS_SOON_PENALTY = 0.002
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -154,7 +155,7 @@
         return None
     penalty = OLD_VERSION_PENALTY * route.objective if age > OLD_VERSION_GRACE else 0.0
     if server in soon:
-        penalty += RUN_SECONDS_PER_TOKEN * prompt.output_tokens
+        penalty += LOADS_SOON_PENALTY * prompt.output_tokens
     return penalty
 
 
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -7,6 +7,8 @@
 from wasabistage.routing import PeerDispatched
 
 GOSSIP_PERIOD = 0.2  # seconds between two datagrams to a peer
+LARGE_PROMPT = 2000  # tokens; a step of an engine computes about as many
+EARLY_PAUSE = 0.02  # seconds between two reports out of turn
 SILENT_AFTER = 1.2  # seconds; six datagrams in a row are lost
 MAX_DATAGRAM = 60000  # bytes; below the largest UDP payload
 MAX_PEERS = 1024  # entries; above the target size
@@ -74,6 +76,7 @@
         self.addresses = {}
         self.sent = {}
         self.ordering = set()
+        self.wake = trio.Event()
         self.versions = []
         self.has_store = False
 
@@ -89,6 +92,8 @@
     def note_sent(self, server, tokens):
         """Note prompt tokens that were sent to a server."""
         self.sent[server] = self.sent.get(server, 0) + tokens
+        if tokens >= LARGE_PROMPT:
+            self.wake.set()
 
     def note_version(self, server, incarnation, model, version):
         """Note a version that was just learned, to be told once."""
@@ -110,6 +115,14 @@
         await self.tell()
         self.drop_silent()
 
+    async def run_early(self):
+        """Tell every peer at once of a large prompt, until cancelled."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            await self.tell()
+            await trio.sleep(EARLY_PAUSE)
+
     async def tell(self):
         """Send what changed to every entry that is known."""
         settings = self.state.settings
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -105,6 +105,7 @@
         tasks = [watch.run for watch in running.values()]
         tasks += [
             state.gossip.run_receiving,
+            state.gossip.run_early,
             CacheWatches(state).run,
             OrderTask(state, self.store).run,
             self._register,
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -73,8 +73,6 @@
 
     #: Prompt tokens a second that an engine computes.
     prefill_rate: float = 85000.0
-    #: Prompt tokens computed before other requests get a turn.
-    chunk_tokens: int = 2048
     #: Engines that load weights at the same time without slowing each other.
     loads_at_once: int = 2
 
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -54,7 +54,8 @@
             estimator=FirstTokenEstimator(
                 prefill_rate=settings.engines.prefill_rate,
                 overhead=PREFILL_OVERHEAD,
-                chunk_tokens=settings.engines.chunk_tokens,
+                # Engines compute prompts in the order in which they admitted them.
+                chunk_tokens=0,
             ),
         ).reset()
         self.plain_router = LeastOutstandingRouter().reset()
