Count the memory that all entries have promised at each engine

Cause: an engine whose KV cache memory is full starts nothing for a second, urgent or not; each entry counted only what it had sent itself. Ruled out: prompts computed in turn (first tokens still stalled with the whole backlog counted).

--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -4,7 +4,7 @@
 import trio
 
 from wasabistage.rollout import ServerOrdered, ServerVersion
-from wasabistage.routing import PeerDispatched
+from wasabistage.routing import PeerDispatched, PeerMemory
 
 GOSSIP_PERIOD = 0.2  # seconds between two datagrams to a peer
 LARGE_PROMPT = 2000  # tokens; a step of an engine computes about as many
@@ -29,6 +29,7 @@
     :param failure_domain: failure domain it stands in.
     :param is_ready: whether callers should be sent there.
     :param sent: dict of server to prompt tokens sent since the last report.
+    :param promised: dict of server to memory promised to requests now, in tokens.
     :param ordering: servers that it has ordered to load a version and that haven't yet.
     :param versions: rows of server, incarnation, model, version learned lately.
     :param known: addresses of the entries that it knows.
@@ -43,6 +44,7 @@
     is_ready: bool
     has_store: bool
     sent: dict[str, int] = {}
+    promised: dict[str, int] = {}
     ordering: list[str] = []
     versions: list[tuple[str, int, str, int]] = []
     known: list[str] = []
@@ -136,6 +138,7 @@
             is_ready=self.state.is_ready,
             has_store=self.has_store,
             sent=self.sent,
+            promised=self.state.part_router.promised_,
             ordering=sorted(self.ordering),
             versions=self.versions[-64:],
             known=sorted(ips)[:64],
@@ -158,6 +161,7 @@
         for name, peer in list(self.state.peers.items()):
             if now - peer.heard_at > SILENT_AFTER:
                 del self.state.peers[name]
+                self.state.part_router.observe(PeerMemory(peer=name, promised={}), now)
                 self.state.log.write(
                     "peer_lost", peer=name, silent=round(now - peer.heard_at, 3)
                 )
@@ -191,6 +195,8 @@
         for server, tokens in report.sent.items():
             event = PeerDispatched(server=server, tokens=tokens, lag=GOSSIP_PERIOD / 2)
             self.state.part_router.observe(event, now)
+        memory = PeerMemory(peer=report.name, promised=report.promised)
+        self.state.part_router.observe(memory, now)
         for server in report.ordering:
             self.state.swap.observe(ServerOrdered(server=server), now)
         for server, incarnation, model, version in report.versions:
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -65,6 +65,7 @@
     PartQuery,
     PartRouter,
     PartStore,
+    PeerMemory,
     order_stores,
 )
 from wasabistage.routing._router import (
@@ -111,6 +112,7 @@
     "PartRouter",
     "PartStore",
     "PeerDispatched",
+    "PeerMemory",
     "Plan",
     "PredictiveRouter",
     "RandomRouter",
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -127,6 +127,8 @@
     :param fill_limit: share of a store that is filled.
     :param memory_share: share of an engine's memory that may be promised to requests
         before more of them wait for it.
+    :param run_seconds: usual length of a run, after which its memory comes free, in
+        seconds.
     """
 
     def __init__(
@@ -139,6 +141,7 @@
         other_domain_factor=2.0,
         fill_limit=0.97,
         memory_share=0.9,
+        run_seconds=2.0,
     ):
         self.parts = parts
         self.estimator = estimator
@@ -147,6 +150,7 @@
         self.other_domain_factor = other_domain_factor
         self.fill_limit = fill_limit
         self.memory_share = memory_share
+        self.run_seconds = run_seconds
 
     def reset(self):
         """Check the arguments and forget what was learned."""
@@ -159,6 +163,7 @@
         self.estimator_.reset()
         self.promised_ = {}
         self.requests_ = {}
+        self.peers_promised_ = {}
         return self
 
     def observe(self, event, now):
@@ -176,9 +181,24 @@
             server, tokens = self.requests_.pop(event.request, ("", 0))
             if server:
                 self.promised_[server] -= tokens
+        elif isinstance(event, PeerMemory):
+            if event.promised:
+                self.peers_promised_[event.peer] = event.promised
+            else:
+                self.peers_promised_.pop(event.peer, None)
         else:
             self.estimator_.observe(event, now)
 
+    def memory_promised(self, server):
+        """Return the memory promised to requests at an engine by all entries.
+
+        :param server: id of the engine.
+        :return: tokens.
+        """
+        peers = self.peers_promised_.values()
+        others = sum(promised.get(server, 0) for promised in peers)
+        return self.promised_.get(server, 0) + others
+
     def decide(self, query, now):
         """Answer a :class:`PartQuery`.
 
@@ -214,7 +234,7 @@
         own = self.estimator_.prefill_seconds(server, tokens, now)
         queue = estimate.queue if estimate else 0.0
         seconds = self.estimator_.overhead + max(queue, fetch_seconds) + own
-        seconds += self._memory_wait(query, candidate, now)
+        seconds += self._memory_wait(query, candidate)
         seconds /= max(candidate.weight, 0.01)
         return _Plan(
             candidate=candidate,
@@ -267,16 +287,14 @@
             seconds *= self.other_domain_factor
         return store.first_byte + seconds
 
-    def _memory_wait(self, query, candidate, now):
+    def _memory_wait(self, query, candidate):
         """Return the time until memory for the prompt comes free."""
         room = candidate.memory_tokens * self.memory_share
         if not room:
             return 0.0
         size = query.prompt_tokens + query.output_tokens
-        excess = self.promised_.get(candidate.server, 0) + size - room
-        if excess <= 0:
-            return 0.0
-        return self.estimator_.prefill_seconds(candidate.server, excess, now)
+        excess = self.memory_promised(candidate.server) + size - room
+        return max(0.0, excess) * self.run_seconds / room
 
     def _saves(self, query, plan, now):
         """Return for each part the store that it is saved to."""
@@ -316,6 +334,18 @@
     tokens: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class PeerMemory:
+    """Another entry says how much memory it has promised.
+
+    :param peer: name of the entry.
+    :param promised: dict of engine to tokens; empty if the entry is gone.
+    """
+
+    peer: str
+    promised: dict
+
+
 @dataclass(frozen=True, kw_only=True)
 class MemoryReturned:
     """A request no longer takes memory of an engine.
