Hold prompts before the engines, by memory, backlog and rank

Change: RankedGate: long prompts one after the other, memory kept for urgent ranks, those that can still meet their objective first, what comes too late refused.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from wasabistage.admission import GateQuery
 from wasabistage.cache import part_cache_key
 from wasabistage.fleet import ServerRecord
 from wasabistage.routing import (
@@ -21,6 +22,9 @@
 OLD_VERSION_PENALTY = 0.1
 #: Share of the time to bring a version in force in which an older one may be used.
 OLD_VERSION_SHARE = 0.9
+#: A caller leaves a silent stream after this many objectives, and seconds at least.
+STREAM_PATIENCE = 4.0
+MIN_STREAM_PATIENCE = 2.0
 #: Seconds that count against an engine that loads soon, per token to be generated: a
 #: longer run is more likely to go on under other weights, which lowers its worth.
 LOADS_SOON_PENALTY = 0.002
@@ -171,3 +175,36 @@
         )
         for store in state.routes.configuration.stores.values()
     )
+
+
+def gate_query(state, exchange, choice):
+    """Return the :class:`wasabistage.admission.GateQuery` of a choice.
+
+    :param state: an :class:`EdgeState`.
+    :param exchange: an :class:`Exchange`.
+    :param choice: a :class:`Choice` with a plan.
+    """
+    request, route, plan = exchange.request, exchange.route, choice.plan
+    prompt = request.prompt
+    patience = max(MIN_STREAM_PATIENCE, STREAM_PATIENCE * route.objective)
+    left = exchange.deadline_at - request.begun_at
+    return GateQuery(
+        request=request.request_id,
+        rank=request_rank(route, exchange.account),
+        size=prompt.prompt_tokens + prompt.output_tokens,
+        tokens=plan.tokens,
+        backlog=plan.backlog,
+        promised=state.part_router.memory_promised(plan.candidate.server),
+        memory=plan.candidate.memory_tokens,
+        predicted=plan.seconds,
+        arrived_at=request.begun_at,
+        objective=route.objective,
+        patience=min(patience, left),
+    )
+
+
+def request_rank(route, account):
+    """Return the rank of a request: its account's, else its route's."""
+    if account is not None and account.rank is not None:
+        return account.rank
+    return route.rank
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from wasabistage.edge._choice import choose_server
+from wasabistage.admission import TOO_LATE, Left
+from wasabistage.edge._choice import choose_server, gate_query, request_rank
 from wasabistage.edge._messages import Dispatch
 from wasabistage.fleet import RouteKind
 from wasabistage.http1 import ChannelError, ChannelPool, NotSentError
@@ -26,6 +27,7 @@
 MAX_CONNECTS = 4  # servers tried for a channel, of which none got the request
 MAX_BODY_BYTES = 1 << 20  # bytes of a plain answer that are held until it is whole
 SHORT_BODY_BYTES = 16384  # bytes; fit into a new channel's window
+GATE_LOOK = 0.015  # seconds between two looks whether an engine has room
 FETCH_TIME = 2.5  # seconds; a transfer that waits over two is not started
 MIN_TIME_LEFT = 0.005  # seconds; less is no time for any work
 URGENCY_STEP = 2  # urgency per rank, which leaves room between ranks
@@ -74,6 +76,7 @@
     :param attempts: list of :class:`Attempt`.
     :param may_have_run: whether a server may have run it.
     :param splitter: events passed on so far.
+    :param waits: looks at the gate that found no room.
     """
 
     request: object
@@ -86,6 +89,7 @@
     attempts: list = field(default_factory=list)
     may_have_run: bool = False
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    waits: int = 0
 
     def time_left(self, now):
         """Return the seconds until the deadline."""
@@ -120,8 +124,7 @@
         self.state.budget(exchange.service).earn(now)
         excluded = set()
         while True:
-            now = self.state.timer.now()
-            choice = self._choose(exchange, excluded, now)
+            choice = await self._choose(exchange, excluded)
             if not choice:
                 await self._give_up(exchange, str(choice.reason))
                 return
@@ -136,16 +139,35 @@
                 await self._give_up(exchange, reason)
                 return
 
-    def _choose(self, exchange, excluded, now):
-        return choose_server(
-            self.state,
-            exchange.request,
-            exchange.route,
-            exchange.account,
-            exchange.service,
-            excluded,
-            now,
-        )
+    async def _choose(self, exchange, excluded):
+        """Return a :class:`Choice` once an engine has room, or a sentinel."""
+        request = exchange.request
+        try:
+            while True:
+                now = self.state.timer.now()
+                choice = choose_server(
+                    self.state,
+                    request,
+                    exchange.route,
+                    exchange.account,
+                    exchange.service,
+                    excluded,
+                    now,
+                )
+                if not choice or choice.plan is None:
+                    return choice
+                verdict = self.state.gate.decide(
+                    gate_query(self.state, exchange, choice), now
+                )
+                if verdict:
+                    return choice
+                if verdict.is_(TOO_LATE):
+                    return verdict
+                exchange.waits += 1
+                await trio.sleep(GATE_LOOK)
+        finally:
+            left = Left(request=request.request_id)
+            self.state.gate.observe(left, self.state.timer.now())
 
     def _why_not_again(self, exchange, attempt):
         """Return why a failed attempt is not repeated, or ``""``."""
@@ -186,7 +208,7 @@
             await self._refuse(exchange, 502, None)
             outcome = "failed"
         else:
-            retry_after = (last.retry_after if last else None) or NOT_RUN_RETRY
+            retry_after = self._retry_after(exchange, last)
             await self._refuse(exchange, 503, retry_after)
             outcome = "refused"
         state.metrics.count("request.failed", label=outcome.partition(" ")[0])
@@ -199,6 +221,15 @@
             time_left=round(exchange.time_left(state.timer.now()), 3),
         )
 
+    def _retry_after(self, exchange, last):
+        """Return the seconds after which a request not run may come back."""
+        if last is not None and last.retry_after is not None:
+            return last.retry_after
+        if exchange.waits:
+            # Those that wait now are served or gone by then.
+            return max(NOT_RUN_RETRY, exchange.route.objective)
+        return NOT_RUN_RETRY
+
     async def _refuse(self, exchange, status, retry_after):
         headers = self.state.platform.encode_refusal(
             exchange.request.request_id, retry_after
@@ -298,9 +329,7 @@
     def _dispatch(self, exchange, attempt):
         state, now = self.state, self.state.timer.now()
         plan, account = attempt.choice.plan, exchange.account
-        rank = exchange.route.rank
-        if account is not None and account.rank is not None:
-            rank = account.rank
+        rank = request_rank(exchange.route, account)
         common = {
             "server": attempt.choice.record.server,
             "time_left": exchange.time_left(now),
@@ -460,6 +489,7 @@
             "seconds": round(self.state.timer.now() - request.begun_at, 4),
             "outcome": attempt.reason or "answered",
             "events": exchange.splitter.events,
+            "waits": exchange.waits,
         }
         if plan is not None:
             fields.update(
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -7,6 +7,7 @@
 import random
 from collections import OrderedDict
 
+from wasabistage.admission import RankedGate
 from wasabistage.cache import PartMap
 from wasabistage.fleet import KeyFreshness, RouteTable, ServerTable
 from wasabistage.retries import WindowBudget
@@ -58,6 +59,7 @@
                 chunk_tokens=0,
             ),
         ).reset()
+        self.gate = RankedGate().reset()
         self.plain_router = LeastOutstandingRouter().reset()
         # Engines' times differ by prompt, so only failures are judged.
         self.health = HealthPolicy(
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -89,6 +89,7 @@
     :param fetch_from: for each part the address to fetch it from, or ``""``.
     :param save_to: for each part the address to save it to, or ``""``.
     :param seconds: predicted time to the first token.
+    :param backlog: seconds of computing that the engine has before it.
     """
 
     candidate: PartCandidate
@@ -98,6 +99,7 @@
     fetch_from: tuple[str, ...]
     save_to: tuple[str, ...]
     seconds: float
+    backlog: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -109,6 +111,7 @@
     fetch_from: tuple
     seconds: float
     score: float
+    backlog: float
 
 
 class PartRouter(Policy):
@@ -221,6 +224,7 @@
             fetch_from=plan.fetch_from,
             save_to=self._saves(query, plan, now),
             seconds=plan.seconds,
+            backlog=plan.backlog,
         )
 
     def _plan(self, query, candidate, now):
@@ -244,6 +248,7 @@
             fetch_from=fetch_from,
             seconds=seconds,
             score=seconds + self.work_weight * own + candidate.penalty,
+            backlog=queue,
         )
 
     def _kept(self, query, candidate):
