--- /dev/null
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -0,0 +1,154 @@
+import unittest
+from types import SimpleNamespace
+
+from wasabistage.cache import PartMap
+from wasabistage.exceptions import SettingError
+from wasabistage.routing import (
+    Dispatched,
+    FirstTokenEstimator,
+    MemoryPromised,
+    MemoryReturned,
+    PartCandidate,
+    PartQuery,
+    PartRouter,
+    PartStore,
+    PeerMemory,
+    order_stores,
+)
+
+LARGE = PartStore(
+    address="l:1", failure_domain="a", capacity_tokens=1_000_000, link_bytes=1e11
+)
+SMALL = PartStore(
+    address="f:1", failure_domain="a", capacity_tokens=100_000, link_bytes=1e11
+)
+
+
+def part(name, tokens):
+    return SimpleNamespace(part=name, tokens=tokens)
+
+
+def events(*rows, epoch=1):
+    return SimpleNamespace(
+        epoch=epoch,
+        position=len(rows),
+        events=tuple(
+            SimpleNamespace(cache_key=key, part=name, tokens=tokens)
+            for key, name, tokens in rows
+        ),
+    )
+
+
+def candidate(server, **fields):
+    return PartCandidate(
+        server=server,
+        address=f"{server}:1",
+        version=1,
+        cache_key="m|1|",
+        failure_domain="a",
+        memory_tokens=80_000,
+        **fields,
+    )
+
+
+PARTS = (part("system", 500), part("session", 8000), part("own", 1500))
+
+
+class PartRouterTest(unittest.TestCase):
+    def setUp(self):
+        self.parts = PartMap()
+        estimator = FirstTokenEstimator(prefill_rate=85_000.0, chunk_tokens=0)
+        self.router = PartRouter(self.parts, estimator=estimator).reset()
+
+    def ask(self, *candidates, stores=(LARGE, SMALL), draw=0.0):
+        query = PartQuery(
+            parts=PARTS,
+            prompt_tokens=10_000,
+            output_tokens=50,
+            candidates=candidates or (candidate("s1"), candidate("s2")),
+            stores=stores,
+            token_bytes=300_000,
+            link_bytes=4e10,
+            draw=draw,
+        )
+        return self.router.decide(query, 0.0)
+
+    def test_bad_weight_is_refused(self):
+        with self.assertRaises(SettingError):
+            PartRouter(self.parts, work_weight=-1).reset()
+
+    def test_no_candidate_is_a_sentinel(self):
+        query = PartQuery(parts=PARTS, prompt_tokens=10)
+        self.assertFalse(self.router.decide(query, 0.0))
+
+    def test_engine_that_keeps_the_history_is_chosen(self):
+        kept = events(("m|1|", "system", 500), ("m|1|", "session", 8000))
+        self.parts.apply("s2:1", kept)
+        found = self.ask()
+        self.assertEqual(found.candidate.server, "s2")
+        self.assertEqual((found.kept, found.tokens), (8500, 1500))
+
+    def test_parts_after_a_gap_are_not_reused(self):
+        self.parts.apply("s1:1", events(("m|1|", "session", 8000)))
+        found = self.ask(candidate("s1"), stores=())
+        self.assertEqual((found.kept, found.tokens), (0, 10_000))
+
+    def test_parts_of_another_version_are_not_seen(self):
+        self.parts.apply("s1:1", events(("m|2|", "system", 500)))
+        self.assertEqual(self.ask(candidate("s1"), stores=()).kept, 0)
+
+    def test_stored_parts_are_fetched(self):
+        stored = events(("m|1|", "system", 500), ("m|1|", "session", 8000))
+        self.parts.apply(LARGE.address, stored)
+        found = self.ask()
+        self.assertEqual(found.fetch_from, ("l:1", "l:1", ""))
+        self.assertEqual((found.fetched, found.tokens), (8500, 1500))
+        self.assertEqual(found.save_to, ("", "", ""))
+
+    def test_shared_parts_are_saved_once_to_a_large_store(self):
+        self.assertEqual(self.ask().save_to, ("l:1", "l:1", ""))
+        self.parts.note_saving("l:1", "m|1|", "session", 8000, 0.0)
+        self.assertEqual(self.ask().save_to, ("l:1", "", ""))
+
+    def test_full_store_gets_nothing(self):
+        self.parts.apply("l:1", events(("x", "y", 995_000)))
+        self.assertEqual(self.ask().save_to, ("f:1", "f:1", ""))
+        self.assertEqual(self.ask(stores=(LARGE,)).save_to, ("", "", ""))
+
+    def test_engine_with_work_before_it_is_avoided(self):
+        event = Dispatched(request="r", server="s1", tokens=40_000)
+        self.router.observe(event, 0.0)
+        self.assertEqual(self.ask().candidate.server, "s2")
+
+    def test_engine_whose_memory_others_promised_is_avoided(self):
+        self.router.observe(PeerMemory(peer="b", promised={"s1": 79_000}), 0.0)
+        self.assertEqual(self.ask().candidate.server, "s2")
+        self.router.observe(PeerMemory(peer="b", promised={}), 0.0)
+        promise = MemoryPromised(request="r", server="s2", tokens=79_000)
+        self.router.observe(promise, 0.0)
+        self.assertEqual(self.ask().candidate.server, "s1")
+        self.router.observe(MemoryReturned(request="r"), 0.0)
+        self.assertEqual(self.router.memory_promised("s2"), 0)
+
+    def test_penalty_counts_like_time(self):
+        found = self.ask(candidate("s1", penalty=1.0), candidate("s2"))
+        self.assertEqual(found.candidate.server, "s2")
+
+    def test_draw_spreads_equal_engines(self):
+        servers = {self.ask(draw=draw).candidate.server for draw in (0.0, 0.9)}
+        self.assertEqual(servers, {"s1", "s2"})
+
+
+class OrderStoresTest(unittest.TestCase):
+    def test_large_stores_come_first_and_parts_spread_over_them(self):
+        other = PartStore(address="l:2", capacity_tokens=1_000_000)
+        homes = [
+            order_stores((SMALL, LARGE, other), f"part{number}")[0].address
+            for number in range(100)
+        ]
+        self.assertEqual(set(homes), {"l:1", "l:2"})
+        self.assertGreater(min(homes.count("l:1"), homes.count("l:2")), 25)
+
+
+if __name__ == "__main__":
+    unittest.main()
