--- /dev/null
+++ b/standins/users_platform.py
@@ -0,0 +1,357 @@
+"""Small fakes of the users' platform: its store of records, and backend servers.
+
+They speak the published protocol as far as the edge uses it, on loopback, inside the
+process that tests it.
+"""
+
+import base64
+import json
+import struct
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+import trio
+
+from wasabistage.fleet import CallerLimits
+from wasabistage.http1 import CallerChannel, CallerGoneError, listen, serve_channels
+from wasabistage.timing import BootTimerService
+
+LONGEST_HOLD = 1.0  # seconds that a read is held, to let tests end soon
+SEAL = b"Wasabistage-Response-Seal"
+JSON = (b"Content-Type", b"application/json")
+
+
+class Standin:
+    """Base of the fakes: a listener, and one method that answers requests.
+
+    :param address: ``IP:PORT``.
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self.timer = BootTimerService()
+        self.errors = []
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled."""
+        with await listen(self.address) as sock:
+            task_status.started()
+            await serve_channels(sock, self._serve, self.errors.append)
+
+    async def _serve(self, sock):
+        channel = CallerChannel(sock, self.timer, CallerLimits())
+        try:
+            while (request := await channel.read_request()) is not None:
+                await self._answer_until_gone(channel, request)
+                if not channel.start_next():
+                    return
+        except CallerGoneError:
+            return
+
+    async def _answer_until_gone(self, channel, request):
+        async with trio.open_nursery() as nursery:
+
+            async def watch():
+                await channel.wait_gone()
+                self.note_gone(request)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            await self.answer(channel, request)
+            nursery.cancel_scope.cancel()
+
+    def note_gone(self, request):
+        """Take in that a caller closed before its answer was complete."""
+
+    async def answer(self, channel, request):
+        """Answer one request."""
+        raise NotImplementedError
+
+
+async def respond_json(channel, status, value):
+    """Write a whole JSON response."""
+    await channel.respond(status, [JSON], json.dumps(value).encode())
+
+
+class StandinStore(Standin):
+    """The store of records."""
+
+    def __init__(self, address):
+        super().__init__(address)
+        self.topics = {}
+        self.is_down = False
+        self.calls = 0
+        self.appended = trio.Event()
+
+    def put(self, key, value, topic="keyed.op"):
+        """Write a record as the operators or servers do; ``None`` drops the key."""
+        encoded = key.encode()
+        data = b"" if value is None else json.dumps(value).encode()
+        self._append(topic, bytes([len(encoded)]) + encoded + data)
+
+    def _append(self, topic, data):
+        self.topics.setdefault(topic, []).append(data)
+        self.appended.set()
+        self.appended = trio.Event()
+
+    async def answer(self, channel, request):
+        """See :meth:`Standin.answer`."""
+        self.calls += 1
+        path, _, query = request.target.partition(b"?")
+        fields = {k: v[0] for k, v in parse_qs(query.decode()).items()}
+        if self.is_down:
+            await channel.respond(503, [], b"")
+        elif path == b"/v1/log-newest":
+            await respond_json(channel, 200, self._newest(fields["topic"]))
+        elif path == b"/v1/log-read":
+            await self._read(channel, fields)
+        elif path == b"/v1/log-append":
+            await self._take(channel, fields, request.body)
+        else:
+            await channel.respond(404, [], b"")
+
+    def _newest(self, topic):
+        newest = {}
+        for offset, data in enumerate(self.topics.get(topic, [])):
+            key, value = data[1 : 1 + data[0]].decode(), data[1 + data[0] :]
+            newest.pop(key, None)
+            if value:
+                encoded = base64.b64encode(value).decode()
+                newest[key] = {"key": key, "value": encoded, "offset": offset}
+        end = len(self.topics.get(topic, []))
+        return {"items": list(newest.values()), "morePages": False, "end": end}
+
+    async def _read(self, channel, fields):
+        start, wait = int(fields["from"]), int(fields.get("waitMs", 0)) / 1000
+        with trio.move_on_after(min(wait, LONGEST_HOLD)):
+            while len(self.topics.get(fields["topic"], [])) <= start:
+                await self.appended.wait()
+        records = self.topics.get(fields["topic"], [])
+        body = struct.pack(">QQ", len(records), 0)
+        for data in records[start:]:
+            body += struct.pack(">I", len(data)) + data
+        await channel.respond(200, [], body)
+
+    async def _take(self, channel, fields, body):
+        topic = fields["topic"]
+        end = len(self.topics.get(topic, []))
+        if "asOf" in fields and int(fields["asOf"]) != end:
+            await respond_json(channel, 412, {"end": end})
+            return
+        (size,) = struct.unpack_from(">I", body)
+        self._append(topic, body[4 : 4 + size])
+        await respond_json(channel, 200, {"offset": end, "end": end + 1})
+
+
+@dataclass
+class Run:
+    """A request that a server began to work on."""
+
+    request_id: str
+    fields: dict
+    target: bytes
+    body: bytes
+    is_cancelled: bool = False
+
+
+@dataclass
+class Behaviour:
+    """What a server does with its next requests.
+
+    :param events: events of a stream.
+    :param break_after: events after which the channel breaks off, or ``None``.
+    :param pause: seconds between two events.
+    :param status: status of a plain answer.
+    :param is_full: whether it turns requests away.
+    :param late_extra: whether a second answer follows each answer.
+    """
+
+    events: int = 3
+    break_after: int | None = None
+    pause: float = 0.0
+    status: int = 200
+    is_full: bool = False
+    late_extra: bool = False
+
+
+class StandinServer(Standin):
+    """A backend server: a plain one, or a model engine.
+
+    :param address: ``IP:PORT``.
+    :param server: its id.
+    :param service: name of its service.
+    :param model: name of the model that it holds, or ``""``.
+    """
+
+    def __init__(self, address, server, service, model=""):
+        super().__init__(address)
+        self.server = server
+        self.service = service
+        self.model = model
+        self.version = 1
+        self.fencing = 0
+        self.orders = 0
+        self.runs = []
+        self.behaviour = Behaviour()
+        self.parts = {}
+
+    def entry(self, **changes):
+        """Return its record in the list of servers."""
+        record = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+            "models": [],
+        }
+        if self.model:
+            record["models"] = [{"name": self.model, "version": self.version}]
+        return {**record, **changes}
+
+    def note_gone(self, request):
+        """See :meth:`Standin.note_gone`."""
+        fields = {name.lower(): value for name, value in request.headers}
+        wanted = fields.get(b"wasabistage-request-id", b"").decode()
+        for run in self.runs:
+            if run.request_id == wanted:
+                run.is_cancelled = True
+
+    async def answer(self, channel, request):
+        """See :meth:`Standin.answer`."""
+        path = request.target.partition(b"?")[0]
+        if path == b"/v1/report":
+            await self._report(channel)
+        elif path == b"/v1/order":
+            await self._order(channel, json.loads(request.body))
+        elif path in (b"/v1/kv-events", b"/v1/kv-list"):
+            await trio.sleep(0.05)
+            found = {"epoch": 1, "next": 0, "lost": False, "events": [], "held": []}
+            await respond_json(channel, 200, {**found, "clock_ms": 5000.0})
+        else:
+            await self._run(channel, request)
+
+    async def _report(self, channel):
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        state = {"models": models, "busy": False, "seq": self.orders, "queued": 0}
+        await respond_json(channel, 200, {**state, "clock_ms": 5000.0, "born": 1})
+
+    async def _order(self, channel, order):
+        if order["fence"] < self.fencing:
+            await channel.respond(412, [], b"")
+        elif order.get("precondition", self.orders) != self.orders:
+            await channel.respond(409, [], b"")
+        else:
+            self.fencing, self.version = order["fence"], order["version"]
+            self.orders += 1
+            self.parts.clear()
+            await channel.respond(202, [], b"")
+
+    async def _run(self, channel, request):
+        fields = {name.lower(): value for name, value in request.headers}
+        request_id = fields.get(b"wasabistage-request-id", b"")
+        echo = (b"Wasabistage-Request-Id", request_id)
+        not_run = (b"Wasabistage-Not-Executed", b"1")
+        expected = fields.get(b"wasabistage-expect-instance", self.server.encode())
+        version = fields.get(b"wasabistage-expect-version", b"%d" % self.version)
+        if expected != self.server.encode() or int(version) != self.version:
+            named = (b"Wasabistage-Instance-Id", self.server.encode())
+            await channel.respond(421, [echo, named, not_run], b"")
+            return
+        if self.behaviour.is_full:
+            await channel.respond(503, [echo, not_run], b"")
+            return
+        run = Run(request_id.decode(), fields, request.target, request.body)
+        self.runs.append(run)
+        if self.model:
+            await self._stream(channel, run, echo)
+            return
+        await trio.sleep(self.behaviour.pause)
+        body = self.server.encode() + b" " + request_id
+        await channel.respond(self.behaviour.status, [echo, (SEAL, b"s")], body)
+        if self.behaviour.late_extra:
+            extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+            extra += b"Wasabistage-Request-Id: other\r\n\r\nextra"
+            await trio.sleep(0.05)
+            await channel.write(extra)
+
+    async def _stream(self, channel, run, echo):
+        version = (b"Wasabistage-Weight-Versions", b"%d" % self.version)
+        framing = (b"Transfer-Encoding", b"chunked")
+        await channel.start_response(200, [echo, (SEAL, b"s"), version, framing])
+        first = int(run.fields.get(b"last-event-id", b"0")) + 1
+        for number in range(first, self.behaviour.events + 1):
+            await trio.sleep(self.behaviour.pause)
+            if number - 1 == self.behaviour.break_after:
+                await channel.send_piece(b"id: %d\ndata: cu" % number)
+                channel.close()
+                return
+            await channel.send_piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        await channel.finish()
+
+
+@dataclass
+class StandinPlatform:
+    """A store, three plain servers and two engines, with a configuration.
+
+    :param base_port: first of the ports that it uses.
+    """
+
+    base_port: int
+    plain: list = field(default_factory=list)
+    engines: list = field(default_factory=list)
+
+    def __post_init__(self):
+        self.store = StandinStore(f"127.0.0.1:{self.base_port}")
+        for number in range(3):
+            address = f"127.0.0.1:{self.base_port + 1 + number}"
+            self.plain.append(StandinServer(address, f"p{number}", "app"))
+        for number in range(2):
+            address = f"127.0.0.1:{self.base_port + 4 + number}"
+            self.engines.append(StandinServer(address, f"e{number}", "llm", "m"))
+
+    @property
+    def servers(self):
+        """All backend servers."""
+        return [*self.plain, *self.engines]
+
+    def publish(self, version=1, **changes):
+        """Write a configuration.
+
+        :param version: its version.
+        :param changes: values that replace those of the usual one.
+        """
+        common = {"host": "h.example", "timeoutMs": 3000, "goalMs": 500, "priority": 1}
+        plain = {**common, "service": "app", "attempts": 2}
+        stream = {**common, "service": "llm", "kind": "streaming", "sticky": True}
+        routes = [
+            {**plain, "name": "read", "pathPrefix": "/read/", "kind": "idempotent"},
+            {**plain, "name": "buy", "pathPrefix": "/buy/", "kind": "non_idempotent"},
+            {
+                **stream,
+                "name": "chat",
+                "pathPrefix": "/chat/",
+                "attempts": 2,
+                "resumable": True,
+            },
+            {**stream, "name": "hint", "pathPrefix": "/hint/"},
+        ]
+        engine = {"slots": 8, "kvCapacity": 80000, "kvTokenBytes": 1000}
+        value = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
+            "tenants": [{"name": "small", "keys": ["k1"]}],
+            **changes,
+        }
+        self.store.put("config", value)
+
+    async def start(self, nursery):
+        """Start everything, the servers listed and a configuration published."""
+        for standin in (self.store, *self.servers):
+            await nursery.start(standin.run)
+        self.publish()
+        for server in self.servers:
+            self.store.put(server.server, server.entry(), "keyed.servers")
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -139,9 +139,8 @@
 
     async def _accept(self, sock, run, is_public):
         scope = self.listener_scope if is_public else trio.CancelScope()
-        with scope:
+        with sock, scope:
             await run()
-        sock.close()
 
     def _note_error(self, error):
         self.state.metrics.count("task.failure", label=type(error).__name__)
--- /dev/null
+++ b/wasabistage/edge/tests/edge_case.py
@@ -0,0 +1,117 @@
+"""Base of the tests that run edge processes against the stand-in platform."""
+
+import itertools
+import os
+import unittest
+
+import trio
+
+from standins.users_platform import StandinPlatform
+from wasabistage.edge._process import EdgeProcess
+from wasabistage.edge._settings import (
+    BoundsSection,
+    EdgeSettings,
+    InstanceSection,
+    ListenSection,
+    PeersSection,
+    RecordsSection,
+)
+from wasabistage.http1 import HttpClient
+from wasabistage.platform import UsersPlatform
+from wasabistage.telemetry import MemoryLineLog
+from wasabistage.timing import BootTimerService
+
+#: Below the ports that the system hands out, apart for test modules side by side.
+FIRST_PORT = 11000 + os.getpid() % 500 * 40
+PORTS = itertools.count(FIRST_PORT, 20)
+LIMIT = 20.0  # seconds that one test may take
+HEADERS = (
+    (b"Wasabistage-Request-Id", b"id-1"),
+    (b"Wasabistage-Deadline-Ms", b"3000"),
+    (b"Authorization", b"Bearer k1"),
+)
+PROMPT = (
+    (b"Wasabistage-Model", b"m"),
+    (b"Wasabistage-Token-Count", b"900,20"),
+    (b"Wasabistage-Prompt-Prefix", b"aa:500,bb:400"),
+)
+
+
+def make_settings(name, base, store, **bounds):
+    """Return the settings of an edge process on ports from ``base`` on."""
+    return EdgeSettings(
+        instance=InstanceSection(name=name, failure_domain="a", ip="127.0.0.1"),
+        listen=ListenSection(
+            callers=f"127.0.0.1:{base}",
+            readiness=f"127.0.0.1:{base + 1}",
+            directory=f"127.0.0.1:{base + 1}",
+            peers=f"127.0.0.1:{base + 2}",
+            gossip_port=base + 3,
+            metrics_port=base + 4,
+        ),
+        records=RecordsSection(store=store),
+        peers=PeersSection(),
+        bounds=BoundsSection(**bounds),
+    )
+
+
+class EdgeCase(unittest.TestCase):
+    """Runs a platform and one edge process around each test."""
+
+    bounds = {}
+
+    def play(self, test):
+        """Run an asynchronous test with everything started.
+
+        :param test: asynchronous function without arguments.
+        """
+
+        async def run():
+            with trio.fail_after(LIMIT):
+                async with trio.open_nursery() as nursery:
+                    await self.start(nursery)
+                    await test()
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    async def start(self, nursery):
+        """Start the platform and the edge; wait until it is ready."""
+        self.nursery = nursery
+        self.platform = StandinPlatform(next(PORTS))
+        await self.platform.start(nursery)
+        base = next(PORTS)
+        address = self.platform.store.address
+        settings = make_settings("edge-1", base, address, **self.bounds)
+        self.edge = EdgeProcess(settings, os.devnull, UsersPlatform)
+        self.edge.state.log = MemoryLineLog()
+        self.log = self.edge.state.log
+        nursery.start_soon(self.edge.run)
+        self.timer = BootTimerService()
+        self.client = HttpClient(settings.listen.callers, self.timer)
+        self.directory = HttpClient(settings.listen.directory, self.timer)
+        # Engines are needed with their versions, so every server must be listed.
+        await self.until(
+            lambda: (
+                self.edge.state.is_ready
+                and len(self.edge.state.servers.servers) == len(self.platform.servers)
+            )
+        )
+
+    async def until(self, condition):
+        """Wait until a condition holds."""
+        while not condition():
+            await trio.sleep(0.01)
+
+    async def call(self, path, *headers, method=b"GET", client=None, replaced=()):
+        """Call the edge as a caller."""
+        names = {name for name, _ in headers} | set(replaced)
+        kept = [row for row in HEADERS if row[0] not in names]
+        client = client or self.client
+        client.host = b"h.example"
+        body = b"b" if method == b"POST" else b""
+        return await client.call(method, path, body, [*kept, *headers], timeout=5.0)
+
+    def events(self, name):
+        """Return the log lines of one event."""
+        return [line for line in self.log.lines if line["event"] == name]
--- /dev/null
+++ b/wasabistage/edge/tests/test_whole_path.py
@@ -0,0 +1,233 @@
+import json
+import unittest
+
+import trio
+
+from standins.users_platform import Behaviour
+from wasabistage.edge.tests.edge_case import PROMPT, EdgeCase
+from wasabistage.http1 import ChannelError, HttpClient, open_channel
+
+STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
+
+
+class PlainTest(EdgeCase):
+    def test_answer_is_the_servers_own(self):
+        async def test():
+            reply = await self.call(b"/read/%2fx?q=1")
+            self.assertEqual(reply.status, 200)
+            self.assertTrue(reply.body.endswith(b" id-1"))
+            self.assertEqual(reply.fields[b"wasabistage-response-seal"], b"s")
+            run = next(s.runs[0] for s in self.platform.plain if s.runs)
+            self.assertEqual(run.target, b"/read/%2fx?q=1")
+            self.assertEqual(run.fields[b"wasabistage-tenant"], b"small")
+            self.assertNotIn(b"authorization", run.fields)
+
+        self.play(test)
+
+    def test_keys_and_routes(self):
+        async def test():
+            key = (b"Authorization", b"Bearer k2")
+            self.assertEqual((await self.call(b"/read/x", key)).status, 401)
+            no_key = await self.call(b"/read/x", replaced=(b"Authorization",))
+            self.assertEqual(no_key.status, 401)
+            self.assertEqual((await self.call(b"/none/x")).status, 404)
+            self.assertEqual(sum(len(s.runs) for s in self.platform.plain), 0)
+            self.platform.publish(2, tenants=[{"name": "small", "keys": ["k2"]}])
+            await self.until(lambda: self.edge.state.routes.configuration.version == 2)
+            self.assertEqual((await self.call(b"/read/x")).status, 401)
+            self.assertEqual((await self.call(b"/read/x", key)).status, 200)
+
+        self.play(test)
+
+    def test_failed_read_is_repeated_elsewhere_and_a_purchase_is_not(self):
+        async def test():
+            for server in self.platform.plain[:2]:
+                server.behaviour = Behaviour(status=500)
+            statuses = {(await self.call(b"/read/x")).status for _ in range(9)}
+            self.assertIn(200, statuses)
+            before = sum(len(s.runs) for s in self.platform.plain)
+            for server in self.platform.plain:
+                server.behaviour = Behaviour(status=500)
+            reply = await self.call(b"/buy/x", method=b"POST")
+            self.assertEqual(reply.status, 500)
+            after = sum(len(s.runs) for s in self.platform.plain)
+            self.assertEqual(after - before, 1)
+
+        self.play(test)
+
+    def test_what_did_not_run_is_refused_with_a_time_to_come_back(self):
+        async def test():
+            for server in self.platform.plain:
+                server.behaviour = Behaviour(is_full=True)
+            reply = await self.call(b"/buy/x", method=b"POST")
+            self.assertEqual(reply.status, 503)
+            self.assertGreater(float(reply.fields[b"retry-after"]), 0.0)
+            self.assertEqual(sum(len(s.runs) for s in self.platform.plain), 0)
+
+        self.play(test)
+
+    def test_late_extra_answer_reaches_nobody(self):
+        async def test():
+            for server in self.platform.plain:
+                server.behaviour = Behaviour(late_extra=True)
+            for number in range(12):
+                request_id = (b"Wasabistage-Request-Id", b"id-%d" % number)
+                reply = await self.call(b"/read/x", request_id)
+                self.assertEqual(reply.status, 200)
+                self.assertTrue(reply.body.endswith(b" id-%d" % number))
+                await trio.sleep(0.02 * (number % 4))
+
+        self.play(test)
+
+    def test_leaving_server_gets_nothing_more(self):
+        async def test():
+            for server in self.platform.plain[:2]:
+                entry = server.entry(state="draining")
+                self.platform.store.put(server.server, entry, "keyed.servers")
+            await self.until(lambda: len(self.edge.state.servers.usable("app")) == 1)
+            for _ in range(6):
+                self.assertEqual((await self.call(b"/read/x")).status, 200)
+            self.assertEqual([len(s.runs) for s in self.platform.plain], [0, 0, 6])
+
+        self.play(test)
+
+    def test_route_time_ends_a_request(self):
+        async def test():
+            for server in self.platform.plain:
+                server.behaviour = Behaviour(pause=9.0)
+            left = (b"Wasabistage-Deadline-Ms", b"300")
+            begun = trio.current_time()
+            reply = await self.call(b"/buy/x", left, method=b"POST")
+            self.assertEqual(reply.status, 504)
+            self.assertLess(trio.current_time() - begun, 0.8)
+
+        self.play(test)
+
+    def test_malformed_request_gets_a_clear_status_and_harms_nobody(self):
+        async def test():
+            host, _, port = self.edge.settings.listen.callers.rpartition(":")
+            for bytes_sent in (
+                b"NONSENSE\r\n\r\n",
+                b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+            ):
+                stream = await trio.open_tcp_stream(host, int(port))
+                await stream.send_all(bytes_sent)
+                answer = await stream.receive_some(4096)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+                await stream.aclose()
+            self.assertEqual((await self.call(b"/read/x")).status, 200)
+
+        self.play(test)
+
+
+class StreamTest(EdgeCase):
+    def test_stream_is_passed_whole(self):
+        async def test():
+            reply = await self.call(b"/chat/x", *PROMPT, method=b"POST")
+            self.assertEqual((reply.status, reply.body), (200, STREAM))
+            run = next(s.runs[0] for s in self.platform.engines if s.runs)
+            self.assertEqual(run.fields[b"wasabistage-expect-version"], b"1")
+            self.assertEqual(run.fields[b"wasabistage-cache-salt"], b"m|1|")
+
+        self.play(test)
+
+    def test_broken_stream_goes_on_at_another_server_without_gap_or_double(self):
+        async def test():
+            self.platform.engines[0].behaviour = Behaviour(break_after=2)
+            runs = self.platform.engines[1].runs
+            while not any(b"last-event-id" in run.fields for run in runs):
+                reply = await self.call(b"/chat/x", *PROMPT, method=b"POST")
+                self.assertEqual((reply.status, reply.body), (200, STREAM))
+
+        self.play(test)
+
+    def test_broken_stream_that_must_not_repeat_looks_broken(self):
+        async def test():
+            for server in self.platform.engines:
+                server.behaviour = Behaviour(break_after=2)
+            with self.assertRaises(ChannelError):
+                await self.call(b"/hint/x", *PROMPT, method=b"POST")
+            self.assertEqual(sum(len(s.runs) for s in self.platform.engines), 1)
+
+        self.play(test)
+
+    def test_work_of_a_caller_that_left_is_cancelled(self):
+        async def test():
+            for server in self.platform.engines:
+                server.behaviour = Behaviour(events=100, pause=0.2)
+            host, _, port = self.edge.settings.listen.callers.rpartition(":")
+            channel = await open_channel((host, int(port)), 1.0)
+            headers = [(b"Host", b"h.example"), (b"Content-Length", b"0"), *PROMPT]
+            headers.append((b"Wasabistage-Request-Id", b"gone"))
+            headers.append((b"Authorization", b"Bearer k1"))
+            await channel.send_request(b"POST", b"/chat/x", headers, b"")
+            await channel.read_head()
+            channel.close()
+            runs = [run for s in self.platform.engines for run in s.runs]
+            with trio.fail_after(0.5):
+                await self.until(lambda: runs[0].is_cancelled)
+
+        self.play(test)
+
+    def test_named_version_is_ordered_and_then_used(self):
+        async def test():
+            named = {"model": "m", "version": 2}
+            self.platform.store.put("version/m", named)
+            with trio.fail_after(4.0):
+                await self.until(
+                    lambda: all(s.version == 2 for s in self.platform.engines)
+                )
+            await self.until(lambda: self.events("server_loaded"))
+            await trio.sleep(0.3)
+            reply = await self.call(b"/chat/x", *PROMPT, method=b"POST")
+            self.assertEqual((reply.status, reply.body), (200, STREAM))
+            run = next(s.runs[-1] for s in self.platform.engines if s.runs)
+            self.assertEqual(run.fields[b"wasabistage-cache-salt"], b"m|2|")
+
+        self.play(test)
+
+
+class StoreTest(EdgeCase):
+    bounds = {"key_removal_ms": 2000.0}
+
+    def test_keyed_requests_end_with_the_trust_in_the_keys(self):
+        async def test():
+            self.assertEqual((await self.call(b"/read/x")).status, 200)
+            self.platform.store.is_down = True
+            with trio.fail_after(4.0):
+                while (await self.call(b"/read/x")).status != 503:
+                    await trio.sleep(0.05)
+            freshness = self.edge.state.freshness
+            self.assertLessEqual(freshness.age(self.timer.now()), 2.0)
+            self.platform.store.is_down = False
+            with trio.fail_after(4.0):
+                while (await self.call(b"/read/x")).status != 200:
+                    await trio.sleep(0.05)
+
+        self.play(test)
+
+
+class DirectoryTest(EdgeCase):
+    def test_addresses_and_readiness(self):
+        async def test():
+            target = b"/v1/resolve?name=h.example&region=r&zone=a"
+            reply = await self.directory.call(b"GET", target)
+            answer = json.loads(reply.body)
+            self.assertEqual(answer["addresses"], [self.edge.settings.listen.callers])
+            self.assertLessEqual(answer["ttlS"], 5)
+            ready = await self.directory.call(b"GET", b"/v1/ready")
+            self.assertEqual(ready.status, 200)
+            metrics = HttpClient(
+                f"127.0.0.1:{self.edge.settings.listen.metrics_port}", self.timer
+            )
+            page = await metrics.call(b"GET", b"/metrics")
+            self.assertIn(b"wasabistage_config_version 1", page.body)
+            self.edge.state.is_draining = True
+            ready = await self.directory.call(b"GET", b"/v1/ready")
+            self.assertEqual(ready.status, 503)
+
+        self.play(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
