Leave silent servers, and addresses that answer for another server

Change: a detector judges by the last byte of any channel; attempts that may be repeated move on; of two entries with one address the newer life counts; a misdirected attempt is none of the servers that a route allows.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -14,6 +14,7 @@
     PartQuery,
     PartStore,
     RouteQuery,
+    SilenceQuery,
 )
 
 #: Seconds after a version was named from which an older one lowers an answer's worth.
@@ -81,6 +82,13 @@
         for record in state.servers.usable(service)
         if record.server in weights and record.server not in excluded
     ]
+    talking = [
+        record
+        for record in records
+        if not state.silence.decide(SilenceQuery(server=record.server), now)
+    ]
+    # With every server silent, silence tells nothing.
+    records = talking or records
     if not records:
         return NO_SERVER.because("no backend server of the service may be tried now")
     spec = state.routes.configuration.services.get(service)
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -1,5 +1,6 @@
 """Passes one request on: attempts, their outcomes, and the answer."""
 
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import trio
@@ -20,6 +21,10 @@
     LoadReport,
     MemoryPromised,
     MemoryReturned,
+    ServerRemoved,
+    WorkEnded,
+    WorkHeard,
+    WorkSent,
 )
 from wasabistage.sessions import EventSplitter
 
@@ -49,6 +54,7 @@
     :param first: seconds to its first event, or ``None``.
     :param is_version_mismatch: whether the server runs another weight version than
         was expected.
+    :param is_misdirected: whether another server had the address.
     """
 
     choice: object
@@ -60,6 +66,7 @@
     retry_after: float | None = None
     first: float | None = None
     is_version_mismatch: bool = False
+    is_misdirected: bool = False
 
 
 @dataclass
@@ -101,7 +108,7 @@
         return {
             item.choice.record.server
             for item in self.attempts
-            if item.failure is not Failure.NOT_SENT
+            if item.failure is not Failure.NOT_SENT and not item.is_misdirected
         }
 
 
@@ -246,19 +253,38 @@
         state.health.observe(CallStarted(server=server), now)
         self._note_start(exchange, attempt, now)
         try:
-            await self._send_and_answer(exchange, attempt)
+            with self._movable(exchange, server) as scope:
+                await self._send_and_answer(exchange, attempt)
+            if scope.cancelled_caught:
+                raise ChannelError("the server fell silent")
         except NotSentError as error:
             attempt.failure, attempt.reason = Failure.NOT_SENT, str(error)
         except ChannelError as error:
             attempt.failure, attempt.reason = Failure.LOST, str(error)
             exchange.may_have_run = True
+            exchange.splitter.drop_begun()
         finally:
             self._note_end(exchange, attempt, now)
         return attempt
 
+    @contextmanager
+    def _movable(self, exchange, server):
+        """Let an attempt that may be repeated end when its server falls silent."""
+        with trio.CancelScope() as scope:
+            if not exchange.route.is_repeatable:
+                yield scope
+                return
+            scopes = self.state.movable.setdefault(server, set())
+            scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                scopes.discard(scope)
+
     def _note_start(self, exchange, attempt, now):
         state, plan = self.state, attempt.choice.plan
         server = attempt.choice.record.server
+        state.silence.observe(WorkSent(server=server, request=attempt.name), now)
         if plan is None:
             event = Dispatched(request=attempt.name, server=server, tokens=0)
             state.plain_router.observe(event, now)
@@ -279,6 +305,7 @@
     def _note_end(self, exchange, attempt, begun_at):
         state, now = self.state, self.state.timer.now()
         server = attempt.choice.record.server
+        state.silence.observe(WorkEnded(server=server, request=attempt.name), now)
         ended = DispatchEnded(request=attempt.name)
         if attempt.choice.plan is None:
             state.plain_router.observe(ended, now)
@@ -412,7 +439,9 @@
         attempt.reason = f"not run, {head.status}"
         attempt.retry_after = facts.retry_after
         server, plan = attempt.choice.record.server, attempt.choice.plan
-        if head.status != 421 or plan is None:
+        if head.status != 421 or self._is_other_server(attempt, facts, now):
+            return
+        if plan is None:
             return
         if facts.server in ("", server):
             # It has loaded the named version since, or is about to.
@@ -424,6 +453,23 @@
             else:
                 state.swap.observe(ServerOrdered(server=server), now)
 
+    def _is_other_server(self, attempt, facts, now):
+        """Take in that another server has the address; return whether it has."""
+        record = attempt.choice.record
+        if facts.server in ("", record.server):
+            return False
+        attempt.is_misdirected = True
+        if self.state.servers.note_replaced(record):
+            removed = ServerRemoved(server=record.server)
+            self.state.health.observe(removed, now)
+            self.state.log.write(
+                "server_replaced",
+                server=record.server,
+                address=record.address,
+                found=facts.server,
+            )
+        return True
+
     async def _pass_stream(self, exchange, attempt, channel, head):
         """Pass a stream of events on as they come."""
         caller = exchange.channel
@@ -436,6 +482,7 @@
         is_first = True
         try:
             while data := await channel.read_piece():
+                self._note_heard(attempt)
                 whole = splitter.feed(data)
                 if is_first:
                     self._note_first(exchange, attempt)
@@ -451,6 +498,11 @@
         self._note_answered(exchange, attempt)
         return head.fields
 
+    def _note_heard(self, attempt):
+        server = attempt.choice.record.server
+        event = WorkHeard(server=server, request=attempt.name)
+        self.state.silence.observe(event, self.state.timer.now())
+
     def _note_first(self, exchange, attempt):
         state, now = self.state, self.state.timer.now()
         begun_at = exchange.request.begun_at
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -34,6 +34,7 @@
 EXIT_BAD_SETTINGS = 2
 INCARNATION_BYTES = 6
 HEALTH_PERIOD = 0.25  # seconds between two looks at timed changes
+SILENCE_PERIOD = 0.1  # seconds between two looks for silent servers
 SETTINGS_PERIOD = 2.0  # seconds between two looks at the settings file
 #: Part of the time to stop that is left for answers after the last accepted channel.
 FINAL_SHARE = 0.25
@@ -114,6 +115,7 @@
         subscriptions = {
             GOSSIP_PERIOD: state.gossip.run_sending,
             HEALTH_PERIOD: self._tick_health,
+            SILENCE_PERIOD: self._look_for_silence,
             CLEAN_PERIOD: self._close_idle,
             SETTINGS_PERIOD: self._look_at_settings,
         }
@@ -183,6 +185,14 @@
                 "server_health", server=change.server, state=str(change.state)
             )
 
+    async def _look_for_silence(self, tick):
+        for server in self.state.silence.tick(self.state.timer.now()):
+            scopes = self.state.movable.get(server, ())
+            if scopes:
+                self.state.log.write("server_silent", server=server, moved=len(scopes))
+            for scope in list(scopes):
+                scope.cancel()
+
     async def _close_idle(self, tick):
         now = self.state.timer.now()
         for pool in self.state.pools.values():
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -17,6 +17,7 @@
     HealthPolicy,
     LeastOutstandingRouter,
     PartRouter,
+    SilenceDetector,
 )
 
 #: Part of the time until a removed key must be dead for which keys are trusted; the
@@ -73,6 +74,9 @@
             slow_start=1.0,
             first_weight=0.3,
         ).reset()
+        self.silence = SilenceDetector().reset()
+        #: Cancel scopes of the attempts that may be sent elsewhere, by server.
+        self.movable = {}
         self.swap = VersionSwap(at_once=settings.engines.loads_at_once).reset()
         self.lease = OrderLease(
             settings.instance.name,
--- a/wasabistage/edge/tests/test_whole_path.py
+++ b/wasabistage/edge/tests/test_whole_path.py
@@ -91,6 +91,17 @@
 
         self.play(test)
 
+    def test_address_of_a_new_server_is_left_without_a_run(self):
+        async def test():
+            for server in self.platform.plain[:2]:
+                server.server = f"new-{server.server}"
+            for _ in range(4):
+                reply = await self.call(b"/buy/x", method=b"POST")
+                self.assertEqual(reply.status, 200)
+            self.assertEqual([len(s.runs) for s in self.platform.plain], [0, 0, 4])
+
+        self.play(test)
+
     def test_route_time_ends_a_request(self):
         async def test():
             for server in self.platform.plain:
--- a/wasabistage/fleet/_servers.py
+++ b/wasabistage/fleet/_servers.py
@@ -103,6 +103,18 @@
         self._forget(server)
         return True
 
+    def note_replaced(self, record):
+        """Take in that another server answers at a server's address.
+
+        :param record: the :class:`ServerRecord` that is outdated.
+        :return: whether the server was listed until now.
+        """
+        known = self.servers.get(record.server)
+        if known is None or known.record.incarnation > record.incarnation:
+            return False
+        self._forget(record.server)
+        return True
+
     def _forget(self, server):
         known = self.servers.pop(server)
         self.left[server] = known.record.incarnation
@@ -127,12 +139,19 @@
         return gone
 
     def usable(self, service):
-        """Return the :class:`ServerRecord` of each server that may get new work."""
-        return [
-            known.record
-            for known in self.servers.values()
-            if known.record.service == service and not known.record.is_leaving
-        ]
+        """Return the :class:`ServerRecord` of each server that may get new work.
+
+        Of two entries with one address the newer life is the one that answers.
+        """
+        newest = {}
+        for known in self.servers.values():
+            record = known.record
+            if record.service != service or record.is_leaving:
+                continue
+            other = newest.get(record.address)
+            if other is None or other.incarnation < record.incarnation:
+                newest[record.address] = record
+        return list(newest.values())
 
     def get(self, server):
         """Return the :class:`ServerRecord` of a server, or ``None``."""
--- a/wasabistage/fleet/tests/test_servers.py
+++ b/wasabistage/fleet/tests/test_servers.py
@@ -54,6 +54,18 @@
         self.assertFalse(self.table.observe(RECORD, 3.0))
         self.assertEqual(self.table.get("s1").incarnation, 8)
 
+    def test_newer_life_at_an_address_replaces_the_older(self):
+        self.table.observe(replace(RECORD, server="s2", incarnation=9), 1.0)
+        self.assertEqual(self.usable(), ["s2"])
+
+    def test_server_whose_address_answers_for_another_is_gone(self):
+        self.assertTrue(self.table.note_replaced(RECORD))
+        self.assertFalse(self.table.note_replaced(RECORD))
+        self.table.observe(RECORD, 1.0)
+        self.assertEqual(self.usable(), [])
+        self.table.observe(replace(RECORD, incarnation=8), 2.0)
+        self.assertEqual(self.usable(), ["s1"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -78,6 +78,13 @@
     Router,
     StickyRouter,
 )
+from wasabistage.routing._silence import (
+    SilenceDetector,
+    SilenceQuery,
+    WorkEnded,
+    WorkHeard,
+    WorkSent,
+)
 
 __all__ = [
     "BaseHealthPolicy",
@@ -90,16 +97,16 @@
     "EstimateQuery",
     "FetchDone",
     "FetchProgress",
-    "GIVE_UP",
     "FirstToken",
     "FirstTokenEstimator",
+    "GIVE_UP",
     "Health",
     "HealthChanged",
     "HealthPolicy",
     "HealthQuery",
+    "KeepFetching",
     "LeastLoadedRouter",
     "LeastOutstandingRouter",
-    "KeepFetching",
     "LinkQueue",
     "LoadReport",
     "MemoryPromised",
@@ -124,8 +131,13 @@
     "ServerLeaving",
     "ServerRemoved",
     "ServerSeen",
+    "SilenceDetector",
+    "SilenceQuery",
     "StickyRouter",
     "UNKNOWN_SERVER",
+    "WorkEnded",
+    "WorkHeard",
+    "WorkSent",
     "link_name",
     "order_stores",
 ]
