--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -20,9 +20,9 @@
     SilenceDetector,
 )
 
-#: Part of the time until a removed key must be dead for which keys are trusted; the
-#: rest covers requests that wait and the way to the server.
-TRUST_SHARE = 0.6
+#: Part of the time until a removed key must be dead for which keys are trusted. Their
+#: age counts from the begin of a read, so the rest covers only the caller's way here.
+TRUST_SHARE = 0.9
 PREFILL_OVERHEAD = 0.01  # seconds; first step and two hops
 MAX_SERVICES = 1024  # services with a retry budget
 
