Keep the role's imports to what its requirements pin

Cause: the gate stood in wasabistage.admission, which imports the declarations and with them pydantic; the role started only where pydantic happened to be installed.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
-from wasabistage.admission import GateQuery
 from wasabistage.cache import part_cache_key
 from wasabistage.fleet import ServerRecord
 from wasabistage.routing import (
     NO_SERVER,
     Candidate,
+    GateQuery,
     HealthQuery,
     PartCandidate,
     PartDecision,
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -5,7 +5,6 @@
 
 import trio
 
-from wasabistage.admission import TOO_LATE, Left
 from wasabistage.edge._choice import choose_server, gate_query, request_rank
 from wasabistage.edge._messages import Dispatch
 from wasabistage.fleet import RouteKind
@@ -13,11 +12,13 @@
 from wasabistage.retries import Failure
 from wasabistage.rollout import ServerOrdered, ServerVersion
 from wasabistage.routing import (
+    TOO_LATE,
     CallEnded,
     CallStarted,
     Dispatched,
     DispatchEnded,
     FirstToken,
+    Left,
     LoadReport,
     MemoryPromised,
     MemoryReturned,
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -7,7 +7,6 @@
 import random
 from collections import OrderedDict
 
-from wasabistage.admission import RankedGate
 from wasabistage.cache import PartMap
 from wasabistage.fleet import KeyFreshness, RouteTable, ServerTable
 from wasabistage.retries import WindowBudget
@@ -17,6 +16,7 @@
     HealthPolicy,
     LeastOutstandingRouter,
     PartRouter,
+    RankedGate,
     SilenceDetector,
 )
 
--- a/wasabistage/admission/tests/test_engine_gate.py
+++ b/wasabistage/routing/tests/test_engine_gate.py
@@ -1,7 +1,8 @@
 import random
 import unittest
 
-from wasabistage.admission import (
+from wasabistage.exceptions import SettingError
+from wasabistage.routing import (
     PASS,
     TOO_LATE,
     WAIT,
@@ -10,7 +11,6 @@
     OpenGate,
     RankedGate,
 )
-from wasabistage.exceptions import SettingError
 
 MEMORY = 80_000
 
