--- a/wasabistage/retries/__init__.py
+++ b/wasabistage/retries/__init__.py
@@ -17,57 +17,40 @@
 empty ``entry`` in its decision means: ask the deployment which entry to use first.
 """
 
-from wasabistage.retries._backoff import RetryBudget, backoff_delay
-from wasabistage.retries._client_retries import ClientRetryPolicy
-from wasabistage.retries._messages import (
-    ANSWER_BEGUN,
-    ATTEMPTS_SPENT,
-    BUDGET_SPENT,
-    DEADLINE_TOO_NEAR,
-    NO_SERVER,
-    NOT_IDEMPOTENT,
-    NOT_RETRYABLE,
-    OUTCOME_UNKNOWN,
-    ClientRetryQuery,
-    Failure,
-    FreshRequest,
-    ResumeStream,
-    Retry,
-    RetryQuery,
-    TryEntry,
-    TryNewKey,
-)
-from wasabistage.retries._server_retries import (
-    AlwaysRetry,
-    BaseRetryPolicy,
-    NeverRetry,
-    RetryPolicy,
-)
-from wasabistage.retries._window_budget import WindowBudget
+from wasabistage.utils import lazy_names
 
-__all__ = [
-    "ANSWER_BEGUN",
-    "ATTEMPTS_SPENT",
-    "AlwaysRetry",
-    "BUDGET_SPENT",
-    "BaseRetryPolicy",
-    "ClientRetryPolicy",
-    "ClientRetryQuery",
-    "DEADLINE_TOO_NEAR",
-    "Failure",
-    "FreshRequest",
-    "NOT_IDEMPOTENT",
-    "NOT_RETRYABLE",
-    "NO_SERVER",
-    "NeverRetry",
-    "OUTCOME_UNKNOWN",
-    "ResumeStream",
-    "Retry",
-    "RetryBudget",
-    "RetryPolicy",
-    "RetryQuery",
-    "TryEntry",
-    "TryNewKey",
-    "WindowBudget",
-    "backoff_delay",
-]
+__getattr__, __all__ = lazy_names(
+    __name__,
+    {
+        "_backoff": (
+            "RetryBudget",
+            "backoff_delay",
+        ),
+        "_client_retries": ("ClientRetryPolicy",),
+        "_messages": (
+            "ANSWER_BEGUN",
+            "ATTEMPTS_SPENT",
+            "BUDGET_SPENT",
+            "ClientRetryQuery",
+            "DEADLINE_TOO_NEAR",
+            "Failure",
+            "FreshRequest",
+            "NOT_IDEMPOTENT",
+            "NOT_RETRYABLE",
+            "NO_SERVER",
+            "OUTCOME_UNKNOWN",
+            "ResumeStream",
+            "Retry",
+            "RetryQuery",
+            "TryEntry",
+            "TryNewKey",
+        ),
+        "_server_retries": (
+            "AlwaysRetry",
+            "BaseRetryPolicy",
+            "NeverRetry",
+            "RetryPolicy",
+        ),
+        "_window_budget": ("WindowBudget",),
+    },
+)
--- a/wasabistage/sessions/__init__.py
+++ b/wasabistage/sessions/__init__.py
@@ -10,58 +10,40 @@
 The client keeps an :class:`AnswerAssembler` over all its connections.
 """
 
-from wasabistage.sessions._event_stream import EventSplitter
-from wasabistage.sessions._frames import (
-    AnswerAssembler,
-    AnswerDigest,
-    EndFrame,
-    Fault,
-    Frame,
-    FrameCheck,
-    Rejection,
-    ResumeToken,
-    Step,
-)
-from wasabistage.sessions._session_table import (
-    NO_SESSION,
-    SessionHint,
-    SessionTable,
-)
-from wasabistage.sessions._stream_ids import (
-    StreamId,
-    engine_stream_id,
-    make_stream_id,
-    parse_stream_id,
-)
-from wasabistage.sessions._stream_table import (
-    AHEAD,
-    NO_STREAM,
-    TRIMMED,
-    StreamRead,
-    StreamTable,
-)
+from wasabistage.utils import lazy_names
 
-__all__ = [
-    "AHEAD",
-    "AnswerAssembler",
-    "AnswerDigest",
-    "EndFrame",
-    "EventSplitter",
-    "Fault",
-    "Frame",
-    "FrameCheck",
-    "NO_SESSION",
-    "NO_STREAM",
-    "Rejection",
-    "ResumeToken",
-    "SessionHint",
-    "SessionTable",
-    "Step",
-    "StreamId",
-    "StreamRead",
-    "StreamTable",
-    "TRIMMED",
-    "engine_stream_id",
-    "make_stream_id",
-    "parse_stream_id",
-]
+__getattr__, __all__ = lazy_names(
+    __name__,
+    {
+        "_event_stream": ("EventSplitter",),
+        "_frames": (
+            "AnswerAssembler",
+            "AnswerDigest",
+            "EndFrame",
+            "Fault",
+            "Frame",
+            "FrameCheck",
+            "Rejection",
+            "ResumeToken",
+            "Step",
+        ),
+        "_session_table": (
+            "NO_SESSION",
+            "SessionHint",
+            "SessionTable",
+        ),
+        "_stream_ids": (
+            "StreamId",
+            "engine_stream_id",
+            "make_stream_id",
+            "parse_stream_id",
+        ),
+        "_stream_table": (
+            "AHEAD",
+            "NO_STREAM",
+            "StreamRead",
+            "StreamTable",
+            "TRIMMED",
+        ),
+    },
+)
