--- a/wasabistage/edge/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -4,8 +4,8 @@
 import trio
 
 from standins.users_platform import Behaviour
-from wasabistage.edge.tests.edge_case import PROMPT, EdgeCase
 from wasabistage.http1 import ChannelError, HttpClient, open_channel
+from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
 
