--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -36,8 +36,6 @@
     """Where lasting facts live."""
 
     store: str
-    #: Milliseconds a server's entry may be silent before it vanishes; three beats.
-    beat_ms: float = 1200.0
 
 
 class PeersSection(msgspec.Struct):
@@ -51,8 +49,6 @@
 
     #: From a key's removal until nothing sent with it may run.
     key_removal_ms: float = 5000.0
-    #: From a configuration's acceptance until it is in force.
-    configuration_ms: float = 2000.0
     #: Repeats that all entries may send, per request.
     retry_ratio: float = 0.2
     #: Repeats that all entries may send besides.
@@ -154,7 +150,7 @@
 
     :raises SettingError: if there is one.
     """
-    for section in (settings.bounds, settings.engines, settings.records):
+    for section in (settings.bounds, settings.engines):
         for name in section.__struct_fields__:
             value = getattr(section, name)
             if isinstance(value, int | float) and value <= 0:
--- a/wasabistage/edge/tests/test_settings.py
+++ b/wasabistage/edge/tests/test_settings.py
@@ -20,7 +20,9 @@
 
 [records]
 store = 127.0.0.1:8587
-beat_ms =
+
+[bounds]
+stop_s =
 """
 
 
@@ -34,7 +36,7 @@
     def test_good_file_with_defaults(self):
         settings = self.load(GOOD)
         self.assertEqual(settings.listen.gossip_port, 7260)
-        self.assertEqual(settings.records.beat_ms, 1200.0)
+        self.assertEqual(settings.bounds.stop_s, 8.0)
 
     def test_each_fault_is_one_clear_line(self):
         cases = {
@@ -43,7 +45,7 @@
             GOOD.replace("7260", "many"): "gossip_port",
             GOOD.replace("ip = 127.0.0.1\n", ""): "ip",
             GOOD.replace("127.0.0.1:8587", "nowhere"): "IP:PORT",
-            GOOD + "[bounds]\nstop_s = -1\n": "stop_s above 0",
+            GOOD.replace("stop_s =", "stop_s = -1"): "stop_s above 0",
             "no section": "can't be read",
         }
         for text, expected in cases.items():
