--- a/wasabistage/routing/_engine_gate.py
+++ b/wasabistage/routing/_engine_gate.py
@@ -118,7 +118,7 @@
         memory_shares=(1.0, 0.92, 0.82),
         backlog_limits=(0.5, 0.3, 0.08),
         patience_share=0.9,
-        late_limit=3.0,
+        late_limit=1.2,
     ):
         self.memory_shares = memory_shares
         self.backlog_limits = backlog_limits
