--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -259,15 +259,24 @@
     return error
 
 
-def run_edge(path, platform):
-    """Run an edge process until it is told to stop.
+def check_edge(path):
+    """Read the settings of an edge process; end the process if they are bad.
 
-    :param path: path of its settings, an INI file.
-    :param platform: makes the :class:`PlatformAdapter` from a timer service.
+    :param path: path of the settings, an INI file.
+    :return: an :class:`EdgeSettings`.
     """
     try:
-        settings = load_edge_settings(path)
+        return load_edge_settings(path)
     except SettingError as error:
         print(f"bad_setting: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+
+
+def run_edge(path, platform):
+    """Run an edge process until it is told to stop.
+
+    :param path: path of its settings, an INI file.
+    :param platform: makes the :class:`PlatformAdapter` from a timer service.
+    """
+    settings = check_edge(path)
     trio.run(EdgeProcess(settings, path, platform).run)
--- a/wasabistage/platform/__main__.py
+++ b/wasabistage/platform/__main__.py
@@ -1,4 +1,8 @@
-"""Run one edge process on the users' platform: ``python -m wasabistage.platform``."""
+"""Run one edge process on the users' platform.
+
+``python -m wasabistage.platform [--check] [SETTINGS]``; with ``--check`` the settings
+are only read, and the exit code says whether they are good.
+"""
 
 import os
 import sys
@@ -10,18 +14,25 @@
 
 def main():
     """Run until told to stop."""
+    words = sys.argv[1:]
+    only_check = "--check" in words
+    paths = [word for word in words if word != "--check"]
     load_alone()
     # trio is loaded by now, without a child process.
-    from wasabistage.edge._process import run_edge
+    from wasabistage.edge._process import check_edge, run_edge
     from wasabistage.platform._adapter import UsersPlatform
 
-    path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE)
-    if not path:
+    path = paths[0] if paths else os.environ.get(SETTINGS_VARIABLE)
+    if not path or len(paths) > 1:
         print(
-            f"bad_setting: no settings file; give its path or set {SETTINGS_VARIABLE}",
+            f"bad_setting: no settings file; give one path or set {SETTINGS_VARIABLE}",
             file=sys.stderr,
         )
         sys.exit(2)
+    if only_check:
+        check_edge(path)
+        print(f"{path}: good")
+        return
     run_edge(path, UsersPlatform)
 
 
--- a/wasabistage/platform/tests/test_footprint.py
+++ b/wasabistage/platform/tests/test_footprint.py
@@ -36,6 +36,19 @@
         )
         self.assertEqual(set(result.stdout.split()) - allowed, set())
 
+    def test_bad_settings_end_the_start_with_one_line(self):
+        for words in ([], ["--check"]):
+            result = subprocess.run(
+                [sys.executable, "-m", "wasabistage.platform", *words, "missing.ini"],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+            self.assertEqual(result.returncode, 2)
+            self.assertTrue(result.stderr.startswith("bad_setting: missing.ini"))
+            self.assertEqual(len(result.stderr.splitlines()), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
