--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -4,7 +4,7 @@
 import trio
 
 from wasabistage.edge._choice import choose_service
-from wasabistage.edge._forward import Exchange
+from wasabistage.edge._exchange import Exchange
 from wasabistage.edge._messages import BadRequestError
 from wasabistage.fleet import (
     NO_CONFIGURATION,
--- /dev/null
+++ b/wasabistage/edge/_exchange.py
@@ -0,0 +1,78 @@
+"""One request on its way: what is known of it, and its attempts."""
+
+from dataclasses import dataclass, field
+
+from wasabistage.retries import Failure
+from wasabistage.sessions import EventSplitter
+
+
+@dataclass
+class Attempt:
+    """One dispatch of a request.
+
+    :param choice: the :class:`wasabistage.edge._choice.Choice`.
+    :param name: id of the attempt within this process.
+    :param begun_at: when it began, monotonic seconds.
+    :param failure: a :class:`wasabistage.retries.Failure`; ``None`` when answered.
+    :param reason: what happened.
+    :param answer: whole plain answer (head, body) that the server gave, if any.
+    :param retry_after: seconds that the server named, or ``None``.
+    :param first: seconds to its first event, or ``None``.
+    :param is_version_mismatch: whether the server runs another weight version than
+        was expected.
+    :param is_misdirected: whether another server had the address.
+    """
+
+    choice: object
+    name: str
+    begun_at: float
+    failure: Failure | None = None
+    reason: str = ""
+    answer: tuple | None = None
+    retry_after: float | None = None
+    first: float | None = None
+    is_version_mismatch: bool = False
+    is_misdirected: bool = False
+
+
+@dataclass
+class Exchange:
+    """A request and what became of it.
+
+    :param request: the :class:`CallerRequest`.
+    :param route: its :class:`wasabistage.fleet.Route`.
+    :param account: its :class:`wasabistage.fleet.ClientAccount`, or ``None``.
+    :param service: name of the service that takes it.
+    :param channel: the :class:`wasabistage.http1.CallerChannel`.
+    :param nursery: nursery of the request, for what runs beside it.
+    :param deadline_at: when it must be answered, monotonic seconds.
+    :param attempts: list of :class:`Attempt`.
+    :param may_have_run: whether a server may have run it.
+    :param splitter: events passed on so far.
+    :param waits: looks at the gate that found no room.
+    """
+
+    request: object
+    route: object
+    account: object
+    service: str
+    channel: object
+    nursery: object
+    deadline_at: float
+    attempts: list = field(default_factory=list)
+    may_have_run: bool = False
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    waits: int = 0
+
+    def time_left(self, now):
+        """Return the seconds until the deadline."""
+        return self.deadline_at - now
+
+    @property
+    def servers(self):
+        """Ids of the servers that got the request."""
+        return {
+            item.choice.record.server
+            for item in self.attempts
+            if item.failure is not Failure.NOT_SENT and not item.is_misdirected
+        }
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -1,11 +1,11 @@
 """Passes one request on: attempts, their outcomes, and the answer."""
 
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 
 import trio
 
 from wasabistage.edge._choice import choose_server, gate_query, request_rank
+from wasabistage.edge._exchange import Attempt
 from wasabistage.edge._messages import Dispatch
 from wasabistage.fleet import RouteKind
 from wasabistage.http1 import ChannelError, ChannelPool, NotSentError
@@ -27,11 +27,11 @@
     WorkHeard,
     WorkSent,
 )
-from wasabistage.sessions import EventSplitter
 
 CONNECT_TIMEOUT = 0.25  # seconds; a handshake takes some milliseconds
 MAX_CONNECTS = 4  # servers tried for a channel, of which none got the request
 MAX_BODY_BYTES = 1 << 20  # bytes of a plain answer that are held until it is whole
+MAX_POOLS = 4096  # servers with kept channels; twice the largest deployment
 SHORT_BODY_BYTES = 16384  # bytes; fit into a new channel's window
 GATE_LOOK = 0.015  # seconds between two looks whether an engine has room
 FETCH_TIME = 2.5  # seconds; a transfer that waits over two is not started
@@ -41,78 +41,6 @@
 NOT_RUN_RETRY = 0.15  # seconds until a server that was full has some room
 
 
-@dataclass
-class Attempt:
-    """One dispatch of a request.
-
-    :param choice: the :class:`wasabistage.edge._choice.Choice`.
-    :param name: id of the attempt within this process.
-    :param begun_at: when it began, monotonic seconds.
-    :param failure: a :class:`wasabistage.retries.Failure`; ``None`` when answered.
-    :param reason: what happened.
-    :param answer: whole plain answer (head, body) that the server gave, if any.
-    :param retry_after: seconds that the server named, or ``None``.
-    :param first: seconds to its first event, or ``None``.
-    :param is_version_mismatch: whether the server runs another weight version than
-        was expected.
-    :param is_misdirected: whether another server had the address.
-    """
-
-    choice: object
-    name: str
-    begun_at: float
-    failure: Failure | None = None
-    reason: str = ""
-    answer: tuple | None = None
-    retry_after: float | None = None
-    first: float | None = None
-    is_version_mismatch: bool = False
-    is_misdirected: bool = False
-
-
-@dataclass
-class Exchange:
-    """A request and what became of it.
-
-    :param request: the :class:`CallerRequest`.
-    :param route: its :class:`wasabistage.fleet.Route`.
-    :param account: its :class:`wasabistage.fleet.ClientAccount`, or ``None``.
-    :param service: name of the service that takes it.
-    :param channel: the :class:`wasabistage.http1.CallerChannel`.
-    :param nursery: nursery of the request, for what runs beside it.
-    :param deadline_at: when it must be answered, monotonic seconds.
-    :param attempts: list of :class:`Attempt`.
-    :param may_have_run: whether a server may have run it.
-    :param splitter: events passed on so far.
-    :param waits: looks at the gate that found no room.
-    """
-
-    request: object
-    route: object
-    account: object
-    service: str
-    channel: object
-    nursery: object
-    deadline_at: float
-    attempts: list = field(default_factory=list)
-    may_have_run: bool = False
-    splitter: EventSplitter = field(default_factory=EventSplitter)
-    waits: int = 0
-
-    def time_left(self, now):
-        """Return the seconds until the deadline."""
-        return self.deadline_at - now
-
-    @property
-    def servers(self):
-        """Ids of the servers that got the request."""
-        return {
-            item.choice.record.server
-            for item in self.attempts
-            if item.failure is not Failure.NOT_SENT and not item.is_misdirected
-        }
-
-
 class Forwarder:
     """Sends requests to backend servers and passes their answers on.
 
@@ -281,6 +209,8 @@
                 yield scope
             finally:
                 scopes.discard(scope)
+                if not scopes:
+                    self.state.movable.pop(server, None)
 
     def _note_start(self, exchange, attempt, now):
         state, plan = self.state, attempt.choice.plan
@@ -350,6 +280,8 @@
     def _pool(self, address):
         if address not in self.state.pools:
             host, _, port = address.rpartition(":")
+            if len(self.state.pools) >= MAX_POOLS:
+                self.state.pools.pop(next(iter(self.state.pools))).close()
             pool = ChannelPool((host, int(port)), CONNECT_TIMEOUT)
             self.state.pools[address] = pool
         return self.state.pools[address]
@@ -473,8 +405,7 @@
 
     async def _pass_stream(self, exchange, attempt, channel, head):
         """Pass a stream of events on as they come."""
-        caller = exchange.channel
-        splitter = exchange.splitter
+        caller, splitter = exchange.channel, exchange.splitter
         if not caller.started:
             headers = self.state.platform.encode_answer_headers(head)
             framed = [*headers, (b"Transfer-Encoding", b"chunked")]
