--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -67,6 +67,7 @@
         self.callers = CallerDesk(self.state, Forwarder(self.state))
         self.directory = DirectoryDesk(self.state)
         self.listener_scope = trio.CancelScope()
+        self.settings_changed_at = None
 
     async def run(self):
         """Run until drained."""
@@ -212,7 +213,7 @@
         except OSError as error:
             self.state.log.write("settings_missing", reason=str(error))
             return
-        if changed_at != getattr(self, "settings_changed_at", changed_at):
+        if self.settings_changed_at not in (None, changed_at):
             self._reload()
         self.settings_changed_at = changed_at
 
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -83,6 +83,9 @@
             incarnation,
             turn_time=bounds.order_turn_ms / 1000.0,
         ).reset()
+        #: The :class:`GossipTask` and :class:`FactsClient`, set by the process.
+        self.gossip = None
+        self.facts = None
         self.budgets = OrderedDict()
         self.peers = {}
         self.pools = {}
