--- a/binary/build.py
+++ b/binary/build.py
@@ -61,8 +61,6 @@
         ENVIRONMENT / "bin" / "pyinstaller",
         "--noconfirm",
         "--log-level=WARN",
-        # Some packages load their modules on use, which the analysis does not see.
-        "--collect-submodules=wasabistage",
         f"--distpath={GATHERED.parent}",
         f"--workpath={BUILD / 'work'}",
         SOURCES / "wasabistage.spec",
