Let streams outlive the closing of the listener; begin none shortly before the end

A stream that begins late may also outlast the time to stop. Change: the accepting has a scope of its own; with less than 0.63 of the time to stop left a stream is refused as not run and its caller goes to another entry.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -11,6 +11,7 @@
     NO_ROUTE,
     STALE_KEYS,
     CallerLimits,
+    RouteKind,
 )
 from wasabistage.http1 import CallerChannel, CallerGoneError
 
@@ -18,8 +19,10 @@
 MAX_ADDRESSES = 64  # addresses that callers read of an answer
 WAIT_FOR_CONFIGURATION = 0.3  # seconds until a starting entry may have read it
 WAIT_FOR_KEYS = 0.5  # seconds until the keys may have been confirmed
-#: Seconds that the way to the caller may take beyond the route's time.
-FINAL_ANSWER_MARGIN = 0.02
+WAIT_FOR_OTHER_ENTRY = 0.1  # seconds; the other entries take requests at once
+#: Share of the time to stop that must be left for a stream to begin; the longest
+#: streams of the sheets take five of eight seconds.
+LAST_STREAM_SHARE = 0.63
 
 
 class CallerDesk:
@@ -109,6 +112,8 @@
             if route.is_(NO_ROUTE) and not state.is_ready and not state.is_draining:
                 return None, None, (503, "still starting", WAIT_FOR_CONFIGURATION)
             return None, None, (404, route.reason, None)
+        if self._ends_too_soon(route, now):
+            return None, None, (503, "the entry stops", WAIT_FOR_OTHER_ENTRY)
         if state.routes.configuration.accounts and not route.is_anonymous:
             fresh = state.freshness.decide(now)
             if not fresh:
@@ -118,6 +123,14 @@
             return None, None, (401, caller.reason, None)
         return route, caller, None
 
+    def _ends_too_soon(self, route, now):
+        """Tell whether this process may end before a stream does that begins now."""
+        state = self.state
+        if state.stops_at is None or route.kind is not RouteKind.STREAM:
+            return False
+        left = state.stops_at - now
+        return left < LAST_STREAM_SHARE * state.settings.bounds.stop_s
+
     async def _forward(self, channel, request, route, caller):
         """Forward a request until its time is over or its caller is gone."""
         state = self.state
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -66,7 +66,8 @@
         self.state.facts = FactsClient(self.state)
         self.callers = CallerDesk(self.state, Forwarder(self.state))
         self.directory = DirectoryDesk(self.state)
-        self.listener_scope = trio.CancelScope()
+        #: Ends the accepting of callers' channels.
+        self.accepting = trio.CancelScope()
         self.settings_changed_at = None
 
     async def run(self):
@@ -137,13 +138,8 @@
 
     async def _listen(self, nursery, address, serve, is_public=False):
         sock = await listen(address)
-        run = partial(serve_channels, sock, serve, self._note_error)
-        nursery.start_soon(self._accept, sock, run, is_public)
-
-    async def _accept(self, sock, run, is_public):
-        scope = self.listener_scope if is_public else trio.CancelScope()
-        with sock, scope:
-            await run()
+        accepting = self.accepting if is_public else None
+        nursery.start_soon(serve_channels, sock, serve, self._note_error, accepting)
 
     def _note_error(self, error):
         self.state.metrics.count("task.failure", label=type(error).__name__)
@@ -232,6 +228,7 @@
         """Leave the directory, finish what is under way, then end."""
         state = self.state
         state.is_draining = True
+        state.stops_at = state.timer.now() + self.settings.bounds.stop_s
         await state.gossip.tell()
         stop_after = self.settings.bounds.stop_s * (1.0 - FINAL_SHARE)
         begun = trio.current_time()
@@ -244,7 +241,7 @@
                 idle_since = trio.current_time()
             elif trio.current_time() - idle_since > 3.0 * IDLE_BEFORE_END:
                 break
-        self.listener_scope.cancel()
+        self.accepting.cancel()
         for channel in list(self.callers.channels):
             if channel.idle:
                 channel.close()
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -91,6 +91,8 @@
         self.pools = {}
         self.open_requests = 0
         self.is_draining = False
+        #: When this process must have ended, monotonic seconds; only while draining.
+        self.stops_at = None
         self.servers_read = False
         self.server_clock_offset = None
 
--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -211,12 +211,14 @@
     return sock
 
 
-async def serve_channels(sock, serve, on_error):
+async def serve_channels(sock, serve, on_error, accepting=None):
     """Accept channels and serve each in a task of its own, until cancelled.
 
-    :param sock: a listening trio socket.
+    :param sock: a listening trio socket; closed once no more channels are accepted.
     :param serve: asynchronous function that takes the accepted socket.
     :param on_error: function that takes an exception of one channel's task.
+    :param accepting: a :class:`trio.CancelScope` that ends the accepting alone; the
+        channels that were accepted are served to their end.
     """
 
     async def guard(accepted):
@@ -229,11 +231,12 @@
             accepted.close()
 
     async with trio.open_nursery() as nursery:
-        while True:
-            try:
-                accepted, _ = await sock.accept()
-            except OSError as error:
-                on_error(error)
-                await trio.sleep(ACCEPT_PAUSE)
-                continue
-            nursery.start_soon(guard, accepted)
+        with sock, accepting or trio.CancelScope():
+            while True:
+                try:
+                    accepted, _ = await sock.accept()
+                except OSError as error:
+                    on_error(error)
+                    await trio.sleep(ACCEPT_PAUSE)
+                    continue
+                nursery.start_soon(guard, accepted)
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -218,6 +218,41 @@
         self.play(test)
 
 
+class DrainTest(EdgeCase):
+    bounds = {"stop_s": 3.0}
+
+    def test_stream_under_way_outlives_the_last_accepted_channel(self):
+        async def test():
+            for server in self.platform.engines:
+                server.behaviour = Behaviour(events=10, pause=0.25)
+            replies = []
+
+            async def call():
+                replies.append(await self.call(b"/chat/x", *PROMPT, method=b"POST"))
+
+            self.nursery.start_soon(call)
+            await self.until(lambda: any(s.runs for s in self.platform.engines))
+            await self.edge._drain()
+            await self.until(lambda: replies)
+            self.assertEqual(replies[0].body.count(b"\n\n"), 10)
+
+        self.play(test)
+
+    def test_stream_that_would_be_cut_is_refused_and_a_short_call_served(self):
+        async def test():
+            self.nursery.start_soon(self.edge._drain)
+            await trio.sleep(0.1)
+            reply = await self.call(b"/chat/x", *PROMPT, method=b"POST")
+            self.assertEqual(reply.status, 200)
+            await trio.sleep(1.2)
+            reply = await self.call(b"/chat/x", *PROMPT, method=b"POST")
+            self.assertEqual(reply.status, 503)
+            self.assertIn(b"retry-after", reply.fields)
+            self.assertEqual((await self.call(b"/read/x")).status, 200)
+
+        self.play(test)
+
+
 class DirectoryTest(EdgeCase):
     def test_addresses_and_readiness(self):
         async def test():
