Count a prompt for at most a quarter of an engine's memory at the gate

Change: size counts up to a quarter of the memory, for room and for who passes whom. Two tests fail before and pass after.

--- a/wasabistage/routing/_engine_gate.py
+++ b/wasabistage/routing/_engine_gate.py
@@ -105,6 +105,8 @@
 
     :param memory_shares: share of an engine's memory that may be promised, by rank;
         the last one holds for all lower ranks.
+    :param size_share: share of an engine's memory for which one prompt counts at most;
+        otherwise the longest would wait for an engine that shorter ones always fill.
     :param backlog_limits: seconds of computing that may stand before a prompt, by
         rank.
     :param patience_share: share of a caller's patience within which the first token
@@ -116,11 +118,13 @@
         self,
         *,
         memory_shares=(1.0, 0.92, 0.82),
+        size_share=0.25,
         backlog_limits=(0.5, 0.3, 0.08),
         patience_share=0.9,
         late_limit=1.2,
     ):
         self.memory_shares = memory_shares
+        self.size_share = size_share
         self.backlog_limits = backlog_limits
         self.patience_share = patience_share
         self.late_limit = late_limit
@@ -150,7 +154,8 @@
     def _has_room(self, query):
         room = limit_of(self.memory_shares, query.rank) * query.memory
         # An engine without work takes a prompt of any size.
-        fits = query.promised + query.size <= room or not query.promised
+        size = min(query.size, self.size_share * query.memory)
+        fits = query.promised + size <= room or not query.promised
         return fits and query.backlog <= limit_of(self.backlog_limits, query.rank)
 
     def _key(self, query, now):
@@ -161,9 +166,14 @@
         return any(
             self._key(other, now) < key
             for other in self.waiting_.values()
-            if other.request != query.request and other.size <= query.size
+            if other.request != query.request and self._counts_less(other, query)
         )
 
+    def _counts_less(self, other, query):
+        """Tell whether an engine with room for a prompt has room for the other."""
+        most = self.size_share * query.memory
+        return min(other.size, most) <= min(query.size, most)
+
 
 def limit_of(limits, rank):
     """Return the limit of a rank; the last one holds for all lower ranks."""
--- a/wasabistage/routing/tests/test_engine_gate.py
+++ b/wasabistage/routing/tests/test_engine_gate.py
@@ -47,6 +47,18 @@
         urgent = ask("u", rank=0, size=900, promised=promised)
         self.assertIs(self.gate.decide(urgent, 0.0), PASS)
 
+    def test_longest_prompts_find_room_where_long_ones_do(self):
+        promised = int(0.55 * MEMORY)
+        for size in (12_000, 20_000, 36_000):
+            query = ask(str(size), size=size, promised=promised)
+            self.assertIs(self.gate.decide(query, 0.0), PASS)
+
+    def test_longest_prompt_that_waits_is_not_passed_by_long_ones(self):
+        longest = ask("longest", size=36_000, promised=MEMORY)
+        self.assertIs(self.gate.decide(longest, 0.0), WAIT)
+        later = ask("later", size=21_000, arrived_at=0.1)
+        self.assertIs(self.gate.decide(later, 0.1), WAIT)
+
     def test_long_prompts_go_one_after_the_other(self):
         self.assertIs(self.gate.decide(ask(backlog=0.14), 0.0), WAIT)
         self.assertIs(self.gate.decide(ask(backlog=0.02), 0.1), PASS)
