Bring engines to a version in time when the holder of the orders halts

What was sent to an old engine shortly before the cut-off could begin after it. Ruled out: late records and lost gossip (all entries knew the version 50 ms after its acknowledgement). Found on the way: the age of a version began anew with each later version, though each is due from its own acknowledgement; an entry that starts within a change counted from its own start.

Change: the record is appended per engine right before its order; engines that another holder may have ordered lately are passed over, not waited for; the age counts per engine from the first version that it lacks, and entries tell it each other while an engine is behind; an engine on an older version gets no prompt that can't begin there in time. The test that had the age begin anew with each version contradicted the protocol; two stricter ones replace it.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -1,5 +1,6 @@
 """Builds the questions that routing answers for one request."""
 
+import math
 from dataclasses import dataclass
 
 from wasabistage.cache import part_cache_key
@@ -121,8 +122,9 @@
         version = state.swap.version(record.server, prompt.model)
         if version is None or state.swap.is_ordered(record.server, now):
             continue
-        penalty = version_penalty(state, route, prompt, record.server, soon, now)
-        if penalty is None:
+        age = state.swap.age(record.server, prompt.model, now)
+        begins_within = version_time_left(state, age)
+        if begins_within <= 0:
             continue
         candidates.append(
             PartCandidate(
@@ -133,7 +135,10 @@
                 weight=weights[record.server],
                 failure_domain=record.failure_domain,
                 memory_tokens=spec.engine.memory_tokens,
-                penalty=penalty,
+                penalty=version_penalty(
+                    route, prompt, age, loads_soon=record.server in soon
+                ),
+                begins_within=begins_within,
             )
         )
     query = PartQuery(
@@ -154,19 +159,27 @@
     return Choice(record=record, plan=decision)
 
 
-def version_penalty(state, route, prompt, server, soon, now):
+def version_time_left(state, age):
+    """Return the time in which a run may still begin on an older weight version.
+
+    :param age: for how long an engine has been behind, in seconds; 0 if it isn't.
+    :return: seconds; infinite for an engine that runs the named version.
+    """
+    if not age:
+        return math.inf
+    return OLD_VERSION_SHARE * state.settings.bounds.version_ms / 1000.0 - age
+
+
+def version_penalty(route, prompt, age, *, loads_soon):
     """Return the seconds that count against an engine for its weight version.
 
-    :param soon: ids of the engines that load the named version next.
-    :return: seconds, or ``None`` if the engine may not be used any more.
+    :param age: for how long it has been behind, in seconds; 0 if it isn't.
+    :param loads_soon: whether it is among those that load the named version next.
     """
-    if not state.swap.is_behind(server, prompt.model):
+    if not age:
         return 0.0
-    age = state.swap.age(prompt.model, now)
-    if age > OLD_VERSION_SHARE * state.settings.bounds.version_ms / 1000.0:
-        return None
     penalty = OLD_VERSION_PENALTY * route.objective if age > OLD_VERSION_GRACE else 0.0
-    if server in soon:
+    if loads_soon:
         penalty += LOADS_SOON_PENALTY * prompt.output_tokens
     return penalty
 
--- a/wasabistage/edge/_orders.py
+++ b/wasabistage/edge/_orders.py
@@ -43,6 +43,7 @@
         self.nursery = None
         self.current_since = {}
         self.denied = ""
+        self.claiming = trio.Lock()
 
     async def run(self):
         """Order until cancelled."""
@@ -55,7 +56,8 @@
     async def _look(self):
         state, now = self.state, self.state.timer.now()
         candidates = self._candidates()
-        swaps = state.swap.decide(SwapQuery(candidates=candidates), now)
+        query = SwapQuery(candidates=candidates, barred=state.lease.barred(now))
+        swaps = state.swap.decide(query, now)
         wanted = tuple(swap.server for swap in swaps)
         query = WaveQuery(servers=wanted, place=self._place())
         claim = state.lease.decide(query, now)
@@ -66,8 +68,6 @@
             self._note_denied(claim.reason, wanted)
             return
         self.denied = ""
-        if not await self._claim(claim):
-            return
         for swap in swaps:
             if swap.server in claim.servers:
                 state.swap.observe(ServerOrdered(server=swap.server), now)
@@ -113,8 +113,23 @@
         order = sorted([*names, own], key=lambda name: (name != last, name))
         return order.index(own)
 
-    async def _claim(self, claim):
-        """Append the record of a wave; return whether this entry may order."""
+    async def _claim(self, server):
+        """Append a record that names a server; return whether it may be ordered.
+
+        It is appended right before the order: a holder that halts between the two
+        keeps its successor from the server for the whole turn.
+        """
+        state = self.state
+        async with self.claiming:
+            # The wait for this entry's turn was over before it kept work away.
+            query = WaveQuery(servers=(server,), place=0)
+            claim = state.lease.decide(query, state.timer.now())
+            if not claim:
+                self._note_denied(claim.reason, (server,))
+                return False
+            return await self._append(claim)
+
+    async def _append(self, claim):
         state = self.state
         name, begun_at = state.settings.instance.name, state.timer.now()
         value = OrderRecord(
@@ -170,6 +185,8 @@
         if version >= swap.version:
             self._note_version(record, swap.model, version)
             return True
+        if not await self._claim(swap.server):
+            return False
         if not await self._send(record, swap, report):
             return False
         await self._wait_loaded(record, swap)
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from wasabistage.rollout import ServerOrdered, ServerVersion
+from wasabistage.rollout import ServerOrdered, ServerVersion, VersionNamed
 from wasabistage.routing import PeerDispatched, PeerMemory
 
 GOSSIP_PERIOD = 0.2  # seconds between two datagrams to a peer
@@ -32,6 +32,8 @@
     :param promised: dict of server to memory promised to requests now, in tokens.
     :param ordering: servers that it has ordered to load a version and that haven't yet.
     :param versions: rows of server, incarnation, model, version learned lately.
+    :param named: rows of model, version, seconds since it was named, for versions that
+        some engine doesn't run yet.
     :param known: addresses of the entries that it knows.
     :param has_store: whether it reaches the store of records.
     """
@@ -47,6 +49,7 @@
     promised: dict[str, int] = {}
     ordering: list[str] = []
     versions: list[tuple[str, int, str, int]] = []
+    named: list[tuple[str, int, float]] = []
     known: list[str] = []
 
 
@@ -141,6 +144,7 @@
             promised=self.state.part_router.promised_,
             ordering=sorted(self.ordering),
             versions=self.versions[-64:],
+            named=self.state.swap.ages(self.state.timer.now()),
             known=sorted(ips)[:64],
         )
         self.sent, self.versions = {}, []
@@ -199,6 +203,9 @@
         self.state.part_router.observe(memory, now)
         for server in report.ordering:
             self.state.swap.observe(ServerOrdered(server=server), now)
+        for model, version, age in report.named:
+            event = VersionNamed(model=model, version=version, age=age)
+            self.state.swap.observe(event, now)
         for server, incarnation, model, version in report.versions:
             event = ServerVersion(
                 server=server, incarnation=incarnation, model=model, version=version
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -4,7 +4,10 @@
 import trio
 
 from standins.users_platform import Behaviour
+from wasabistage.edge._orders import LEAD_TIME
+from wasabistage.fleet import Topic
 from wasabistage.http1 import ChannelError, HttpClient, open_channel
+from wasabistage.platform._store import TOPICS
 from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
@@ -180,6 +183,19 @@
 
         self.play(test)
 
+    def test_record_of_an_order_is_written_right_before_the_order(self):
+        async def test():
+            self.platform.store.put("version/m", {"model": "m", "version": 2})
+            topics = self.platform.store.topics
+            with trio.fail_after(4.0):
+                await self.until(lambda: topics.get(TOPICS[Topic.ORDERS]))
+            with trio.fail_after(LEAD_TIME / 2):
+                await self.until(
+                    lambda: any(s.version == 2 for s in self.platform.engines)
+                )
+
+        self.play(test)
+
     def test_named_version_is_ordered_and_then_used(self):
         async def test():
             named = {"model": "m", "version": 2}
--- a/wasabistage/rollout/_order_lease.py
+++ b/wasabistage/rollout/_order_lease.py
@@ -192,6 +192,16 @@
         holder, at = self.ordered_.get(server, (self.holder, now))
         return holder == self.holder or now >= at + self.lease + self.turn_time
 
+    def barred(self, now):
+        """Return the servers that another holder may have ordered too lately.
+
+        :param now: monotonic time, in seconds.
+        :return: frozenset of ids.
+        """
+        return frozenset(
+            server for server in self.ordered_ if not self._may_order(server, now)
+        )
+
     def may_send(self, server, now):
         """Tell whether an order may leave now.
 
--- a/wasabistage/rollout/_swap.py
+++ b/wasabistage/rollout/_swap.py
@@ -5,6 +5,7 @@
 from wasabistage.base import Policy
 
 MAX_SERVERS = 4096  # twice the servers of the largest deployment
+MAX_NAMED = 64  # versions of a model whose age is kept; far above any overlap
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -13,10 +14,12 @@
 
     :param model: name of the model.
     :param version: the version.
+    :param age: how long ago it was named, as far as is known, in seconds.
     """
 
     model: str
     version: int
+    age: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -76,9 +79,11 @@
     """Asks which servers to order next.
 
     :param candidates: tuple of :class:`SwapCandidate`.
+    :param barred: ids of servers that this entry may not order yet.
     """
 
     candidates: tuple[SwapCandidate, ...]
+    barred: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -131,9 +136,7 @@
         :param now: monotonic time, in seconds.
         """
         if isinstance(event, VersionNamed):
-            if event.version > self.named_.get(event.model, 0):
-                self.named_[event.model] = event.version
-                self.named_at_[event.model] = now
+            self._name(event, now)
         elif isinstance(event, ServerVersion):
             self._see(event)
         elif isinstance(event, ServerOrdered):
@@ -144,6 +147,17 @@
             if not event.ok:
                 self.failed_[event.server] = now
 
+    def _name(self, event, now):
+        times = self.named_at_.setdefault(event.model, {})
+        at = now - event.age
+        times[event.version] = min(at, times.get(event.version, at))
+        self.named_[event.model] = max(times)
+        if len(times) > MAX_NAMED:
+            oldest = min(times)
+            at = times.pop(oldest)
+            # A server may be behind by more versions than are kept.
+            times[min(times)] = min(at, times[min(times)])
+
     def _see(self, event):
         key = (event.server, event.model)
         incarnation, version = self.versions_.get(key, (event.incarnation, 0))
@@ -169,9 +183,35 @@
         """Tell whether a server is believed to be loading a version."""
         return now < self.ordered_.get(server, float("-inf")) + self.word_time
 
-    def age(self, model, now):
-        """Return how long ago the named version of a model became known, in seconds."""
-        return now - self.named_at_.get(model, now)
+    def age(self, server, model, now):
+        """Return for how long a server has been behind.
+
+        Each version is due from its own naming on, so a later one doesn't make an
+        engine that missed the first look current.
+
+        :return: seconds since the first version newer than the server's was named, 0
+            if there is none.
+        """
+        version = self.version(server, model) or 0
+        times = self.named_at_.get(model, {})
+        return max(
+            (now - at for known, at in times.items() if known > version), default=0.0
+        )
+
+    def ages(self, now):
+        """Return the ages of the named versions that some server doesn't run yet.
+
+        :return: list of model, version and age in seconds.
+        """
+        lowest = {}
+        for (_, model), (_, version) in self.versions_.items():
+            lowest[model] = min(version, lowest.get(model, version))
+        return [
+            (model, version, now - at)
+            for model, times in self.named_at_.items()
+            for version, at in times.items()
+            if version > lowest.get(model, version)
+        ]
 
     def is_behind(self, server, model):
         """Tell whether a server runs an older version than the one named."""
@@ -188,7 +228,8 @@
         """
         loading = sum(self.is_ordered(item.server, now) for item in query.candidates)
         swaps = self.waiting(query.candidates, now)
-        return swaps[: max(0, self.at_once - loading)]
+        allowed = tuple(swap for swap in swaps if swap.server not in query.barred)
+        return allowed[: max(0, self.at_once - loading)]
 
     def waiting(self, candidates, now):
         """Return the servers that are still to be ordered, the next one first.
--- a/wasabistage/rollout/tests/test_order_lease.py
+++ b/wasabistage/rollout/tests/test_order_lease.py
@@ -72,6 +72,12 @@
         self.assertTrue(self.lease.decide(ask("s1"), 11.6).is_(TOO_SOON))
         self.assertEqual(self.lease.decide(ask("s1"), 14.6).servers, ("s1",))
 
+    def test_servers_of_another_holder_are_barred_until_the_turn_has_passed(self):
+        self.lease.observe(wave(0, "b", "s1", "s2"), 10.0)
+        self.hold(11.6, "s3")
+        self.assertEqual(self.lease.barred(11.7), {"s1", "s2"})
+        self.assertEqual(self.lease.barred(14.5), frozenset())
+
     def test_record_of_another_ends_the_own_lease_and_raises_the_number(self):
         self.lease.observe(TopicEnd(end=0), 0.0)
         self.hold(10.0, "s1")
--- a/wasabistage/rollout/tests/test_swap.py
+++ b/wasabistage/rollout/tests/test_swap.py
@@ -78,12 +78,37 @@
             self.swap.soon(reversed(SERVERS), "m"), {"s0", "s1", "s2", "s3"}
         )
 
-    def test_age_counts_from_the_newest_naming(self):
+    def test_age_counts_from_the_first_naming_that_a_server_is_behind(self):
         self.name(2, now=1.0)
         self.name(2, now=5.0)
-        self.assertEqual(self.swap.age("m", 6.0), 5.0)
+        self.assertEqual(self.swap.age("s0", "m", 6.0), 5.0)
+        self.see("s1", 2)
         self.name(3, now=6.0)
-        self.assertEqual(self.swap.age("m", 6.5), 0.5)
+        self.assertEqual(self.swap.age("s0", "m", 6.5), 5.5)
+        self.assertEqual(self.swap.age("s1", "m", 6.5), 0.5)
+        self.see("s1", 3)
+        self.assertEqual(self.swap.age("s1", "m", 7.0), 0.0)
+
+    def test_age_told_by_another_entry_counts_if_it_is_longer(self):
+        self.name(2, now=9.0)
+        event = VersionNamed(model="m", version=2, age=4.0)
+        self.swap.observe(event, 9.5)
+        self.assertEqual(self.swap.age("s0", "m", 10.0), 4.5)
+        self.swap.observe(VersionNamed(model="m", version=2, age=0.1), 10.0)
+        self.assertEqual(self.swap.age("s0", "m", 10.0), 4.5)
+
+    def test_ages_are_told_while_a_server_is_behind(self):
+        self.name(2, now=1.0)
+        self.assertEqual(self.swap.ages(3.0), [("m", 2, 2.0)])
+        for name in SERVERS:
+            self.see(name, 2)
+        self.assertEqual(self.swap.ages(3.0), [])
+
+    def test_servers_that_may_not_be_ordered_yet_hold_nobody_up(self):
+        self.name(2)
+        query = SwapQuery(candidates=QUERY.candidates, barred=frozenset({"s0", "s1"}))
+        swaps = self.swap.decide(query, 0.0)
+        self.assertEqual([item.server for item in swaps], ["s2", "s3"])
 
 
 if __name__ == "__main__":
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -1,6 +1,7 @@
 """Router for prompts whose parts lie in engines and cache stores."""
 
 import hashlib
+import math
 from dataclasses import dataclass
 
 from wasabistage.base import Policy
@@ -23,6 +24,7 @@
     :param memory_tokens: its KV cache memory, in tokens.
     :param penalty: seconds that count against it besides, for what it would cost the
         request other than time.
+    :param begins_within: seconds within which a run must begin there.
     """
 
     server: str
@@ -33,6 +35,7 @@
     failure_domain: str = ""
     memory_tokens: int = 0
     penalty: float = 0.0
+    begins_within: float = math.inf
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -112,6 +115,7 @@
     seconds: float
     score: float
     backlog: float
+    begin: float
 
 
 class PartRouter(Policy):
@@ -212,6 +216,9 @@
         if not query.candidates:
             return NO_SERVER.because("no model engine may take the prompt")
         plans = [self._plan(query, item, now) for item in query.candidates]
+        plans = [plan for plan in plans if plan.begin <= plan.candidate.begins_within]
+        if not plans:
+            return NO_SERVER.because("no model engine begins the prompt in time")
         plans.sort(key=lambda plan: (plan.score, plan.candidate.server))
         bound = plans[0].score * (1.0 + self.slack)
         tied = sum(plan.score <= bound for plan in plans)
@@ -237,8 +244,8 @@
         )
         own = self.estimator_.prefill_seconds(server, tokens, now)
         queue = estimate.queue if estimate else 0.0
-        seconds = self.estimator_.overhead + max(queue, fetch_seconds) + own
-        seconds += self._memory_wait(query, candidate)
+        begin = max(queue, fetch_seconds) + self._memory_wait(query, candidate)
+        seconds = self.estimator_.overhead + begin + own
         seconds /= max(candidate.weight, 0.01)
         return _Plan(
             candidate=candidate,
@@ -249,6 +256,7 @@
             seconds=seconds,
             score=seconds + self.work_weight * own + candidate.penalty,
             backlog=queue,
+            begin=begin,
         )
 
     def _kept(self, query, candidate):
--- a/wasabistage/routing/tests/test_part_router.py
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -77,6 +77,14 @@
         with self.assertRaises(SettingError):
             PartRouter(self.parts, work_weight=-1).reset()
 
+    def test_engine_that_begins_too_late_for_its_version_is_left(self):
+        self.router.observe(Dispatched(request="r", server="s1", tokens=85_000), 0.0)
+        late, free = candidate("s1", begins_within=0.5), candidate("s2", penalty=9.0)
+        self.assertEqual(self.ask(late, free).candidate.server, "s2")
+        self.assertFalse(self.ask(late))
+        in_time = candidate("s1", begins_within=1.5)
+        self.assertEqual(self.ask(in_time, free).candidate.server, "s1")
+
     def test_no_candidate_is_a_sentinel(self):
         query = PartQuery(parts=PARTS, prompt_tokens=10)
         self.assertFalse(self.router.decide(query, 0.0))
