End an idle channel without an error line when the process stops

Ruled out: a listener or request that failed (the places are those of recv alone). A test that failed first.

--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -113,7 +113,8 @@
     async def _receive(self):
         try:
             return await self.sock.recv(READ_BYTES)
-        except OSError as error:
+        except (OSError, trio.ClosedResourceError) as error:
+            # The second: this process closed the idle channel, since it stops.
             raise CallerGoneError from error
 
     async def wait_gone(self):
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -254,6 +254,18 @@
 
         self.play(test)
 
+    def test_idle_channel_that_is_closed_is_no_failure(self):
+        async def test():
+            host, _, port = self.edge.settings.listen.callers.rpartition(":")
+            channel = await open_channel((host, int(port)), 1.0)
+            await self.until(lambda: self.edge.callers.channels)
+            await self.edge._drain()
+            with self.assertRaises(ChannelError):
+                await channel.read_head()
+            self.assertEqual(self.events("task_failed"), [])
+
+        self.play(test)
+
     def test_stream_that_would_be_cut_is_refused_and_a_short_call_served(self):
         async def test():
             self.nursery.start_soon(self.edge._drain)
