Serve directory, facts and metrics by one loop; look for old parts once a second

Cause: three tasks repeated the loop of a channel and its error list, one of them without the list; the holder of the orders scanned all parts of all stores ten times a second. Ruled out: a loop of the callers' desk in common with these (it forwards and drains). Change: serve_answers takes a function of the request; FREE_PERIOD of 1 s.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -13,7 +13,7 @@
     CallerLimits,
     RouteKind,
 )
-from wasabistage.http1 import CallerChannel, CallerGoneError
+from wasabistage.http1 import Answer, CallerChannel, CallerGoneError, serve_answers
 
 ADDRESS_LIFETIME = 2.0  # seconds; callers leave a lost entry after that
 MAX_ADDRESSES = 64  # addresses that callers read of an answer
@@ -208,32 +208,29 @@
         :param sock: the accepted trio socket.
         """
         channel = CallerChannel(sock, self.state.timer, self.limits)
-        try:
-            while await self._serve_next(channel):
-                pass
-        except (CallerGoneError, trio.TooSlowError, h11.RemoteProtocolError):
+        if not await serve_answers(channel, self.answer):
             self.state.metrics.count("channel.ended")
 
-    async def _serve_next(self, channel):
-        request = await channel.read_request()
-        if request is None:
-            return False
+    def answer(self, request):
+        """Answer one question.
+
+        :param request: a :class:`wasabistage.http1.Request`.
+        :return: a :class:`wasabistage.http1.Answer`.
+        """
         platform = self.state.platform
         if platform.is_readiness_probe(request):
-            await channel.respond(200 if self.state.is_ready else 503, [], b"")
-            return channel.start_next()
+            return Answer(status=200 if self.state.is_ready else 503)
         if platform.decode_address_question(request) is None:
-            await channel.respond(404, [], b"")
-            return channel.start_next()
+            return Answer(status=404)
         addresses = self.addresses()
         if not addresses:
-            await channel.respond(503, [], b"")
-            return channel.start_next()
+            return Answer(status=503)
         lifetime = min(ADDRESS_LIFETIME, self.state.settings.bounds.address_lifetime_s)
-        body = platform.encode_addresses(addresses, lifetime)
-        headers = [(b"Content-Type", b"application/json")]
-        await channel.respond(200, headers, body)
-        return channel.start_next()
+        return Answer(
+            status=200,
+            headers=((b"Content-Type", b"application/json"),),
+            body=platform.encode_addresses(addresses, lifetime),
+        )
 
     def addresses(self):
         """Return the addresses of the entries that are ready, ``IP:PORT`` each."""
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -1,15 +1,14 @@
 """What the store told one entry, passed on to entries that the store turns away."""
 
-import h11
 import msgspec
-import trio
 
 from wasabistage.fleet import CallerLimits, StoredRecord, StoreError, Topic
 from wasabistage.http1 import (
+    Answer,
     CallerChannel,
-    CallerGoneError,
     ChannelError,
     HttpClient,
+    serve_answers,
 )
 
 CALL_TIMEOUT = 0.4  # seconds; peers answer in some milliseconds
@@ -51,17 +50,20 @@
         :param sock: the accepted trio socket.
         """
         channel = CallerChannel(sock, self.state.timer, self.limits)
-        try:
-            while (request := await channel.read_request()) is not None:
-                facts = self._facts(request.target)
-                status = 200 if facts is not None else 404
-                body = ENCODER.encode(facts) if facts is not None else b""
-                await channel.respond(status, [], body)
-                if not channel.start_next():
-                    return
-        except (CallerGoneError, trio.TooSlowError, h11.RemoteProtocolError):
+        if not await serve_answers(channel, self.answer):
             self.state.metrics.count("channel.ended")
 
+    def answer(self, request):
+        """Answer one question.
+
+        :param request: a :class:`wasabistage.http1.Request`.
+        :return: a :class:`wasabistage.http1.Answer`.
+        """
+        facts = self._facts(request.target)
+        if facts is None:
+            return Answer(status=404)
+        return Answer(status=200, body=ENCODER.encode(facts))
+
     def _facts(self, target):
         name = target.removeprefix(FACTS_PATH).decode("latin-1")
         watch = self.watches.get(name)
--- a/wasabistage/edge/_orders.py
+++ b/wasabistage/edge/_orders.py
@@ -30,6 +30,7 @@
 LOAD_LIMIT = 5.0  # seconds for runs to end and weights to load
 FREE_DELAY = 4.0  # seconds; longer than any fetch that was allowed may last
 FREE_GUARD = 1.0  # seconds within which a request to free must arrive
+FREE_PERIOD = 1.0  # seconds between two looks at what is to be freed
 FREE_BATCH = 500  # parts freed by one call
 
 
@@ -48,6 +49,7 @@
         self.denied = ""
         self.claiming = trio.Lock()
         self.aside_until = float("-inf")
+        self.free_at = float("-inf")
 
     async def run(self):
         """Order until cancelled."""
@@ -257,6 +259,9 @@
 
     async def _free_old(self, candidates, now):
         """Free the parts of versions that no server runs any more."""
+        if now < self.free_at:
+            return
+        self.free_at = now + FREE_PERIOD
         state = self.state
         lowest = {}
         for item in candidates:
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -26,7 +26,13 @@
 )
 from wasabistage.exceptions import SettingError
 from wasabistage.fleet import StoreError, Topic
-from wasabistage.http1 import CallerChannel, listen, serve_channels
+from wasabistage.http1 import (
+    Answer,
+    CallerChannel,
+    listen,
+    serve_answers,
+    serve_channels,
+)
 from wasabistage.routing import ServerRemoved
 from wasabistage.telemetry import BoundedLineLog, TextMetrics
 from wasabistage.timing import BootTimerService
@@ -153,12 +159,15 @@
 
     async def _serve_metrics(self, sock):
         channel = CallerChannel(sock, self.state.timer, self.directory.limits)
-        while await channel.read_request() is not None:
-            await channel.respond(
-                200, [(b"Content-Type", b"text/plain")], self.state.metrics.render()
-            )
-            if not channel.start_next():
-                return
+        if not await serve_answers(channel, self._answer_metrics):
+            self.state.metrics.count("channel.ended")
+
+    def _answer_metrics(self, request):
+        return Answer(
+            status=200,
+            headers=((b"Content-Type", b"text/plain"),),
+            body=self.state.metrics.render(),
+        )
 
     async def _register(self):
         """Tell the other entries where this one is."""
--- a/wasabistage/http1/__init__.py
+++ b/wasabistage/http1/__init__.py
@@ -14,15 +14,18 @@
 )
 from wasabistage.http1._client import HttpClient, Reply
 from wasabistage.http1._listener import (
+    Answer,
     CallerChannel,
     CallerGoneError,
     Request,
     listen,
+    serve_answers,
     serve_channels,
 )
 from wasabistage.http1._pool import ChannelPool
 
 __all__ = [
+    "Answer",
     "CallerChannel",
     "CallerGoneError",
     "Channel",
@@ -35,5 +38,6 @@
     "ResponseHead",
     "listen",
     "open_channel",
+    "serve_answers",
     "serve_channels",
 ]
--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -30,6 +30,20 @@
     begun_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """A whole response.
+
+    :param status: HTTP status.
+    :param headers: (name, value) pairs of bytes without framing.
+    :param body: bytes.
+    """
+
+    status: int
+    headers: tuple = ()
+    body: bytes = b""
+
+
 class CallerGoneError(Exception):
     """The caller closed or broke the channel."""
 
@@ -199,6 +213,25 @@
         self.sock.close()
 
 
+async def serve_answers(channel, answer):
+    """Answer the requests of a channel, one after the other, to its end.
+
+    :param channel: a :class:`CallerChannel`.
+    :param answer: function that takes a :class:`Request` and returns an
+        :class:`Answer`.
+    :return: whether the caller ended it between two requests.
+    """
+    try:
+        while (request := await channel.read_request()) is not None:
+            given = answer(request)
+            await channel.respond(given.status, list(given.headers), given.body)
+            if not channel.start_next():
+                break
+    except (CallerGoneError, trio.TooSlowError, h11.RemoteProtocolError):
+        return False
+    return True
+
+
 async def listen(address):
     """Return a listening trio socket.
 
