Read the orders' records at once when an append was overtaken

Change: an overtaken append ends the waiting read; the next one answers at once. A test that failed first; the stand-in has a topic whose waiting reads bring nothing.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -82,6 +82,7 @@
         self.is_down = False
         self.refuses_appends = False
         self.append_delay = 0.0
+        self.silent_topic = ""
         self.calls = 0
         self.appended = trio.Event()
 
@@ -89,9 +90,10 @@
         """Write a record as the operators or servers do; ``None`` drops the key."""
         encoded = key.encode()
         data = b"" if value is None else json.dumps(value).encode()
-        self._append(topic, bytes([len(encoded)]) + encoded + data)
+        self.append(topic, bytes([len(encoded)]) + encoded + data)
 
-    def _append(self, topic, data):
+    def append(self, topic, data):
+        """Append a record's bytes to a topic."""
         self.topics.setdefault(topic, []).append(data)
         self.appended.set()
         self.appended = trio.Event()
@@ -129,6 +131,8 @@
             while len(self.topics.get(fields["topic"], [])) <= start:
                 await self.appended.wait()
         records = self.topics.get(fields["topic"], [])
+        if wait and fields["topic"] == self.silent_topic:
+            records = records[:start]
         body = struct.pack(">QQ", len(records), 0)
         for data in records[start:]:
             body += struct.pack(">I", len(data)) + data
@@ -145,7 +149,7 @@
             await respond_json(channel, 412, {"end": end})
             return
         (size,) = struct.unpack_from(">I", body)
-        self._append(topic, body[4 : 4 + size])
+        self.append(topic, body[4 : 4 + size])
         await respond_json(channel, 200, {"offset": end, "end": end + 1})
 
 
--- a/wasabistage/edge/_orders.py
+++ b/wasabistage/edge/_orders.py
@@ -42,11 +42,13 @@
 
     :param state: an :class:`EdgeState`.
     :param store: a :class:`wasabistage.fleet.RecordStore`.
+    :param watch: the :class:`OrderWatch`.
     """
 
-    def __init__(self, state, store):
+    def __init__(self, state, store, watch):
         self.state = state
         self.store = store
+        self.watch = watch
         self.nursery = None
         self.current_since = {}
         self.denied = ""
@@ -173,6 +175,7 @@
             )
         except OvertakenError:
             state.log.write("order_lease_overtaken", end=claim.expected_end)
+            self.watch.look()
             return False
         except StoreError as error:
             state.log.write("order_lease_failed", reason=str(error))
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -117,7 +117,7 @@
             state.gossip.run_receiving,
             state.gossip.run_early,
             CacheWatches(state).run,
-            OrderTask(state, self.store).run,
+            OrderTask(state, self.store, running[Topic.ORDERS]).run,
             self._register,
         ]
         subscriptions = {
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -317,11 +317,21 @@
     topic = Topic.ORDERS
     wait = 20.0
 
+    def __init__(self, state, store):
+        super().__init__(state, store)
+        self.reading = trio.CancelScope()
+
     async def _read_on(self):
         # A plain topic has no newest records: it is read from its begin.
         if self.position is None:
             self.position = 0
-        await super()._read_on()
+        with trio.CancelScope() as self.reading:
+            await super()._read_on()
+
+    def look(self):
+        """Read at once: there are records that the waiting read did not bring."""
+        self.has_read = False
+        self.reading.cancel()
 
     def take(self, record, now):
         """See :meth:`RecordWatch.take`."""
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -222,6 +222,19 @@
 
         self.play(test)
 
+    def test_records_that_a_waiting_read_did_not_bring_are_read_once_overtaken(self):
+        async def test():
+            store, orders = self.platform.store, TOPICS[Topic.ORDERS]
+            store.silent_topic = orders
+            record = {"holder": "z", "incarnation": "1", "servers": ["none"]}
+            store.append(orders, json.dumps(record).encode())
+            store.put("version/m", {"model": "m", "version": 2})
+            with trio.fail_after(3.5):
+                await self.until(lambda: self.events("order_sent"))
+            self.assertTrue(self.events("order_lease_overtaken"))
+
+        self.play(test)
+
     def test_named_version_is_ordered_and_then_used(self):
         async def test():
             named = {"model": "m", "version": 2}
--- a/wasabistage/rollout/__init__.py
+++ b/wasabistage/rollout/__init__.py
@@ -68,6 +68,7 @@
         ),
         "_policy": ("RolloutPolicy",),
         "_swap": (
+            "OrderDropped",
             "ServerOrdered",
             "ServerVersion",
             "Swap",
@@ -75,7 +76,6 @@
             "SwapEnded",
             "SwapQuery",
             "VersionNamed",
-            "OrderDropped",
             "VersionSwap",
         ),
         "_versions": ("NO_VERSION",),
