Count parts that an engine is computing as kept, and tell the other entries

Change: a part counts as kept from the dispatch of a prompt that computes it until the engine's word is due; peers hear of it with the next report, and of saves under way. A failed attempt takes it back.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from wasabistage.cache import EVENT_LAG
 from wasabistage.edge._choice import choose_server, gate_query, request_rank
 from wasabistage.edge._exchange import Attempt
 from wasabistage.edge._messages import Dispatch
@@ -226,13 +227,38 @@
         size = prompt.prompt_tokens + prompt.output_tokens
         promise = MemoryPromised(request=attempt.name, server=server, tokens=size)
         state.part_router.observe(promise, now)
+        self._note_parts(prompt, plan, now)
         state.gossip.note_sent(server, plan.tokens)
-        for part, address in zip(prompt.parts, plan.save_to, strict=True):
-            if address:
+
+    def _note_parts(self, prompt, plan, now):
+        """Note, and tell the other entries, where shared parts will lie."""
+        state, candidate = self.state, plan.candidate
+        lifetime = plan.seconds + EVENT_LAG
+        # The last part is the prompt's own.
+        for part, store in zip(prompt.parts[:-1], plan.save_to, strict=False):
+            row = (
+                candidate.address,
+                candidate.cache_key,
+                part.part,
+                part.tokens,
+                lifetime,
+                store,
+            )
+            if state.parts.tokens(*row[:3]) < part.tokens:
+                state.gossip.note_part(row)
+            state.parts.expect(*row[:4], now + lifetime)
+            if store:
                 state.parts.note_saving(
-                    address, plan.candidate.cache_key, part.part, part.tokens, now
+                    store, candidate.cache_key, part.part, part.tokens, now
                 )
 
+    def _drop_parts(self, prompt, candidate):
+        """Note that an engine won't keep the parts of a prompt that failed there."""
+        for part in prompt.parts[:-1]:
+            self.state.parts.drop_expected(
+                candidate.address, candidate.cache_key, part.part
+            )
+
     def _note_end(self, exchange, attempt, begun_at):
         state, now = self.state, self.state.timer.now()
         server = attempt.choice.record.server
@@ -243,6 +269,9 @@
         else:
             state.part_router.observe(ended, now)
             state.part_router.observe(MemoryReturned(request=attempt.name), now)
+            if attempt.failure is not None and attempt.first is None:
+                prompt = exchange.request.prompt
+                self._drop_parts(prompt, attempt.choice.plan.candidate)
         is_own_failure = attempt.failure in (Failure.NOT_SENT, Failure.LOST)
         event = CallEnded(server=server, ok=not is_own_failure, seconds=now - begun_at)
         state.health.observe(event, now)
