--- a/wasabistage/cache/_part_map.py
+++ b/wasabistage/cache/_part_map.py
@@ -106,9 +106,14 @@
         known = self.expected.pop(name, (0, until))
         self.expected[name] = (tokens, max(until, known[1]))
 
-    def drop_expected(self, address, cache_key, part):
-        """Note that an engine doesn't compute a part after all."""
+    def drop_expected(self, address, cache_key, part, store=""):
+        """Note that an engine doesn't compute a part after all.
+
+        :param store: address of the store that it was to save it to, or ``""``.
+        """
         self.expected.pop((address, cache_key, part), None)
+        if self.saving.get((cache_key, part), ("",))[0] == store:
+            self.saving.pop((cache_key, part), None)
 
     def tokens_soon(self, address, cache_key, part, now):
         """Return how many tokens of a part an engine keeps or is computing."""
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -252,12 +252,14 @@
                     store, candidate.cache_key, part.part, part.tokens, now
                 )
 
-    def _drop_parts(self, prompt, candidate):
-        """Note that an engine won't keep the parts of a prompt that failed there."""
-        for part in prompt.parts[:-1]:
-            self.state.parts.drop_expected(
-                candidate.address, candidate.cache_key, part.part
-            )
+    def _drop_parts(self, prompt, plan):
+        """Note, and tell, that an engine read none of a prompt's parts."""
+        state, candidate = self.state, plan.candidate
+        for part, store in zip(prompt.parts[:-1], plan.save_to, strict=False):
+            name = (candidate.address, candidate.cache_key, part.part)
+            state.parts.drop_expected(*name, store)
+            if state.parts.tokens(*name) < part.tokens:
+                state.gossip.note_part((*name, 0, 0.0, store))
 
     def _note_end(self, exchange, attempt, begun_at):
         state, now = self.state, self.state.timer.now()
@@ -269,9 +271,8 @@
         else:
             state.part_router.observe(ended, now)
             state.part_router.observe(MemoryReturned(request=attempt.name), now)
-            if attempt.failure is not None and attempt.first is None:
-                prompt = exchange.request.prompt
-                self._drop_parts(prompt, attempt.choice.plan.candidate)
+            if attempt.first is None:
+                self._drop_parts(exchange.request.prompt, attempt.choice.plan)
         is_own_failure = attempt.failure in (Failure.NOT_SENT, Failure.LOST)
         event = CallEnded(server=server, ok=not is_own_failure, seconds=now - begun_at)
         state.health.observe(event, now)
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -37,7 +37,8 @@
         some engine doesn't run yet.
     :param parts: rows of an engine's address, cache key, part, tokens, seconds for
         which the engine's own word may be missing, address of the store that it is
-        saved to or ``""``; for parts that are being computed since the last report.
+        saved to or ``""``; for parts that are being computed since the last report,
+        with 0 tokens for those that are not computed after all.
     :param known: addresses of the entries that it knows.
     :param has_store: whether it reaches the store of records.
     """
@@ -220,11 +221,7 @@
                 self.state.swap.observe(OrderDropped(server=server), now)
         for server in report.ordering:
             self.state.swap.observe(ServerOrdered(server=server), now)
-        for address, cache_key, part, tokens, seconds, store in report.parts:
-            parts = self.state.parts
-            parts.expect(address, cache_key, part, tokens, now + seconds)
-            if store:
-                parts.note_saving(store, cache_key, part, tokens, now)
+        self._take_parts(report.parts, now)
         for model, version, age in report.named:
             event = VersionNamed(model=model, version=version, age=age)
             self.state.swap.observe(event, now)
@@ -233,3 +230,13 @@
                 server=server, incarnation=incarnation, model=model, version=version
             )
             self.state.swap.observe(event, now)
+
+    def _take_parts(self, rows, now):
+        parts = self.state.parts
+        for address, cache_key, part, tokens, seconds, store in rows:
+            if not tokens:
+                parts.drop_expected(address, cache_key, part, store)
+                continue
+            parts.expect(address, cache_key, part, tokens, now + seconds)
+            if store:
+                parts.note_saving(store, cache_key, part, tokens, now)
