Lead a test's prompts by new parts to both engines

Cause: the test of a broken stream repeated one prompt until it met the engine that breaks streams. Ruled out: ports in use (that failed only with several processes of the module at once; their blocks of ports overlapped, which is mended as well). Change: each call has parts of its own, the assertions stay. A failed test prints the last lines of the log.

--- a/wasabistage/platform/tests/edge_case.py
+++ b/wasabistage/platform/tests/edge_case.py
@@ -21,10 +21,13 @@
 from wasabistage.telemetry import MemoryLineLog
 from wasabistage.timing import BootTimerService
 
-#: Below the ports that the system hands out, apart for test modules side by side.
-FIRST_PORT = 11000 + os.getpid() % 500 * 40
+#: Below the ports that the system hands out; a block of its own for each of some test
+#: processes side by side, large enough for all tests of a module.
+BLOCK = 1000
+FIRST_PORT = 11000 + os.getpid() % 21 * BLOCK
 PORTS = itertools.count(FIRST_PORT, 20)
 LIMIT = 20.0  # seconds that one test may take
+SHOWN_LINES = 40  # last lines of the log that a failed test prints
 HEADERS = (
     (b"Wasabistage-Request-Id", b"id-1"),
     (b"Wasabistage-Deadline-Ms", b"3000"),
@@ -59,6 +62,7 @@
     """Runs a platform and one edge process around each test."""
 
     bounds = {}
+    log = MemoryLineLog()
 
     def play(self, test):
         """Run an asynchronous test with everything started.
@@ -73,7 +77,12 @@
                     await test()
                     nursery.cancel_scope.cancel()
 
-        trio.run(run)
+        try:
+            trio.run(run)
+        except BaseException:
+            for line in self.log.lines[-SHOWN_LINES:]:
+                print(line)
+            raise
 
     async def start(self, nursery):
         """Start the platform and the edge; wait until it is ready."""
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -1,3 +1,4 @@
+import itertools
 import json
 import unittest
 
@@ -149,8 +150,16 @@
         async def test():
             self.platform.engines[0].behaviour = Behaviour(break_after=2)
             runs = self.platform.engines[1].runs
-            while not any(b"last-event-id" in run.fields for run in runs):
-                reply = await self.call(b"/chat/x", *PROMPT, method=b"POST")
+            for number in itertools.count():
+                if any(b"last-event-id" in run.fields for run in runs):
+                    return
+                # New parts each time: known ones lead to the engine that keeps them.
+                parts = (
+                    b"Wasabistage-Prompt-Prefix",
+                    b"a%x:500,b%x:400" % (number, number),
+                )
+                headers = [*PROMPT[:-1], parts]
+                reply = await self.call(b"/chat/x", *headers, method=b"POST")
                 self.assertEqual((reply.status, reply.body), (200, STREAM))
 
         self.play(test)
