Name the store for parts that the engine is believed to keep, too

Change: every part that a store keeps is named. By the protocol an engine fetches only what it lacks, so this costs nothing when it keeps the part. A test that failed first.

--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -270,8 +270,16 @@
         return kept, len(query.parts)
 
     def _fetches(self, query, candidate, index):
-        """Return addresses, tokens and seconds of the parts that stores keep."""
+        """Return addresses, tokens and seconds of the parts that stores keep.
+
+        Parts that the engine is believed to keep are named too: it fetches only what
+        it lacks, and it may have given them up since it said so.
+        """
         addresses, fetched, seconds = [""] * len(query.parts), 0, 0.0
+        for at in range(index):
+            if (found := self._best_store(query, candidate, query.parts[at])) is None:
+                break
+            addresses[at] = found[0]
         for at in range(index, len(query.parts)):
             part = query.parts[at]
             found = self._best_store(query, candidate, part)
--- a/wasabistage/routing/tests/test_part_router.py
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -77,6 +77,15 @@
         with self.assertRaises(SettingError):
             PartRouter(self.parts, work_weight=-1).reset()
 
+    def test_store_is_named_for_parts_that_the_engine_may_have_given_up(self):
+        # Engines that are short of memory give parts up before their events tell it.
+        rows = [("m|1|", item.part, item.tokens) for item in PARTS[:-1]]
+        self.parts.apply("l:1", events(*rows))
+        self.parts.apply("s1:1", events(*rows))
+        decision = self.ask(candidate("s1"))
+        self.assertEqual((decision.kept, decision.fetched), (8500, 0))
+        self.assertEqual(decision.fetch_from, ("l:1", "l:1", ""))
+
     def test_engine_that_begins_too_late_for_its_version_is_left(self):
         self.router.observe(Dispatched(request="r", server="s1", tokens=85_000), 0.0)
         late, free = candidate("s1", begins_within=0.5), candidate("s2", penalty=9.0)
