Model parts, engines, stores and entries offline, as a benchmark

It drives the product's map, router, estimator and gate with arrivals of three kinds of prompts, from the published sizes, rates and links; one run takes some seconds. How runs slow reading is fitted, not published. Not in it: preemption, crashes in the middle of a run, events that never arrive, weights.

--- a/benchmarks/_suite.py
+++ b/benchmarks/_suite.py
@@ -11,6 +11,7 @@
     floods,
     membership,
     once,
+    parts,
     retries,
     returning,
     rollout,
@@ -250,6 +251,11 @@
         figures.add(scenario, policy, f"{end}, share", share)
 
 
+def collect_parts(seed, repeats, short):
+    """Play prompts that share parts; see :class:`Benchmark`."""
+    return parts.run(seed, repeats, parts.SCENARIOS[:1] if short else parts.SCENARIOS)
+
+
 SUITE = (
     Benchmark(
         name="returning",
@@ -257,6 +263,12 @@
         collect=collect_returning,
         own=(OWN_RETURNING,),
     ),
+    Benchmark(
+        name="parts",
+        title="prompts that share parts, before engines and cache stores",
+        collect=collect_parts,
+        own=("parts and gate",),
+    ),
     Benchmark(
         name="floods",
         title="ranks under floods",
