--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -234,6 +234,8 @@
     def test_records_that_a_waiting_read_did_not_bring_are_read_once_overtaken(self):
         async def test():
             store, orders = self.platform.store, TOPICS[Topic.ORDERS]
+            # The first read of the topic doesn't wait, and would bring the record.
+            await self.until(lambda: self.edge.state.lease.end_ is not None)
             store.silent_topic = orders
             record = {"holder": "z", "incarnation": "1", "servers": ["none"]}
             store.append(orders, json.dumps(record).encode())
