Decide the edge's retries by a policy of the product's own kind

Cause: the forwarder wrote the conditions of a retry again (time, connections, what may have run, an answer that has begun, attempts, budget) though BaseRetryPolicy holds the rule that must never differ: what may have run and must not repeat isn't repeated. The decision stood beside the sockets, and its budgets in the shared state. Ruled out: RetryPolicy itself (its backoff and saved budgets are not what a window's bound allows), so the product's base class and query are widened instead. Change: WindowRetryPolicy, a BaseRetryPolicy over the window budgets; RetryQuery gets connects, max_attempts and sharers; the forwarder asks.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -9,7 +9,7 @@
 from wasabistage.edge._messages import Dispatch
 from wasabistage.fleet import RouteKind
 from wasabistage.http1 import ChannelError, ChannelPool, NotSentError
-from wasabistage.retries import Failure
+from wasabistage.retries import Failure, FreshRequest, RetryQuery
 from wasabistage.rollout import ServerOrdered, ServerVersion
 from wasabistage.routing import (
     TOO_LATE,
@@ -29,13 +29,11 @@
 )
 
 CONNECT_TIMEOUT = 0.25  # seconds; a handshake takes some milliseconds
-MAX_CONNECTS = 4  # servers tried for a channel, of which none got the request
 MAX_BODY_BYTES = 1 << 20  # bytes of a plain answer that are held until it is whole
 MAX_POOLS = 4096  # servers with kept channels; twice the largest deployment
 SHORT_BODY_BYTES = 16384  # bytes; fit into a new channel's window
 GATE_LOOK = 0.015  # seconds between two looks whether an engine has room
 FETCH_TIME = 2.5  # seconds; a transfer that waits over two is not started
-MIN_TIME_LEFT = 0.005  # seconds; less is no time for any work
 URGENCY_STEP = 2  # urgency per rank, which leaves room between ranks
 LEAST_URGENT = 9
 NOT_RUN_RETRY = 0.15  # seconds until a server that was full has some room
@@ -57,7 +55,7 @@
         :param exchange: an :class:`Exchange`.
         """
         now = self.state.timer.now()
-        self.state.budget(exchange.service).earn(now)
+        self.state.retries.observe(FreshRequest(service=exchange.service), now)
         excluded = set()
         while True:
             choice = await self._choose(exchange, excluded)
@@ -70,9 +68,9 @@
                 return
             if not attempt.is_version_mismatch:
                 excluded.add(choice.record.server)
-            reason = self._why_not_again(exchange, attempt)
-            if reason:
-                await self._give_up(exchange, reason)
+            retry = self._retry(exchange, attempt)
+            if not retry:
+                await self._give_up(exchange, str(retry.reason))
                 return
 
     async def _choose(self, exchange, excluded):
@@ -105,28 +103,26 @@
             left = Left(request=request.request_id)
             self.state.gate.observe(left, self.state.timer.now())
 
-    def _why_not_again(self, exchange, attempt):
-        """Return why a failed attempt is not repeated, or ``""``."""
-        now = self.state.timer.now()
-        if exchange.time_left(now) < MIN_TIME_LEFT:
-            return "no time is left"
-        if attempt.failure is Failure.NOT_SENT:
-            connects = sum(
+    def _retry(self, exchange, attempt):
+        """Return a ``Retry`` for a failed attempt, or a sentinel with the reason."""
+        route, now = exchange.route, self.state.timer.now()
+        servers = len(exchange.servers)
+        query = RetryQuery(
+            service=exchange.service,
+            # What was declared not run may be repeated on every route.
+            idempotent=route.is_repeatable or not exchange.may_have_run,
+            failure=attempt.failure,
+            answer_begun=exchange.channel.started and not route.is_resumable,
+            # A server that declined for its weight version took no attempt.
+            attempts=0 if attempt.is_version_mismatch else servers,
+            connects=sum(
                 item.failure is Failure.NOT_SENT for item in exchange.attempts
-            )
-            return "no server could be reached" if connects >= MAX_CONNECTS else ""
-        if exchange.may_have_run and not exchange.route.is_repeatable:
-            return "the request may have run"
-        if exchange.channel.started and not exchange.route.is_resumable:
-            return "the answer has begun"
-        servers = exchange.servers
-        if len(servers) >= exchange.route.max_servers:
-            if not attempt.is_version_mismatch:
-                return "the request has been at as many servers as its route allows"
-        budget = self.state.budget(exchange.service)
-        if not budget.spend(self.state.entries, now):
-            return "the budget of repeats is spent"
-        return ""
+            ),
+            max_attempts=route.max_servers,
+            sharers=self.state.entries,
+            deadline_at=exchange.deadline_at,
+        )
+        return self.state.retries.decide(query, now)
 
     async def _give_up(self, exchange, reason):
         """Give the final answer of a request that no server answered."""
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -5,11 +5,10 @@
 """
 
 import random
-from collections import OrderedDict
 
 from wasabistage.cache import PartMap
 from wasabistage.fleet import KeyFreshness, RouteTable, ServerTable
-from wasabistage.retries import WindowBudget
+from wasabistage.retries import WindowRetryPolicy
 from wasabistage.rollout import OrderLease, VersionSwap
 from wasabistage.routing import (
     FirstTokenEstimator,
@@ -24,7 +23,6 @@
 #: age counts from the begin of a read, so the rest covers only the caller's way here.
 TRUST_SHARE = 0.9
 PREFILL_OVERHEAD = 0.01  # seconds; first step and two hops
-MAX_SERVICES = 1024  # services with a retry budget
 
 
 class EdgeState:
@@ -86,7 +84,11 @@
         #: The :class:`GossipTask` and :class:`FactsClient`, set by the process.
         self.gossip = None
         self.facts = None
-        self.budgets = OrderedDict()
+        self.retries = WindowRetryPolicy(
+            ratio=bounds.retry_ratio,
+            extra=bounds.retry_extra,
+            window=bounds.retry_window_s,
+        ).reset()
         self.peers = {}
         self.pools = {}
         self.open_requests = 0
@@ -110,19 +112,6 @@
         """The number of entries that share common budgets, this one included."""
         return 1 + len(self.peers)
 
-    def budget(self, service):
-        """Return the :class:`wasabistage.retries.WindowBudget` of a service."""
-        if service not in self.budgets:
-            bounds = self.settings.bounds
-            self.budgets[service] = WindowBudget(
-                ratio=bounds.retry_ratio,
-                extra=bounds.retry_extra,
-                window=bounds.retry_window_s,
-            )
-            if len(self.budgets) > MAX_SERVICES:
-                self.budgets.popitem(last=False)
-        return self.budgets[service]
-
     def note_server_clock(self, clock):
         """Note the servers' wall clock, to name times that they understand.
 
--- a/wasabistage/retries/__init__.py
+++ b/wasabistage/retries/__init__.py
@@ -52,5 +52,6 @@
             "RetryPolicy",
         ),
         "_window_budget": ("WindowBudget",),
+        "_window_retries": ("WindowRetryPolicy",),
     },
 )
--- a/wasabistage/retries/_messages.py
+++ b/wasabistage/retries/_messages.py
@@ -52,6 +52,9 @@
     :param failed: names of the servers tried so far, the last one last.
     :param candidates: names of the servers that routing would use now.
     :param retry_after: what the server asked for, in seconds, or ``None``.
+    :param connects: attempts so far that reached no server.
+    :param max_attempts: attempts that the request's route allows, or ``None``.
+    :param sharers: entries that share the budget, this one included.
     :param deadline_at: latest useful time of the first byte, monotonic seconds.
     :param draw: a seeded random number from 0 to 1, for the jitter.
     """
@@ -64,6 +67,9 @@
     failed: tuple[str, ...] = ()
     candidates: tuple[str, ...] = ()
     retry_after: float | None = None
+    connects: int = 0
+    max_attempts: int | None = None
+    sharers: int = 1
     deadline_at: float
     draw: float = 0.5
 
@@ -73,7 +79,7 @@
     """Decision: try again.
 
     :param delay: time to wait first, in seconds.
-    :param servers: names of the servers to choose from.
+    :param servers: names of the servers to choose from; empty to leave it to routing.
     """
 
     delay: float
