Write the edge's repeated pieces once

Three desks (the addresses, the facts, the metrics) had the same channel loop around one answer; two channels had the same begin of a next cycle; two calls built the same cache events; the line log read the wall clock itself, though the timer service gives it. Ruled out: the rows that are alike by shape alone (message classes, import lists, tables of constants); RecordWatch and the two watches of caches, which differ in what ends a read. Change: AnswerDesk with the three as subclasses, begin_cycle, to_cache_events, TimerService.wall. No behaviour else.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -204,6 +204,8 @@
         self.runs = []
         self.behaviour = Behaviour()
         self.parts = {}
+        #: Fields of its answers on what it caches, where they differ from the usual.
+        self.cache = {}
 
     def entry(self, **changes):
         """Return its record in the list of servers."""
@@ -239,7 +241,8 @@
         elif path in (b"/v1/kv-events", b"/v1/kv-list"):
             await trio.sleep(0.05)
             found = {"epoch": 1, "next": 0, "lost": False, "events": [], "held": []}
-            await respond_json(channel, 200, {**found, "clock_ms": 5000.0})
+            found |= {"clock_ms": 5000.0, **self.cache}
+            await respond_json(channel, 200, found)
         else:
             await self._run(channel, request)
 
--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -4,6 +4,7 @@
 import trio
 
 from wasabistage.edge._choice import choose_service
+from wasabistage.edge._desk import AnswerDesk
 from wasabistage.edge._exchange import Exchange
 from wasabistage.edge._messages import BadRequestError
 from wasabistage.fleet import (
@@ -13,7 +14,7 @@
     CallerLimits,
     RouteKind,
 )
-from wasabistage.http1 import Answer, CallerChannel, CallerGoneError, serve_answers
+from wasabistage.http1 import Answer, CallerChannel, CallerGoneError
 
 ADDRESS_LIFETIME = 2.0  # seconds; callers leave a lost entry after that
 MAX_ADDRESSES = 64  # addresses that callers read of an answer
@@ -192,31 +193,14 @@
             await channel.respond(status, headers, b"")
 
 
-class DirectoryDesk:
+class DirectoryDesk(AnswerDesk):
     """Answers which addresses to use, and whether this entry is ready.
 
     :param state: an :class:`EdgeState`.
     """
 
-    def __init__(self, state):
-        self.state = state
-        self.limits = CallerLimits()
-
-    async def serve(self, sock):
-        """Serve one channel to its end.
-
-        :param sock: the accepted trio socket.
-        """
-        channel = CallerChannel(sock, self.state.timer, self.limits)
-        if not await serve_answers(channel, self.answer):
-            self.state.metrics.count("channel.ended")
-
     def answer(self, request):
-        """Answer one question.
-
-        :param request: a :class:`wasabistage.http1.Request`.
-        :return: a :class:`wasabistage.http1.Answer`.
-        """
+        """See :meth:`AnswerDesk.answer`."""
         platform = self.state.platform
         if platform.is_readiness_probe(request):
             return Answer(status=200 if self.state.is_ready else 503)
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -2,14 +2,9 @@
 
 import msgspec
 
-from wasabistage.fleet import CallerLimits, StoredRecord, StoreError, Topic
-from wasabistage.http1 import (
-    Answer,
-    CallerChannel,
-    ChannelError,
-    HttpClient,
-    serve_answers,
-)
+from wasabistage.edge._desk import AnswerDesk
+from wasabistage.fleet import StoredRecord, StoreError, Topic
+from wasabistage.http1 import Answer, ChannelError, HttpClient
 
 CALL_TIMEOUT = 0.4  # seconds; peers answer in some milliseconds
 FACTS_PATH = b"/facts/"
@@ -32,7 +27,7 @@
 DECODER = msgspec.msgpack.Decoder(Facts)
 
 
-class FactsDesk:
+class FactsDesk(AnswerDesk):
     """Answers other entries' questions for facts.
 
     :param state: an :class:`EdgeState`.
@@ -40,25 +35,11 @@
     """
 
     def __init__(self, state, watches):
-        self.state = state
+        super().__init__(state)
         self.watches = watches
-        self.limits = CallerLimits()
-
-    async def serve(self, sock):
-        """Serve one channel to its end.
-
-        :param sock: the accepted trio socket.
-        """
-        channel = CallerChannel(sock, self.state.timer, self.limits)
-        if not await serve_answers(channel, self.answer):
-            self.state.metrics.count("channel.ended")
 
     def answer(self, request):
-        """Answer one question.
-
-        :param request: a :class:`wasabistage.http1.Request`.
-        :return: a :class:`wasabistage.http1.Answer`.
-        """
+        """See :meth:`AnswerDesk.answer`."""
         facts = self._facts(request.target)
         if facts is None:
             return Answer(status=404)
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -12,6 +12,7 @@
 
 from wasabistage.edge._caches import CacheWatches
 from wasabistage.edge._callers import CallerDesk, DirectoryDesk
+from wasabistage.edge._desk import AnswerDesk
 from wasabistage.edge._facts import SHARED_TOPICS, FactsClient, FactsDesk
 from wasabistage.edge._forward import Forwarder
 from wasabistage.edge._orders import OrderTask
@@ -26,13 +27,7 @@
 )
 from wasabistage.exceptions import SettingError
 from wasabistage.fleet import StoreError, Topic
-from wasabistage.http1 import (
-    Answer,
-    CallerChannel,
-    listen,
-    serve_answers,
-    serve_channels,
-)
+from wasabistage.http1 import Answer, listen, serve_channels
 from wasabistage.routing import ServerRemoved
 from wasabistage.telemetry import BoundedLineLog, TextMetrics
 from wasabistage.timing import BootTimerService
@@ -51,6 +46,21 @@
 CLEAN_PERIOD = 1.0  # seconds between two closings of expired idle channels
 
 
+class MetricsDesk(AnswerDesk):
+    """Answers every request with the metrics as text.
+
+    :param state: an :class:`EdgeState`.
+    """
+
+    def answer(self, request):
+        """See :meth:`AnswerDesk.answer`."""
+        return Answer(
+            status=200,
+            headers=((b"Content-Type", b"text/plain"),),
+            body=self.state.metrics.render(),
+        )
+
+
 class EdgeProcess:
     """The tasks of one edge process.
 
@@ -111,7 +121,7 @@
         facts = FactsDesk(state, shared)
         await self._listen(nursery, listen_at.peers, facts.serve)
         metrics_at = f"{self.settings.instance.ip}:{listen_at.metrics_port}"
-        await self._listen(nursery, metrics_at, self._serve_metrics)
+        await self._listen(nursery, metrics_at, MetricsDesk(state).serve)
         tasks = [watch.run for watch in running.values()]
         tasks += [
             state.gossip.run_receiving,
@@ -157,18 +167,6 @@
             places=[f"{frame.name}:{frame.lineno}" for frame in frames],
         )
 
-    async def _serve_metrics(self, sock):
-        channel = CallerChannel(sock, self.state.timer, self.directory.limits)
-        if not await serve_answers(channel, self._answer_metrics):
-            self.state.metrics.count("channel.ended")
-
-    def _answer_metrics(self, request):
-        return Answer(
-            status=200,
-            headers=((b"Content-Type", b"text/plain"),),
-            body=self.state.metrics.render(),
-        )
-
     async def _register(self):
         """Tell the other entries where this one is."""
         instance = self.settings.instance
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -50,6 +50,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT)
 
 
+def begin_cycle(connection):
+    """Get a connection ready for its next request; return whether it can be.
+
+    :param connection: an :class:`h11.Connection`.
+    """
+    try:
+        connection.start_next_cycle()
+    except h11.LocalProtocolError:
+        return False
+    return True
+
+
 async def open_channel(address, timeout):
     """Open a channel.
 
@@ -232,8 +244,4 @@
         trailing, ended = self.connection.trailing_data
         if trailing or ended:
             return False
-        try:
-            self.connection.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return True
+        return begin_cycle(self.connection)
--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -5,7 +5,7 @@
 import h11
 import trio
 
-from wasabistage.http1._channel import READ_BYTES, set_liveness_options
+from wasabistage.http1._channel import READ_BYTES, begin_cycle, set_liveness_options
 
 MAX_PENDING = 65536  # bytes that a caller may send ahead of its turn
 BACKLOG = 1024  # channels that wait to be accepted, the system's usual bound
@@ -202,11 +202,7 @@
         """
         if self.closing or self.connection.our_state is not h11.DONE:
             return False
-        try:
-            self.connection.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return True
+        return begin_cycle(self.connection)
 
     def close(self):
         """Close the channel."""
--- a/wasabistage/platform/_servers.py
+++ b/wasabistage/platform/_servers.py
@@ -138,33 +138,15 @@
         timeout = wait + CALL_TIMEOUT
         reply = await client.call(b"GET", target, headers=headers, timeout=timeout)
         wire = decode(EVENTS_DECODER, reply)
-        events = tuple(
-            CacheEvent(cache_key=row[2], part=row[3], tokens=row[4])
-            for row in wire.events
-        )
-        return CacheEvents(
-            epoch=wire.epoch,
-            position=wire.next,
-            has_gap=wire.lost,
-            events=events,
-            clock=to_seconds(wire.clock_ms),
-        )
+        rows = (row[2:5] for row in wire.events)
+        return to_cache_events(wire, rows, has_gap=wire.lost)
 
     async def list_cache(self, address):
         """Return all that is cached, as :class:`wasabistage.edge.CacheEvents`."""
         reply = await self._client(address).call(b"GET", b"/v1/kv-list")
         wire = decode(LISTING_DECODER, reply)
-        events = tuple(
-            CacheEvent(cache_key=row[0], part=row[1], tokens=row[2])
-            for row in wire.held
-        )
-        return CacheEvents(
-            epoch=wire.epoch,
-            position=wire.next,
-            has_gap=False,
-            events=events,
-            clock=to_seconds(wire.clock_ms),
-        )
+        rows = (row[:3] for row in wire.held)
+        return to_cache_events(wire, rows, has_gap=False)
 
     async def free_parts(self, address, parts, epoch, until):
         """Free parts at a store; return whether it did."""
@@ -177,6 +159,25 @@
         return reply.status == 200
 
 
+def to_cache_events(wire, rows, has_gap):
+    """Build :class:`wasabistage.edge.CacheEvents`.
+
+    :param wire: the decoded reply.
+    :param rows: cache key, part and tokens of each event.
+    :param has_gap: whether events before these are missing.
+    """
+    return CacheEvents(
+        epoch=wire.epoch,
+        position=wire.next,
+        has_gap=has_gap,
+        events=tuple(
+            CacheEvent(cache_key=cache_key, part=part, tokens=tokens)
+            for cache_key, part, tokens in rows
+        ),
+        clock=to_seconds(wire.clock_ms),
+    )
+
+
 def to_seconds(milliseconds):
     """Return seconds, or ``None`` for ``None``."""
     return None if milliseconds is None else milliseconds / MILLISECONDS
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -284,6 +284,33 @@
         self.play(test)
 
 
+class CacheTest(EdgeCase):
+    def test_events_and_lists_say_which_parts_an_engine_keeps(self):
+        async def test():
+            engine = self.platform.engines[0]
+            events = [
+                [119, "+", "m|1|", "aa", 500, "m"],
+                [120, "-", "m|1|", "b", 0, "m"],
+            ]
+            held = [["m|1|", "aa", 500, "m"], ["m|1|", "cc", 70, "m"]]
+            engine.cache = {"next": 121, "lost": True, "events": events, "held": held}
+            platform = self.edge.state.platform
+            read = await platform.read_events(engine.address, 118, 0.2)
+            rows = [(e.cache_key, e.part, e.tokens) for e in read.events]
+            self.assertEqual(rows, [("m|1|", "aa", 500), ("m|1|", "b", 0)])
+            facts = (read.epoch, read.position, read.has_gap, read.clock)
+            self.assertEqual(facts, (1, 121, True, 5.0))
+            listing = await platform.list_cache(engine.address)
+            rows = [(e.cache_key, e.part, e.tokens) for e in listing.events]
+            self.assertEqual(rows, [("m|1|", "aa", 500), ("m|1|", "cc", 70)])
+            self.assertFalse(listing.has_gap)
+            # The watch of the engine finds the gap and reads the list, too.
+            parts = self.edge.state.parts
+            await self.until(lambda: parts.tokens(engine.address, "m|1|", "cc") == 70)
+
+        self.play(test)
+
+
 class DrainTest(EdgeCase):
     bounds = {"stop_s": 3.0}
 
--- a/wasabistage/telemetry/tests/test_telemetry.py
+++ b/wasabistage/telemetry/tests/test_telemetry.py
@@ -12,6 +12,9 @@
     def now(self):
         return self.seconds
 
+    def wall(self):
+        return 1e9 + self.seconds
+
 
 class BoundedLineLogTest(unittest.TestCase):
     def setUp(self):
@@ -39,6 +42,7 @@
         self.clock.seconds = 1.0
         self.log.write("after")
         lines = self.lines()
+        self.assertEqual([line["time"] for line in lines], [1e9] * 3 + [1e9 + 1.0])
         self.assertEqual([line["event"] for line in lines], ["seen"] * 3 + ["after"])
         self.assertEqual(lines[-1]["dropped_lines"], 2)
 
