Free old parts in a class of its own

The table of timer subscriptions was keyed by their periods, so that two of one period would have silently become one. Ruled out: freeing by the watch of the stores (it knows neither versions nor places). Change: OldPartCleaner subscribes to the timer service once a second; the engines and the place of an entry are functions of the state that both use; the subscriptions are rows. Freeing no longer waits for other models' loads; what is old is counted as before.

--- a/wasabistage/edge/_orders.py
+++ b/wasabistage/edge/_orders.py
@@ -1,9 +1,8 @@
-"""The task that brings engines to the named weight version, and frees old parts."""
+"""The task that brings engines to the named weight version."""
 
 import msgspec
 import trio
 
-from wasabistage.cache import version_of_cache_key
 from wasabistage.edge._messages import OrderAnswer, OrderMethod, VersionOrder
 from wasabistage.edge._watches import OrderRecord
 from wasabistage.fleet import OvertakenError, StoreError, Topic
@@ -31,10 +30,6 @@
 #: another entry takes over; if the answer alone was lost, little time is.
 STAND_ASIDE = 0.9
 LOAD_LIMIT = 5.0  # seconds for runs to end and weights to load
-FREE_DELAY = 4.0  # seconds; longer than any fetch that was allowed may last
-FREE_GUARD = 1.0  # seconds within which a request to free must arrive
-FREE_PERIOD = 1.0  # seconds between two looks at what is to be freed
-FREE_BATCH = 500  # parts freed by one call
 
 
 class OrderTask:
@@ -50,14 +45,12 @@
         self.store = store
         self.watch = watch
         self.nursery = None
-        self.current_since = {}
         self.denied = ""
         self.claiming = trio.Lock()
         self.aside_until = float("-inf")
         #: Engines that are kept for an order that has not left yet.
         self.kept = set()
         self.claim_begun_at = None
-        self.free_at = float("-inf")
 
     async def run(self):
         """Order until cancelled."""
@@ -74,14 +67,13 @@
         if self.claim_begun_at is not None:
             await self._release_late(now)
             return
-        candidates = self._candidates()
+        candidates = swap_candidates(state)
         query = SwapQuery(candidates=candidates, barred=state.lease.barred(now))
         swaps = state.swap.decide(query, now)
         wanted = tuple(swap.server for swap in swaps)
-        query = WaveQuery(servers=wanted, place=self._place())
+        query = WaveQuery(servers=wanted, place=order_place(state))
         claim = state.lease.decide(query, now)
         if not swaps:
-            await self._free_old(candidates, now)
             return
         if not claim:
             self._note_denied(claim.reason, wanted)
@@ -108,39 +100,6 @@
             self.denied = reason
             self.state.log.write("order_lease_denied", reason=reason, servers=servers)
 
-    def _candidates(self):
-        state = self.state
-        configuration = state.routes.configuration
-        if configuration is None:
-            return ()
-        records = [
-            record
-            for service in configuration.services.values()
-            if service.engine is not None
-            for record in state.servers.usable(service.name)
-        ]
-        return tuple(
-            SwapCandidate(
-                server=record.server,
-                incarnation=record.incarnation,
-                models=tuple(record.versions),
-            )
-            for record in records
-        )
-
-    def _place(self):
-        """Return this entry's place: the last holder first, then by name."""
-        state = self.state
-        own = state.settings.instance.name
-        names = [
-            peer.report.name
-            for peer in state.peers.values()
-            if peer.report.is_ready and peer.report.has_store
-        ]
-        last = state.lease.last_.holder if state.lease.last_ is not None else ""
-        order = sorted([*names, own], key=lambda name: (name != last, name))
-        return order.index(own)
-
     async def _claim(self, server):
         """Append a record that names a server; return whether it may be ordered.
 
@@ -285,53 +244,39 @@
         state.gossip.note_version(record.server, record.incarnation, model, version)
         state.log.write("server_loaded", server=record.server, version=version)
 
-    async def _free_old(self, candidates, now):
-        """Free the parts of versions that no server runs any more."""
-        if now < self.free_at:
-            return
-        self.free_at = now + FREE_PERIOD
-        state = self.state
-        lowest = {}
-        for item in candidates:
-            for model in item.models:
-                version = state.swap.version(item.server, model)
-                if version is not None:
-                    lowest[model] = min(lowest.get(model, version), version)
-        for model, version in lowest.items():
-            known = self.current_since.get(model)
-            if known is None or known[0] != version:
-                self.current_since[model] = (version, now)
-        if not lowest or self._place() != 0:
-            return
-        old = {
-            model: version
-            for model, (version, since) in self.current_since.items()
-            if now - since >= FREE_DELAY
-        }
-        for store in state.routes.configuration.stores.values():
-            if store.keeps_all:
-                await self._free_at(store, old, now)
 
-    async def _free_at(self, store, old, now):
-        def is_old(cache_key):
-            named = version_of_cache_key(cache_key)
-            return named is not None and named[1] < old.get(named[0], 0)
+def swap_candidates(state):
+    """Return the engines that are listed as usable.
 
-        state = self.state
-        parts = state.parts.names(store.address, is_old)[:FREE_BATCH]
-        until = state.server_time(now + FREE_GUARD)
-        if not parts or until is None:
-            return
-        epoch = state.parts.source(store.address).epoch
-        try:
-            freed = await state.platform.free_parts(store.address, parts, epoch, until)
-        except ChannelError as error:
-            state.log.write("free_failed", store=store.address, reason=str(error))
-            return
-        state.log.write(
-            "parts_freed", store=store.address, parts=len(parts), freed=freed
+    :param state: an :class:`EdgeState`.
+    :return: tuple of :class:`wasabistage.rollout.SwapCandidate`.
+    """
+    configuration = state.routes.configuration
+    if configuration is None:
+        return ()
+    return tuple(
+        SwapCandidate(
+            server=record.server,
+            incarnation=record.incarnation,
+            models=tuple(record.versions),
         )
-        if freed:
-            source = state.parts.source(store.address)
-            for name in parts:
-                source.set(name, 0)
+        for service in configuration.services.values()
+        if service.engine is not None
+        for record in state.servers.usable(service.name)
+    )
+
+
+def order_place(state):
+    """Return an entry's place for orders: the last holder first, then by name.
+
+    :param state: an :class:`EdgeState`.
+    """
+    own = state.settings.instance.name
+    names = [
+        peer.report.name
+        for peer in state.peers.values()
+        if peer.report.is_ready and peer.report.has_store
+    ]
+    last = state.lease.last_.holder if state.lease.last_ is not None else ""
+    order = sorted([*names, own], key=lambda name: (name != last, name))
+    return order.index(own)
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -15,6 +15,7 @@
 from wasabistage.edge._desk import AnswerDesk
 from wasabistage.edge._facts import SHARED_TOPICS, FactsClient, FactsDesk
 from wasabistage.edge._forward import Forwarder
+from wasabistage.edge._frees import FREE_PERIOD, OldPartCleaner
 from wasabistage.edge._orders import OrderTask
 from wasabistage.edge._peers import GOSSIP_PERIOD, GossipTask, PeerEntry
 from wasabistage.edge._settings import load_edge_settings
@@ -130,14 +131,15 @@
             OrderTask(state, self.store, running[Topic.ORDERS]).run,
             self._register,
         ]
-        subscriptions = {
-            GOSSIP_PERIOD: state.gossip.run_sending,
-            HEALTH_PERIOD: self._tick_health,
-            SILENCE_PERIOD: self._look_for_silence,
-            CLEAN_PERIOD: self._close_idle,
-            SETTINGS_PERIOD: self._look_at_settings,
-        }
-        for period, receive in subscriptions.items():
+        subscriptions = (
+            (GOSSIP_PERIOD, state.gossip.run_sending),
+            (HEALTH_PERIOD, self._tick_health),
+            (SILENCE_PERIOD, self._look_for_silence),
+            (CLEAN_PERIOD, self._close_idle),
+            (FREE_PERIOD, OldPartCleaner(state).look),
+            (SETTINGS_PERIOD, self._look_at_settings),
+        )
+        for period, receive in subscriptions:
             tasks.append(partial(state.timer.run_subscription, period, receive))
         for task in tasks:
             nursery.start_soon(self._keep_running, task)
