Name fallback stores for the chosen engine alone; keep HTTP states in http1

Cause: the router looked up the stores of kept parts for every candidate and used the names of one; the callers' desk read the framing library's states in a nested condition. Ruled out: a cache of the lookups (they are cheap once asked for one engine). Change: the names are filled in after the choice; CallerChannel.may_respond.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -83,9 +83,8 @@
             reason=reason,
             retry_after=retry_after,
         )
-        if channel.started or channel.connection.our_state is not h11.SEND_RESPONSE:
-            if channel.connection.our_state is not h11.IDLE:
-                return
+        if not channel.may_respond:
+            return
         headers = self.state.platform.encode_refusal(request_id, retry_after)
         await channel.respond(status, headers, b"")
 
--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -143,6 +143,12 @@
             self.pending += data
         await trio.sleep_forever()
 
+    @property
+    def may_respond(self):
+        """Whether a response may be written now."""
+        can_write = self.connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+        return can_write and not self.started
+
     async def start_response(self, status, headers, reason=b""):
         """Write status line and headers.
 
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -110,6 +110,7 @@
     candidate: PartCandidate
     tokens: int
     kept: int
+    kept_parts: int
     fetched: int
     fetch_from: tuple
     seconds: float
@@ -228,7 +229,7 @@
             tokens=plan.tokens,
             kept=plan.kept,
             fetched=plan.fetched,
-            fetch_from=plan.fetch_from,
+            fetch_from=self._fetch_names(query, plan),
             save_to=self._saves(query, plan, now),
             seconds=plan.seconds,
             backlog=plan.backlog,
@@ -251,6 +252,7 @@
             candidate=candidate,
             tokens=tokens,
             kept=kept,
+            kept_parts=index,
             fetched=fetched,
             fetch_from=fetch_from,
             seconds=seconds,
@@ -270,16 +272,8 @@
         return kept, len(query.parts)
 
     def _fetches(self, query, candidate, index):
-        """Return addresses, tokens and seconds of the parts that stores keep.
-
-        Parts that the engine is believed to keep are named too: it fetches only what
-        it lacks, and it may have given them up since it said so.
-        """
+        """Return addresses, tokens and seconds of the parts that stores keep."""
         addresses, fetched, seconds = [""] * len(query.parts), 0, 0.0
-        for at in range(index):
-            if (found := self._best_store(query, candidate, query.parts[at])) is None:
-                break
-            addresses[at] = found[0]
         for at in range(index, len(query.parts)):
             part = query.parts[at]
             found = self._best_store(query, candidate, part)
@@ -290,6 +284,20 @@
             seconds += cost
         return tuple(addresses), fetched, seconds
 
+    def _fetch_names(self, query, plan):
+        """Return for each part the store to fetch it from, or ``""``.
+
+        Parts that the engine is believed to keep are named too: it fetches only what
+        it lacks, and it may have given them up since it said so.
+        """
+        names = list(plan.fetch_from)
+        for at, part in enumerate(query.parts[: plan.kept_parts]):
+            found = self._best_store(query, plan.candidate, part)
+            if found is None:
+                break
+            names[at] = found[0]
+        return tuple(names)
+
     def _best_store(self, query, candidate, part):
         best = None
         for store in query.stores:
