Split the model of parts: arrivals, engines, runs, figures

Cause: one module of 561 lines, of which one class had 240; the work of an engine stood in the run, away from the engine's state. Ruled out: sharing the arrivals of the other benchmarks (they have no parts). Change: a package; an engine takes its own steps.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts/_run.py
@@ -1,17 +1,17 @@
-"""Prompts that share parts, before engines and stores: what map and gate gain.
-
-Seven entries hear late what six engines and two stores keep. Engines read prompts in
-chunks between each other, so two prompts that share a new part read it twice. The
-sizes, rates and links are those of a small deployment as its operators publish them.
-Every arm meets the same arrivals.
-"""
+"""One scenario under one arm, in steps of simulated time."""
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
-from statistics import median
 
-from benchmarks._report import Aim, Figures, parse_options, publish_figures
+from benchmarks.parts._engine import (
+    MEMORY_TOKENS,
+    PREFILL_RATE,
+    STEP,
+    Engine,
+    Work,
+)
+from benchmarks.parts._load import BURST, ENTRIES, SECONDS, draw_prompts
 from wasabistage.cache import PartMap
 from wasabistage.routing import (
     TOO_LATE,
@@ -33,161 +33,17 @@
     RankedGate,
 )
 
-ENTRIES = 7
 ENGINES = 6
-MEMORY_TOKENS = 83_000  # 500,000 in all engines
-PREFILL_RATE = 85_000.0  # tokens a second: 8,610 in 101 ms
 TOKEN_BYTES = 330_000  # 0.33 GB for 1,000 tokens
 LINK_BYTES = 4.4e10  # bytes a second: 8,610 tokens in 64 ms
 STORES = (("large", 2_300_000), ("fast", 460_000))
 FIRST_BYTE = 0.004  # seconds that a transfer waits besides
-TOKEN_SECONDS = 0.02  # seconds an output token while few runs share an engine
-RUNS_AT_FULL_SPEED = 12  # runs; more of them slow each other
-RUN_SHARE = 0.03  # share of an engine's reading that each run takes, fitted
-MOST_RUN_SHARE = 0.8  # share that all runs take together at most, fitted
 TRANSIT = 0.02  # seconds from the caller to the engine and back
 EVENT_LAG = 0.4  # seconds until an entry hears of a part
 PEER_LAG = 0.1  # seconds until an entry hears of another's dispatch
-STEP = 0.005  # seconds of simulated time
 LOOK = 0.015  # seconds between two looks of a waiting prompt
 REUSE = 20.0  # seconds in which a part that is read once more counts as read again
-SECONDS = 40.0
 KEY = "m|1|"
-READ_AGAIN = "shared tokens read again"
-
-
-@dataclass(frozen=True, kw_only=True)
-class Kind:
-    """A kind of prompt.
-
-    :param rank: its rank, 0 first.
-    :param rate: prompts a second.
-    :param objective: seconds to the first token.
-    :param shared: number and range of tokens of the parts that prompts share.
-    :param own: range of tokens of a prompt's own part.
-    :param output: range of output tokens.
-    """
-
-    rank: int
-    rate: float
-    objective: float
-    shared: tuple
-    own: tuple
-    output: tuple
-
-
-KINDS = (
-    Kind(rank=2, rate=10.0, objective=1.0, shared=(120, 4000, 13000), own=(2000, 14000),
-         output=(20, 60)),
-    Kind(rank=1, rate=30.0, objective=0.25, shared=(400, 300, 1200), own=(200, 2400),
-         output=(20, 40)),
-    Kind(rank=1, rate=18.0, objective=0.4, shared=(200, 600, 3000), own=(200, 3000),
-         output=(10, 30)),
-)  # fmt: skip
-
-
-@dataclass(frozen=True, kw_only=True)
-class Scenario:
-    """A load.
-
-    :param name: its name.
-    :param factor: arrivals of the first kind during the burst, relative to usual.
-    :param lost: engines that are lost while the burst lasts.
-    """
-
-    name: str
-    factor: float = 1.0
-    lost: int = 0
-
-
-SCENARIOS = (
-    Scenario(name="calm"),
-    Scenario(name="burst of long prompts", factor=3.0),
-    Scenario(name="burst, two engines lost", factor=2.5, lost=2),
-)
-BURST = (12.0, 18.0)
-
-
-@dataclass(frozen=True)
-class Part:
-    """A part of a prompt."""
-
-    part: str
-    tokens: int
-
-
-@dataclass
-class Prompt:
-    """A prompt and what became of it."""
-
-    name: str
-    at: float
-    kind: Kind
-    entry: int
-    parts: tuple
-    output: int
-    first_at: float | None = None
-    refused_at: float | None = None
-
-    @property
-    def tokens(self):
-        """Length of the prompt, in tokens."""
-        return sum(part.tokens for part in self.parts)
-
-    @property
-    def is_in_time(self):
-        """Whether its first token met the objective."""
-        first = self.first_at
-        return first is not None and first - self.at <= self.kind.objective
-
-
-@dataclass
-class Work:
-    """A prompt at an engine."""
-
-    prompt: Prompt
-    computed: tuple
-    saves: tuple
-    ready_at: float
-    left: float
-    output_left: float = 0.0
-    is_running: bool = False
-
-
-@dataclass
-class Engine:
-    """An engine: reads prompts in chunks in turn; runs slow each other."""
-
-    name: str
-    work: list = field(default_factory=list)
-    waiting: deque = field(default_factory=deque)
-    cached: OrderedDict = field(default_factory=OrderedDict)
-    is_lost: bool = False
-
-    def used(self):
-        """Return the memory that prompts and runs hold, in tokens."""
-        return sum(item.prompt.tokens + item.prompt.output for item in self.work)
-
-    def admit(self):
-        """Take waiting prompts in while memory lasts."""
-        while self.waiting:
-            prompt = self.waiting[0].prompt
-            if (
-                self.work
-                and self.used() + prompt.tokens + prompt.output > MEMORY_TOKENS
-            ):
-                return
-            self.work.append(self.waiting.popleft())
-
-    def keep(self, part):
-        """Keep a part; return the parts that yield for it."""
-        self.cached.pop(part.part, None)
-        self.cached[part.part] = part.tokens
-        dropped = []
-        room = MEMORY_TOKENS - self.used()
-        while len(self.cached) > 1 and sum(self.cached.values()) > room:
-            dropped.append(self.cached.popitem(last=False)[0])
-        return dropped
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -222,38 +78,6 @@
         self.waiting = []
 
 
-def draw_prompts(scenario, seed):
-    """Draw the arrivals of a scenario, in order of time.
-
-    :param scenario: a :class:`Scenario`.
-    :param seed: seed.
-    :return: list of :class:`Prompt`.
-    """
-    random, prompts = Random(f"{seed} {scenario.name}"), []
-    for place, kind in enumerate(KINDS):
-        count, least, most = kind.shared
-        sizes = [random.randint(least, most) for _ in range(count)]
-        at = random.expovariate(kind.rate)
-        while at < SECONDS:
-            # A few shared parts are asked for most.
-            index = min(int(random.paretovariate(0.7)) - 1, count - 1)
-            shared = Part(f"{place}-{index}", sizes[index])
-            own = Part(f"own-{place}-{len(prompts)}", random.randint(*kind.own))
-            prompts.append(
-                Prompt(
-                    name=f"p{place}-{len(prompts)}",
-                    at=at,
-                    kind=kind,
-                    entry=random.randrange(ENTRIES),
-                    parts=(Part(f"system-{place}", 128), shared, own),
-                    output=random.randint(*kind.output),
-                )
-            )
-            in_burst = BURST[0] <= at < BURST[1] and place == 0
-            at += random.expovariate(kind.rate * (scenario.factor if in_burst else 1))
-    return sorted(prompts, key=lambda prompt: prompt.at)
-
-
 class Run:
     """One scenario under one arm.
 
@@ -285,7 +109,7 @@
             for number, entry in enumerate(self.entries):
                 self._serve(number, entry, now)
             for engine in self.engines:
-                self._compute(engine, now)
+                self._step(engine, now)
             due = [item for item in self.later if item[0] <= now]
             self.later = [item for item in self.later if item[0] > now]
             for _, act in due:
@@ -437,29 +261,16 @@
                 return prompt.parts[index:]
         return prompt.parts[-1:]
 
-    def _compute(self, engine, now):
-        """Let an engine work for one step."""
-        if engine.is_lost:
-            return
-        engine.admit()
-        reading = [w for w in engine.work if not w.is_running and w.ready_at <= now]
-        running = [work for work in engine.work if work.is_running]
-        rate = 1.0 - min(MOST_RUN_SHARE, RUN_SHARE * len(running))
-        for work in reading:
-            work.left -= PREFILL_RATE * rate * STEP / len(reading)
-            if work.left <= 0:
-                self._begin(engine, work, now)
-        slowness = max(1.0, len(running) / RUNS_AT_FULL_SPEED)
-        for work in running:
-            work.output_left -= STEP / (TOKEN_SECONDS * slowness)
-            if work.output_left <= 0:
-                engine.work.remove(work)
-                self._end(work, now)
+    def _step(self, engine, now):
+        begun, ended = engine.step(now)
+        for work in begun:
+            self._begin(engine, work, now)
+        for work in ended:
+            self._end(work, now)
 
     def _begin(self, engine, work, now):
         """A prompt was read: its first token leaves, its parts are kept."""
         prompt = work.prompt
-        work.is_running, work.output_left = True, prompt.output
         prompt.first_at = now + TRANSIT
         router = self.entries[prompt.entry].router
         first = FirstToken(request=prompt.name, seconds=now - prompt.at, learn=False)
@@ -491,71 +302,3 @@
         router = self.entries[prompt.entry].router
         router.observe(DispatchEnded(request=prompt.name), now)
         router.observe(MemoryReturned(request=prompt.name), now)
-
-
-def measure(arm, scenario, seed):
-    """Play one run and return its figures.
-
-    :return: dict of name to value.
-    """
-    run = Run(arm, scenario, seed).play()
-    within = run.prompts
-    if scenario.factor > 1.0:
-        within = [item for item in run.prompts if BURST[0] <= item.at < BURST[1] + 4.0]
-    asked = sum(part.tokens for item in run.prompts for part in item.parts[:-1])
-    urgent = [item for item in within if item.kind.rank < 2]
-    long = [item for item in within if item.kind.rank == 2]
-    return {
-        "in time": share(within),
-        "in time, rank 1": share(urgent),
-        "in time, rank 2": share(long),
-        "first token p50, rank 1 (s)": median(firsts_of(urgent)),
-        "first token p50, rank 2 (s)": median(firsts_of(long)),
-        READ_AGAIN: run.read_again / asked,
-        "refused": sum(item.refused_at is not None for item in within) / len(within),
-    }
-
-
-def firsts_of(prompts):
-    """Return the times to the first token, in seconds, of those that were served."""
-    return [item.first_at - item.at for item in prompts if item.first_at is not None]
-
-
-def share(prompts):
-    """Return the share of prompts whose first token came in time."""
-    return sum(item.is_in_time for item in prompts) / max(1, len(prompts))
-
-
-def run(seed=1, repeats=3, scenarios=SCENARIOS):
-    """Play every scenario under every arm.
-
-    :return: :class:`benchmarks._report.Figures`.
-    """
-    figures = Figures()
-    for repeat in range(seed, seed + repeats):
-        for scenario in scenarios:
-            for arm in ARMS:
-                for name, value in measure(arm, scenario, repeat).items():
-                    aim = aim_of(scenario, name)
-                    figures.add(scenario.name, arm.name, name, value, aim)
-    return figures
-
-
-def aim_of(scenario, name):
-    """Return the aim of a figure; the shares are those that the target states."""
-    if name != READ_AGAIN:
-        return Aim()
-    return Aim(at_most=0.1 if scenario is SCENARIOS[0] else 0.25)
-
-
-def main(argv=None):
-    """Run the benchmark.
-
-    :param argv: command-line arguments; ``None`` for those of the process.
-    """
-    options = parse_options(__doc__.splitlines()[0], argv)
-    publish_figures("parts", run(options.seed, options.repeats), options)
-
-
-if __name__ == "__main__":
-    main()
