Bound what a server may send without end

Ruled out: a bound of time for each phase. The caller's deadline and the detector of silent servers already end the attempt; memory was what grew.

Change: 64 KiB before the final head, 1 MiB of skipped responses per request, 64 KiB for an event, 1 MiB for a reply of a server (2 MiB for a listing), 16 MiB for all plain responses that are being received. What exceeds a bound closes the channel and counts as a failure of the server; a read goes to another server, a purchase gets 502.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -174,6 +174,8 @@
     :param status: status of a plain answer.
     :param is_full: whether it turns requests away.
     :param late_extra: whether a second answer follows each answer.
+    :param endless: bytes to begin a response with, and bytes to repeat after them until
+        the caller closes, or ``None``.
     """
 
     events: int = 3
@@ -182,6 +184,7 @@
     status: int = 200
     is_full: bool = False
     late_extra: bool = False
+    endless: tuple[bytes, bytes] | None = None
 
 
 class StandinServer(Standin):
@@ -278,6 +281,12 @@
             return
         run = Run(request_id.decode(), fields, request.target, request.body)
         self.runs.append(run)
+        if self.behaviour.endless is not None:
+            first, repeated = self.behaviour.endless
+            await channel.write(first.replace(b"ID", request_id))
+            while True:
+                await channel.write(repeated)
+                await trio.sleep(self.behaviour.pause)
         if self.model:
             await self._stream(channel, run, echo)
             return
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -8,7 +8,7 @@
 from wasabistage.edge._exchange import Attempt
 from wasabistage.edge._messages import Dispatch
 from wasabistage.fleet import RouteKind
-from wasabistage.http1 import ChannelError, ChannelPool, NotSentError
+from wasabistage.http1 import ByteBudget, ChannelError, ChannelPool, NotSentError
 from wasabistage.retries import Failure, FirstAttemptSent, RetryQuery
 from wasabistage.rollout import ServerOrdered, ServerVersionReported
 from wasabistage.routing import (
@@ -27,9 +27,11 @@
     ServerRemoved,
     WaitEnded,
 )
+from wasabistage.sessions import EventTooLongError
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_HELD_BODY_BYTES = 1 << 20  # plain responses are buffered until complete
+MAX_HELD_BYTES = 16 << 20  # of all plain responses that are being received
 MAX_POOLS = 4096  # twice the servers of the largest deployment
 MAX_SHORT_BODY_BYTES = 16384  # fits into the send window of a new channel
 GATE_INTERVAL_SECONDS = 0.015  # pause between two queries to a gate without room
@@ -48,6 +50,7 @@
     def __init__(self, state):
         self.state = state
         self.attempt_count = 0
+        self.body_budget = ByteBudget(MAX_HELD_BYTES)
 
     async def run(self, exchange):
         """Forward one request until it is answered, with retries.
@@ -360,7 +363,8 @@
     async def _forward_response(self, exchange, attempt, channel, head, metadata):
         """Forward a response to the caller; return its headers."""
         if metadata.is_not_run:
-            await channel.read_body(MAX_HELD_BODY_BYTES)
+            with self.body_budget.hold() as hold:
+                await channel.read_body(MAX_HELD_BODY_BYTES, hold)
             self._record_not_run(attempt, head, metadata)
             return head.fields
         exchange.may_have_run = True
@@ -368,7 +372,12 @@
             raise ChannelError("success response without the server's seal")
         if exchange.route.kind is RouteKind.STREAM and head.status == 200:
             return await self._forward_stream(exchange, attempt, channel, head)
-        body = await channel.read_body(MAX_HELD_BODY_BYTES)
+        with self.body_budget.hold() as hold:
+            body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
+            return await self._forward_body(exchange, attempt, head, body)
+
+    async def _forward_body(self, exchange, attempt, head, body):
+        """Forward a whole response, unless the request may be repeated elsewhere."""
         if head.status >= 500:
             attempt.failure = Failure.ERROR
             attempt.reason = f"the server responded with status {head.status}"
@@ -439,6 +448,9 @@
                     is_first = False
                 if events:
                     await caller.send_piece(events)
+        except EventTooLongError as error:
+            splitter.discard_incomplete()
+            raise ChannelError(str(error)) from error
         except ChannelError:
             splitter.discard_incomplete()
             raise
--- a/wasabistage/edge/_snapshots.py
+++ b/wasabistage/edge/_snapshots.py
@@ -7,6 +7,7 @@
 from wasabistage.http1 import Answer, ChannelError, HttpClient
 
 REQUEST_TIMEOUT_SECONDS = 0.4  # peers answer in some milliseconds
+MAX_SNAPSHOT_BYTES = 8 << 20  # twice the largest configuration
 SNAPSHOT_PATH = b"/facts/"
 
 
@@ -81,7 +82,9 @@
         """
         address = self._select_address()
         if address not in self.clients:
-            self.clients[address] = HttpClient(address, self.state.timer)
+            self.clients[address] = HttpClient(
+                address, self.state.timer, MAX_SNAPSHOT_BYTES
+            )
         requested_at = self.state.timer.now()
         target = SNAPSHOT_PATH + str(topic).encode()
         try:
--- a/wasabistage/http1/__init__.py
+++ b/wasabistage/http1/__init__.py
@@ -5,6 +5,7 @@
 whether a channel may be used again.
 """
 
+from wasabistage.http1._budget import ByteBudget
 from wasabistage.http1._channel import (
     Channel,
     ChannelError,
@@ -26,6 +27,7 @@
 
 __all__ = [
     "Answer",
+    "ByteBudget",
     "CallerChannel",
     "CallerGoneError",
     "Channel",
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -11,6 +11,12 @@
 KEEPALIVE_INTERVAL = 1  # seconds, the least that the system takes
 KEEPALIVE_PROBES = 2  # probes; one may be lost on a bad link
 UNACKNOWLEDGED_LIMIT = 3000  # milliseconds; the idle time plus two probes
+#: Bytes that may arrive before the head of the final response is complete, with all
+#: interim responses.
+MAX_HEAD_BYTES = 65536
+#: Bytes of responses to earlier requests that are skipped on one channel. A channel
+#: that has more of them is closed.
+MAX_SKIPPED_BYTES = 1 << 20
 
 
 class ChannelError(Exception):
@@ -101,6 +107,9 @@
         self.used = 0
         self.idle_until = 0.0
         self.heard_at = 0.0
+        #: Bytes received since the last request was sent.
+        self.received_bytes = 0
+        self.skipped_bytes = 0
 
     def close(self):
         """Close at once; a server stops the work of a closed channel."""
@@ -131,6 +140,7 @@
         :raises ChannelError: if the channel broke.
         """
         self.used += 1
+        self.received_bytes = self.skipped_bytes = 0
         self.sent_all = False
         self.request = h11.Request(method=method, target=target, headers=headers)
         data = self.connection.send(self.request)
@@ -158,7 +168,9 @@
             while True:
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
-                    self.connection.receive_data(await self.sock.recv(READ_BYTES))
+                    data = await self.sock.recv(READ_BYTES)
+                    self.received_bytes += len(data)
+                    self.connection.receive_data(data)
                     continue
                 return event
         except OSError as error:
@@ -169,11 +181,17 @@
     async def read_head(self):
         """Return the :class:`ResponseHead` of the final response.
 
-        :raises ChannelError: if there is none.
+        :raises ChannelError: if there is none, or more than ``MAX_HEAD_BYTES`` arrive
+            before it.
         """
+        begun_at = self.received_bytes
         while True:
             event = await self.next_event()
             if isinstance(event, h11.InformationalResponse):
+                if self.received_bytes - begun_at > MAX_HEAD_BYTES:
+                    raise ChannelError(
+                        f"interim responses of over {MAX_HEAD_BYTES} bytes"
+                    )
                 continue
             if not isinstance(event, h11.Response):
                 raise ChannelError("the channel ended before a response")
@@ -200,17 +218,21 @@
             else:
                 raise ChannelError("the body broke off")
 
-    async def read_body(self, limit):
+    async def read_body(self, limit, hold=None):
         """Return the whole body.
 
         :param limit: most bytes.
-        :raises ChannelError: if it breaks off or is larger.
+        :param hold: a :class:`wasabistage.http1.ByteHold` that the bytes are added to,
+            or ``None``.
+        :raises ChannelError: if it breaks off or is larger, or the budget is used up.
         """
         body = bytearray()
         while piece := await self.read_piece():
+            if hold is not None:
+                hold.add(len(piece))
             body += piece
             if len(body) > limit:
-                raise ChannelError("the body is larger than its limit")
+                raise ChannelError(f"the body is larger than {limit} bytes")
         return bytes(body)
 
     async def skip_response(self):
@@ -218,10 +240,15 @@
 
         The request that was sent last is still unanswered afterwards.
 
-        :raises ChannelError: if the response breaks off.
+        :raises ChannelError: if the response breaks off, or the responses skipped since
+            the last request have more than ``MAX_SKIPPED_BYTES``.
         """
-        while await self.read_piece():
-            pass
+        while piece := await self.read_piece():
+            self.skipped_bytes += len(piece)
+            if self.skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ChannelError(
+                    f"responses to earlier requests of over {MAX_SKIPPED_BYTES} bytes"
+                )
         trailing, _ = self.connection.trailing_data
         fresh = h11.Connection(h11.CLIENT)
         # The framing of a response depends on the method alone.
--- a/wasabistage/http1/_client.py
+++ b/wasabistage/http1/_client.py
@@ -8,7 +8,7 @@
 from wasabistage.http1._pool import ChannelPool
 
 CONNECT_TIMEOUT = 0.5  # seconds; links within a region take milliseconds
-MAX_REPLY_BYTES = 8 << 20  # bytes; twice the largest page of records
+MAX_REPLY_BYTES = 1 << 20  # bytes; reports and cache events have some kilobytes
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -30,11 +30,13 @@
 
     :param address: ``IP:PORT``.
     :param timer: a :class:`wasabistage.timing.TimerService`.
+    :param max_reply_bytes: largest body of a response; a larger one is an error.
     """
 
-    def __init__(self, address, timer):
+    def __init__(self, address, timer, max_reply_bytes=MAX_REPLY_BYTES):
         self.address = address
         self.timer = timer
+        self.max_reply_bytes = max_reply_bytes
         host, _, port = address.rpartition(":")
         self.pool = ChannelPool((host, int(port)), CONNECT_TIMEOUT)
         self.host = address.encode()
@@ -66,7 +68,7 @@
                 framing.append((b"Content-Length", b"%d" % len(body)))
             await channel.send_request(method, target, [*framing, *headers], body)
             head = await channel.read_head()
-            data = await channel.read_body(MAX_REPLY_BYTES)
+            data = await channel.read_body(self.max_reply_bytes)
             self.pool.give_back(channel, head.fields, self.timer.now())
             kept = True
             return Reply(status=head.status, fields=head.fields, body=data)
--- a/wasabistage/platform/_servers.py
+++ b/wasabistage/platform/_servers.py
@@ -14,6 +14,8 @@
 MILLISECONDS_PER_SECOND = 1000.0
 CALL_TIMEOUT = 1.0  # seconds; the calls need no slot and take milliseconds
 LONGEST_WAIT = 1.0  # seconds, the most that an engine holds a call for events
+#: Largest reply. A listing of 25,000 parts has about that size.
+MAX_REPLY_BYTES = 2 << 20
 MAX_CLIENTS = 4096  # addresses; twice the servers of the largest deployment
 ORDER_ANSWERS = {
     200: OrderAnswer.HOLDS,
@@ -90,7 +92,7 @@
         if address not in self.clients:
             if len(self.clients) >= MAX_CLIENTS:
                 self.clients.pop(next(iter(self.clients))).close()
-            self.clients[address] = HttpClient(address, self.timer)
+            self.clients[address] = HttpClient(address, self.timer, MAX_REPLY_BYTES)
         return self.clients[address]
 
     async def read_report(self, address, timeout=CALL_TIMEOUT):
--- a/wasabistage/platform/_store.py
+++ b/wasabistage/platform/_store.py
@@ -27,6 +27,7 @@
 CALL_TIMEOUT = 1.0  # seconds; the store answers in some milliseconds when it is well
 READ_KIB = 1024  # KiB a read, the store's own default
 MAX_PAGES = 64  # pages of newest records, 500 records each
+MAX_PAGE_BYTES = 8 << 20  # twice the largest page of newest records, in base64
 POSITIONS = struct.Struct(">QQ")
 LENGTH = struct.Struct(">I")
 
@@ -66,7 +67,7 @@
     """
 
     def __init__(self, address, timer):
-        self.client = HttpClient(address, timer)
+        self.client = HttpClient(address, timer, MAX_PAGE_BYTES)
 
     async def read_newest(self, topic):
         """See :meth:`wasabistage.fleet.RecordStore.read_newest`."""
--- a/wasabistage/sessions/__init__.py
+++ b/wasabistage/sessions/__init__.py
@@ -18,7 +18,7 @@
 __getattr__, __all__ = build_lazy_exports(
     __name__,
     {
-        "_event_stream": ("EventSplitter",),
+        "_event_stream": ("EventSplitter", "EventTooLongError"),
         "_frames": (
             "AnswerAssembler",
             "AnswerDigest",
--- a/wasabistage/sessions/_event_stream.py
+++ b/wasabistage/sessions/_event_stream.py
@@ -1,6 +1,11 @@
 """Splits a stream of server-sent events at the ends of events."""
 
 ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 65536
+
+
+class EventTooLongError(Exception):
+    """An event of a stream has no end within its largest size."""
 
 
 class EventSplitter:
@@ -23,9 +28,13 @@
 
         :param data: the next bytes of the stream.
         :return: the bytes up to the end of the last complete event; may be empty.
+        :raises EventTooLongError: if more than ``MAX_EVENT_BYTES`` without the end of
+            an event are held back.
         """
         self.pending += data
         end = max(self._find_end(b"\n\n"), self._find_end(b"\r\n\r\n"))
+        if len(self.pending) - end > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         if end <= 0:
             return b""
         complete, self.pending = self.pending[:end], self.pending[end:]
