Use how long work takes on a server now

Cause: the load header of servers that share their machines has a fourth number. The decoder expected three, so that all load of these servers was ignored.

The test of the decoder failed first.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -10,6 +10,7 @@
     Candidate,
     GateQuery,
     HealthQuery,
+    PaceQuery,
     PartCandidate,
     PartDecision,
     PartQuery,
@@ -76,7 +77,7 @@
     :return: a :class:`Choice`, or a sentinel such as ``NO_SERVER``.
     """
     weights = {
-        item.server: item.weight
+        item.server: item.weight / state.pace.decide(PaceQuery(server=item.server), now)
         for item in state.health.decide(HealthQuery(service=service), now)
         if item.usable
     }
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -22,6 +22,7 @@
     LoadReport,
     MemoryReleased,
     MemoryReserved,
+    PaceReported,
     RequestEnded,
     RequestSent,
     ServerRemoved,
@@ -340,6 +341,9 @@
         """Record the load and weight version that a response reports."""
         state, now = self.state, self.state.timer.now()
         record, plan = attempt.choice.record, attempt.choice.plan
+        if metadata.load is not None and metadata.load.pace is not None:
+            pace = PaceReported(server=record.server, factor=metadata.load.pace)
+            state.pace.observe(pace, now)
         if metadata.load is not None and plan is None:
             report = LoadReport(
                 server=record.server,
--- a/wasabistage/edge/_messages.py
+++ b/wasabistage/edge/_messages.py
@@ -117,11 +117,14 @@
     :param running: number of running requests.
     :param waiting: number of waiting requests.
     :param slots: number of requests that the server runs at once.
+    :param pace: duration of work relative to the usual one, above 0, or ``None`` if
+        the server doesn't report it.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -192,6 +192,7 @@
         for server in self.state.servers.tick(now):
             self.state.log.write("server_lapsed", server=server)
             self.state.health.observe(ServerRemoved(server=server), now)
+        self.state.pace.tick(now)
         for change in self.state.health.tick(now):
             self.state.log.write(
                 "server_health", server=change.server, state=str(change.state)
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -14,6 +14,7 @@
     FirstTokenEstimator,
     HealthPolicy,
     LeastOutstandingRouter,
+    PaceEstimator,
     PartRouter,
     RankedGate,
     SilenceDetector,
@@ -75,6 +76,7 @@
             slow_start=1.0,
             first_weight=0.3,
         ).reset()
+        self.pace = PaceEstimator().reset()
         self.silence = SilenceDetector().reset()
         #: Cancel scopes of running attempts that may be retried elsewhere, by server.
         self.repeatable_scopes = {}
--- a/wasabistage/platform/_headers.py
+++ b/wasabistage/platform/_headers.py
@@ -29,7 +29,7 @@
 #: Proof that a response is the server's own.
 SEAL = b"wasabistage-response-seal"
 NOT_RUN = b"wasabistage-not-executed"
-#: "RUNNING,WAITING,SLOTS".
+#: "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,PACE"; PACE is a percentage.
 LOAD = b"wasabistage-server-load"
 SERVER = b"wasabistage-instance-id"
 #: The weight version of the answer, a single integer despite its name.
--- a/wasabistage/platform/_requests.py
+++ b/wasabistage/platform/_requests.py
@@ -15,6 +15,10 @@
 MILLISECONDS_PER_SECOND = 1000.0
 NO_ADDRESS = b"-"
 
+MAX_LOAD_NUMBERS = 4  # further numbers in the header of a server's load are ignored
+MAX_COUNT_DIGITS = 9  # of a number in that header
+USUAL_PACE_PERCENT = 100.0
+
 
 def decode_request(request):
     """Decode a caller's request.
@@ -206,12 +210,25 @@
 
 
 def decode_load(value):
-    """Return a :class:`wasabistage.edge.ServerLoad`, or ``None``."""
-    numbers = value.split(b",")
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
+    """Return a :class:`wasabistage.edge.ServerLoad`, or ``None``.
+
+    :param value: numbers separated by commas: running, waiting and slots, and where
+        servers share their machines with others, the duration of work in percent of
+        the usual one. A fourth number that can't be used is ignored.
+    """
+    numbers = [item.strip() for item in value.split(b",", MAX_LOAD_NUMBERS)]
+    if len(numbers) < 3 or not all(is_count(item) for item in numbers[:3]):
         return None
-    running, waiting, slots = (int(item) for item in numbers)
-    return ServerLoad(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots = (int(item) for item in numbers[:3])
+    pace = None
+    if len(numbers) > 3 and is_count(numbers[3]) and int(numbers[3]) > 0:
+        pace = int(numbers[3]) / USUAL_PACE_PERCENT
+    return ServerLoad(running=running, waiting=waiting, slots=slots, pace=pace)
+
+
+def is_count(text):
+    """Return whether bytes are a whole number of at most ``MAX_COUNT_DIGITS``."""
+    return len(text) <= MAX_COUNT_DIGITS and text.isdigit()
 
 
 def decode_seconds(value):
--- a/wasabistage/platform/tests/test_requests.py
+++ b/wasabistage/platform/tests/test_requests.py
@@ -158,6 +158,23 @@
         self.assertEqual(facts.weight_version, 4)
         self.assertIsNone(decode_response(head(200, Wasabistage_Server_Load=b"x")).load)
 
+    def test_duration_of_work_is_optional(self):
+        load = decode_response(head(200, Wasabistage_Server_Load=b"3,1,8, 250")).load
+        self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 8))
+        self.assertEqual(load.pace, 2.5)
+        for value in (b"3,1,8", b"3,1,8,", b"3,1,8,x", b"3,1,8,0", b"3,1,8,-5"):
+            load = decode_response(head(200, Wasabistage_Server_Load=value)).load
+            self.assertEqual((load.running, load.waiting), (3, 1))
+            self.assertIsNone(load.pace)
+        huge = b"3,1,8," + b"9" * 5000
+        self.assertIsNone(
+            decode_response(head(200, Wasabistage_Server_Load=huge)).load.pace
+        )
+        for value in (b"1,2", b"-1,2,3,100", b"1,2," + b"9" * 5000):
+            self.assertIsNone(
+                decode_response(head(200, Wasabistage_Server_Load=value)).load
+            )
+
     def test_seal_goes_on_and_channel_headers_do_not(self):
         answer = head(
             200, Wasabistage_Response_Seal=b"s", Keep_Alive=b"timeout=3", X=b"y"
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -82,6 +82,11 @@
             "RouteDecision",
             "RouteQuery",
         ),
+        "_pace": (
+            "PaceEstimator",
+            "PaceQuery",
+            "PaceReported",
+        ),
         "_part_router": (
             "MemoryReleased",
             "MemoryReserved",
