Let each client of the entry hop benchmark ask at least once

The end of the half second was set before the HTTP client was created, which can take longer than that on a busy machine, so that no client asked.

Ruled out: an entry that doesn't answer; the first-token requests before had answers.

Change: each client asks at least once.

--- a/benchmarks/entry_hop.py
+++ b/benchmarks/entry_hop.py
@@ -209,6 +209,8 @@
 async def ask_for(target, seconds):
     """Send requests from several clients for a while.
 
+    Each client sends at least one, however long it takes to start.
+
     :param target: a :class:`Target`.
     :param seconds: how long.
     :return: the number of whole answers.
@@ -220,13 +222,15 @@
     async def ask(client):
         nonlocal done
         options = {"json": target.body, "headers": target.headers}
-        while trio.current_time() < end:
+        while True:
             last = b""
             async with client.stream("POST", target.url, **options) as answer:
                 answer.raise_for_status()
                 async for chunk in answer.aiter_raw():
                     last = chunk
             done += last.endswith(b"[DONE]\n\n")
+            if trio.current_time() >= end:
+                return
 
     async with httpx.AsyncClient(timeout=timeout, trust_env=False) as client:
         async with trio.open_nursery() as nursery:
--- a/benchmarks/tests/test_entry_hop.py
+++ b/benchmarks/tests/test_entry_hop.py
@@ -3,6 +3,7 @@
 import unittest
 
 from benchmarks.entry_hop import (
+    CLIENTS,
     SERVING_MB,
     Load,
     make_fleet,
@@ -34,9 +35,11 @@
             through, direct = measure_first_token(fleet, 3)
             _, resident = measure_idle(fleet, 0.2)
             found = measure_load(fleet, 8, 0.5, 0.0)
+            shortest = measure_load(fleet, 8, 0.0, 0.0)
         self.assertEqual((len(through), len(direct)), (3, 3))
         self.assertGreater(found.requests, 0)
         self.assertEqual(found.tokens, 8 * found.requests)
+        self.assertEqual(shortest.requests, CLIENTS)
         self.assertLess(max(resident, found.resident), SERVING_MB * 1e6)
 
 
