Watch the pause after a failed append by time, not by looks

Cause: the test looked 60 times, 10 ms apart, for the 0.9 s in which nothing is ordered.

Ruled out: an order within the pause; it is checked as before, up to three quarters of the pause, and from the failure on.

Change: the looks go by the clock of the test.

--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -5,7 +5,10 @@
 import trio
 
 from standins.users_platform import Behaviour
-from wasabistage.edge._orders import ORDER_LEAD_SECONDS
+from wasabistage.edge._orders import (
+    APPEND_FAILURE_PAUSE_SECONDS,
+    ORDER_LEAD_SECONDS,
+)
 from wasabistage.fleet import Topic
 from wasabistage.http1 import ChannelError, HttpClient, open_channel
 from wasabistage.platform._store import TOPICS
@@ -212,10 +215,11 @@
             self.platform.store.refuses_appends = True
             self.platform.store.put("version/m", {"model": "m", "version": 2})
             await self.until(lambda: self.events("order_lease_failed"))
+            failed_at = trio.current_time()
             await self.until(lambda: not self.edge.state.gossip.ordering)
-            for _ in range(60):
-                await trio.sleep(0.01)
+            while trio.current_time() < failed_at + 0.75 * APPEND_FAILURE_PAUSE_SECONDS:
                 self.assertFalse(self.edge.state.gossip.ordering)
+                await trio.sleep(0.01)
             self.platform.store.refuses_appends = False
             await self.until(lambda: all(s.version == 2 for s in self.platform.engines))
 
