Load a named version on more engines at once in a large fleet

Cause: two engines at a time take 20 s for 50 engines; requests must not begin on an older version 8 s after a newer one was named.

Change: as many as bring all engines to the version in half of that time, at most 0.3 of them; two for six engines as before.

Test: 50 engines, loads of 0.8 s: above 8 s with two at a time, below with the rule.

--- a/wasabistage/rollout/_swap.py
+++ b/wasabistage/rollout/_swap.py
@@ -1,5 +1,6 @@
 """Selection of the servers that load the named weight version next."""
 
+import math
 from dataclasses import dataclass
 
 from wasabistage.base import Policy
@@ -117,16 +118,34 @@
     its running requests have ended, so each entry can keep long requests away from the
     servers that come next.
 
-    :param at_once: number of servers that load at the same time. More concurrent loads
-        make each of them slower.
+    :param at_once: number of servers that load at the same time, at least. More
+        concurrent loads make each of them slower.
+    :param version_time: time within which all servers must run a named version, in
+        seconds; in a large fleet more than ``at_once`` load at the same time, so that
+        half of it suffices. ``None`` for no bound.
+    :param load_time: time that one load takes, with the order and its wait, in seconds.
+    :param max_share: fraction of the servers that load at the same time, at most, if
+        that is more than ``at_once``.
     :param word_time: time for which a server counts as loading after the last
         :class:`ServerOrdered` for it, in seconds.
     :param retry_time: time until a server is ordered again after its order failed, in
         seconds.
     """
 
-    def __init__(self, *, at_once=2, word_time=0.7, retry_time=0.5):
+    def __init__(
+        self,
+        *,
+        at_once=2,
+        version_time=None,
+        load_time=0.8,
+        max_share=0.3,
+        word_time=0.7,
+        retry_time=0.5,
+    ):
         self.at_once = at_once
+        self.version_time = version_time
+        self.load_time = load_time
+        self.max_share = max_share
         self.word_time = word_time
         self.retry_time = retry_time
 
@@ -265,7 +284,17 @@
         allowed = tuple(
             load for load in loads if load.server not in query.excluded_servers
         )
-        return allowed[: max(0, self.at_once - loading)]
+        return allowed[: max(0, self.get_at_once(len(query.candidates)) - loading)]
+
+    def get_at_once(self, count):
+        """Return how many servers load at the same time.
+
+        :param count: number of servers.
+        """
+        if self.version_time is None:
+            return self.at_once
+        needed = math.ceil(count * self.load_time / (0.5 * self.version_time))
+        return max(self.at_once, min(needed, int(count * self.max_share)))
 
     def get_pending_loads(self, candidates, now):
         """Return the loads that are still to be ordered, the next one first.
@@ -291,14 +320,15 @@
     def next_servers(self, servers, model):
         """Return the servers of the next two rounds of orders.
 
-        A round is ``at_once`` servers.
+        A round is :meth:`get_at_once` servers.
 
         :param servers: ids of all servers of the model.
         :param model: name of the model.
         :return: a set of ids.
         """
-        behind = sorted(name for name in servers if self.is_behind(name, model))
-        return set(behind[: 2 * self.at_once])
+        names = list(servers)
+        behind = sorted(name for name in names if self.is_behind(name, model))
+        return set(behind[: 2 * self.get_at_once(len(names))])
 
     def _may_order(self, server, now):
         failed_at = self.failed_at_.get(server, float("-inf"))
--- a/wasabistage/rollout/tests/test_swap.py
+++ b/wasabistage/rollout/tests/test_swap.py
@@ -122,5 +122,48 @@
         self.assertEqual([item.server for item in loads], ["s2", "s3"])
 
 
+class LargeRolloutTest(unittest.TestCase):
+    """Pattern: 50 engines must run a named version within 8 seconds."""
+
+    def play(self, version_time):
+        """Return the time after which all engines run the version."""
+        names = [f"s{number:02}" for number in range(50)]
+        candidates = tuple(
+            VersionLoadCandidate(server=name, incarnation=1, models=("m",))
+            for name in names
+        )
+        policy = VersionRollout(at_once=2, version_time=version_time).reset()
+        for name in names:
+            event = ServerVersionReported(
+                server=name, incarnation=1, model="m", version=1
+            )
+            policy.observe(event, 0.0)
+        policy.observe(VersionNamed(model="m", version=2), 0.0)
+        loading, now, most = {}, 0.0, 0
+        while any(policy.is_behind(name, "m") for name in names):
+            for name in [name for name, end_at in loading.items() if end_at <= now]:
+                del loading[name]
+                event = ServerVersionReported(
+                    server=name, incarnation=1, model="m", version=2
+                )
+                policy.observe(event, now)
+            for load in policy.decide(VersionLoadQuery(candidates=candidates), now):
+                loading[load.server] = now + 0.8
+            for name in loading:
+                policy.observe(ServerOrdered(server=name), now)
+            most = max(most, len(loading))
+            now += 0.1
+        return now, most
+
+    def test_version_is_in_force_in_time(self):
+        seconds, most = self.play(version_time=8.0)
+        self.assertLess(seconds, 8.0)
+        self.assertLessEqual(most, 15)
+
+    def test_fixed_number_takes_too_long(self):
+        seconds, _ = self.play(version_time=None)
+        self.assertGreater(seconds, 8.0)
+
+
 if __name__ == "__main__":
     unittest.main()
