Judge and score engines at a cost that doesn't grow with the fleet

Cause: with 50 engines, 23 cache stores and 195 entries a decision looked up every part at every store for every engine (some 3,500 look-ups), each entry had too few calls to an engine to see that it failed (13 dark engines: a third of the attempts of the next 4 s were 'cannot connect'), counted a busy engine as silent as it had one request there, and sent all that waited to the first engine that looked empty.

--- a/wasabistage/cache/_part_map.py
+++ b/wasabistage/cache/_part_map.py
@@ -6,6 +6,8 @@
 #: part takes tenths of a second over a slow link.
 SAVE_TIMEOUT_SECONDS = 3.0
 
+MAX_OLD_EPOCHS = 8  # of one source that are remembered
+
 
 @dataclass
 class SourceParts:
@@ -13,15 +15,22 @@
 
     :param epoch: number that changes when the source restarts, or ``None`` before its
         first event.
+    :param old_epochs: some earlier epochs, oldest first.
     :param position: position from which its next events are to be read.
     :param tokens_by_part: dict of (cache key, part) to the number of tokens held.
     :param total_tokens: sum of these numbers.
+    :param address: address of the source.
+    :param holders: dict of (cache key, part) to the dict of address to tokens of all
+        sources that hold it; kept in line with ``tokens_by_part``.
     """
 
     epoch: int | None = None
+    old_epochs: list = field(default_factory=list)
     position: int = 0
     tokens_by_part: dict = field(default_factory=dict)
     total_tokens: int = 0
+    address: str = ""
+    holders: dict = field(default_factory=dict)
 
     def set(self, part_key, tokens):
         """Set how many tokens of a part the source holds.
@@ -32,9 +41,21 @@
         self.total_tokens += tokens - self.tokens_by_part.pop(part_key, 0)
         if tokens > 0:
             self.tokens_by_part[part_key] = tokens
+            self.holders.setdefault(part_key, {})[self.address] = tokens
+        else:
+            self._remove_holder(part_key)
+
+    def _remove_holder(self, part_key):
+        holders = self.holders.get(part_key)
+        if holders is not None:
+            holders.pop(self.address, None)
+            if not holders:
+                del self.holders[part_key]
 
     def clear(self):
         """Remove all parts."""
+        for part_key in self.tokens_by_part:
+            self._remove_holder(part_key)
         self.tokens_by_part = {}
         self.total_tokens = 0
 
@@ -48,6 +69,8 @@
 
     def __init__(self):
         self.sources = {}  # address to SourceParts
+        # Maps (cache key, part) to the tokens of each source that holds it, by address.
+        self.holders = {}
         # Maps (cache key, part) to the store's address, the tokens and the monotonic
         # time at which the save times out, in seconds.
         self.saves = {}
@@ -58,7 +81,7 @@
         :param address: address of the source.
         """
         if address not in self.sources:
-            self.sources[address] = SourceParts()
+            self.sources[address] = SourceParts(address=address, holders=self.holders)
         return self.sources[address]
 
     def remove_source(self, address):
@@ -66,7 +89,9 @@
 
         :param address: address of the source.
         """
-        self.sources.pop(address, None)
+        source = self.sources.pop(address, None)
+        if source is not None:
+            source.clear()
 
     def keep_only(self, addresses):
         """Remove every source whose address is not listed.
@@ -74,7 +99,16 @@
         :param addresses: set of the addresses to keep.
         """
         for address in set(self.sources) - set(addresses):
-            del self.sources[address]
+            self.remove_source(address)
+
+    def get_holders(self, cache_key, part):
+        """Return the sources that hold a part.
+
+        :param cache_key: cache key of the part.
+        :param part: id of the part.
+        :return: dict of address to tokens held.
+        """
+        return self.holders.get((cache_key, part), {})
 
     def apply_events(self, address, events, is_listing=False):
         """Update the parts of a source by its events or its listing.
@@ -86,6 +120,8 @@
         """
         source = self.source(address)
         has_restarted = source.epoch is not None and source.epoch != events.epoch
+        if has_restarted:
+            source.old_epochs = [*source.old_epochs, source.epoch][-MAX_OLD_EPOCHS:]
         if has_restarted or is_listing:
             source.clear()
         source.epoch = events.epoch
@@ -94,6 +130,15 @@
             source.set((event.cache_key, event.part), event.tokens)
         return has_restarted
 
+    def is_old_epoch(self, address, epoch):
+        """Return whether a source has restarted since an epoch.
+
+        :param address: address of the source.
+        :param epoch: the epoch.
+        """
+        source = self.sources.get(address)
+        return source is not None and epoch in source.old_epochs
+
     def tokens(self, address, cache_key, part):
         """Return the number of tokens of a part that a source holds.
 
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -58,6 +58,7 @@
             "Health",
             "HealthChanged",
             "HealthQuery",
+            "PeerCallsEnded",
             "ServerAppeared",
             "ServerHealth",
             "ServerLeaving",
@@ -82,6 +83,10 @@
             "RouteDecision",
             "RouteQuery",
         ),
+        "_near": (
+            "NearQuery",
+            "NearSelection",
+        ),
         "_pace": (
             "PaceEstimator",
             "PaceQuery",
@@ -110,10 +115,15 @@
         ),
         "_silence": (
             "BytesReceived",
+            "ServerHeard",
             "SilenceDetector",
             "SilenceQuery",
             "RequestEnded",
             "RequestSent",
         ),
+        "_turns": (
+            "TurnLottery",
+            "TurnQuery",
+        ),
     },
 )
--- a/wasabistage/routing/_engine_gate.py
+++ b/wasabistage/routing/_engine_gate.py
@@ -30,6 +30,8 @@
     :param backlog: computing time of the work ahead of the prompt, in seconds.
     :param reserved_tokens: memory reserved for requests at the engine, in tokens.
     :param memory_tokens: KV cache memory of the engine, in tokens.
+    :param runs: open requests of all entries at the engine.
+    :param slots: number of requests that the engine runs at once; 0 for no bound.
     :param predicted: predicted time to the first token from now, in seconds.
     :param arrived_at: monotonic time at which the request arrived, in seconds.
     :param objective: latency objective for the first token since arrival, in seconds.
@@ -47,6 +49,8 @@
     arrived_at: float
     objective: float
     patience: float
+    runs: int = 0
+    slots: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -80,6 +84,13 @@
         if isinstance(event, WaitEnded):
             self.waiting_.pop(event.request, None)
 
+    def hold(self, query):
+        """Count a request as waiting although the gate would admit it.
+
+        :param query: its :class:`GateQuery`.
+        """
+        self.waiting_[query.request] = query
+
     @abstractmethod
     def decide(self, query, now):
         """Answer a :class:`GateQuery`.
@@ -110,6 +121,9 @@
     :param size_share: fraction of an engine's memory; a prompt that needs more is
         counted as if it needed only this. Otherwise the longest prompts would never
         find enough free memory while shorter prompts take it.
+    :param slot_shares: open requests at an engine, as a fraction of its slots, below
+        which a prompt is sent to it, by rank; the last value applies to all less urgent
+        ranks. An urgent prompt may wait in the engine, which admits it first.
     :param backlog_limits: largest computing time of the work ahead of a prompt, by
         rank, in seconds; the last value applies to all less urgent ranks.
     :param patience_share: fraction of the caller's patience within which the first
@@ -123,23 +137,26 @@
         *,
         memory_shares=(1.0, 0.92, 0.82),
         size_share=0.25,
+        slot_shares=(1.25, 1.0, 0.85),
         backlog_limits=(0.5, 0.3, 0.08),
         patience_share=0.9,
         late_limit=1.2,
     ):
         self.memory_shares = memory_shares
         self.size_share = size_share
+        self.slot_shares = slot_shares
         self.backlog_limits = backlog_limits
         self.patience_share = patience_share
         self.late_limit = late_limit
 
     def reset(self):
         """Check the arguments and clear the waiting requests."""
-        if not self.memory_shares or not self.backlog_limits:
+        limits = (self.memory_shares, self.slot_shares, self.backlog_limits)
+        if not all(limits):
             raise SettingError(
-                "memory_shares and backlog_limits need at least one value, but are "
-                f"{self.memory_shares!r} and {self.backlog_limits!r}",
-                remedy="give both at least the limit of rank 0",
+                "memory_shares, slot_shares and backlog_limits need at least one "
+                f"value, but are {', '.join(map(repr, limits))}",
+                remedy="give each at least the limit of rank 0",
             )
         return super().reset()
 
@@ -161,6 +178,8 @@
         # An engine without reserved memory accepts a prompt of any size.
         size = min(query.size, self.size_share * query.memory_tokens)
         fits = query.reserved_tokens + size <= room or not query.reserved_tokens
+        slots = get_limit(self.slot_shares, query.rank) * query.slots
+        fits = fits and (not query.slots or query.runs < slots)
         return fits and query.backlog <= get_limit(self.backlog_limits, query.rank)
 
     def _order_key(self, query, now):
--- a/wasabistage/routing/_health.py
+++ b/wasabistage/routing/_health.py
@@ -15,6 +15,7 @@
     CallStarted,
     Health,
     HealthChanged,
+    PeerCallsEnded,
     ServerAppeared,
     ServerHealth,
     ServerLeaving,
@@ -46,9 +47,14 @@
     outcomes: deque = field(default_factory=deque)
     cached_median_seconds: float | None = None
 
-    def add_outcome(self, event, window):
-        """Add an outcome; keep the newest ``window`` of them."""
-        self.outcomes.append((event.ok, event.seconds))
+    def add_outcome(self, ok, seconds, window):
+        """Add an outcome; keep the newest ``window`` of them.
+
+        :param ok: whether the call succeeded.
+        :param seconds: its duration, or ``None`` if it is unknown.
+        :param window: number of outcomes kept.
+        """
+        self.outcomes.append((ok, seconds))
         if len(self.outcomes) > window:
             self.outcomes.popleft()
         self.cached_median_seconds = None
@@ -61,7 +67,7 @@
     def compute_median_seconds(self, min_outcomes):
         """Return the median duration of successful calls; 0 if there are too few."""
         if self.cached_median_seconds is None:
-            seconds = [item for ok, item in self.outcomes if ok]
+            seconds = [item for ok, item in self.outcomes if ok and item is not None]
             self.cached_median_seconds = (
                 median(seconds) if len(seconds) >= min_outcomes else 0.0
             )
@@ -243,6 +249,8 @@
             self._record_start(event, now)
         elif isinstance(event, CallEnded):
             self._record_end(event, now)
+        elif isinstance(event, PeerCallsEnded):
+            self._record_peer_ends(event, now)
 
     def _record_start(self, event, now):
         state = self.servers_.get(event.server)
@@ -258,13 +266,41 @@
         state = self.servers_.get(event.server)
         if state is None:
             return
-        state.add_outcome(event, self.window)
+        state.add_outcome(event.ok, event.seconds, self.window)
         if state.state is Health.HALF_OPEN:
             self._record_probe_end(event, state, now)
         elif state.state in (Health.CLOSED, Health.SLOW_START):
             if self._should_eject(event.server, state) and self._may_eject(state):
                 self._open_breaker(event.server, state, now)
 
+    def _record_peer_ends(self, event, now):
+        """Count calls of other entries like own ones, without their durations.
+
+        While the server is ejected, failed calls of others postpone the own probe, so
+        that a fleet does not probe a lost server once per entry.
+        """
+        state = self.servers_.get(event.server)
+        if state is None:
+            return
+        if state.state is Health.OPEN:
+            if event.failed and not event.ok:
+                delay = min(self._get_open_delay(state), self.max_open_delay)
+                retry_at = now + delay * (0.5 + event.draw)
+                state.retry_at = max(state.retry_at, retry_at)
+            elif event.ok and not event.failed:
+                state.retry_at = min(state.retry_at, now)
+            return
+        if state.state not in (Health.CLOSED, Health.SLOW_START):
+            return
+        for ok in spread_outcomes(event.ok, event.failed, self.window):
+            state.add_outcome(ok, None, self.window)
+        if event.failed and self._should_eject(event.server, state):
+            if self._may_eject(state):
+                self._open_breaker(event.server, state, now)
+
+    def _get_open_delay(self, state):
+        return self.open_delay * 2 ** min(state.open_count, MAX_BACKOFF_STEPS)
+
     def _record_probe_end(self, event, state, now):
         if not event.ok or self._is_too_slow(event.server, state, [event.seconds]):
             self._open_breaker(event.server, state, now)
@@ -275,8 +311,7 @@
             self._set_state(event.server, Health.SLOW_START, now)
 
     def _open_breaker(self, server, state, now):
-        delay = self.open_delay * 2 ** min(state.open_count, MAX_BACKOFF_STEPS)
-        state.retry_at = now + min(delay, self.max_open_delay)
+        state.retry_at = now + min(self._get_open_delay(state), self.max_open_delay)
         state.open_count += 1
         state.clear_outcomes()
         self._set_state(server, Health.OPEN, now)
@@ -286,7 +321,9 @@
             return False
         if self._is_failing(server, state):
             return True
-        durations = [seconds for ok, seconds in state.outcomes if ok]
+        durations = [
+            seconds for ok, seconds in state.outcomes if ok and seconds is not None
+        ]
         return self._is_too_slow(server, state, durations)
 
     def _is_failing(self, server, state):
@@ -405,3 +442,19 @@
 def _compute_lower_quartile(values):
     """Return the value below which a quarter of the values lie."""
     return sorted(values)[len(values) // 4]
+
+
+def spread_outcomes(ok, failed, window):
+    """Return outcomes in the given proportion, evenly mixed.
+
+    :param ok: number of calls that succeeded.
+    :param failed: number of calls that failed.
+    :param window: largest number of outcomes returned.
+    :return: list of whether each call succeeded.
+    """
+    count = min(ok + failed, window)
+    succeeded = round(ok * count / (ok + failed)) if count else 0
+    return [
+        (number + 1) * succeeded // count > number * succeeded // count
+        for number in range(count)
+    ]
--- a/wasabistage/routing/_health_messages.py
+++ b/wasabistage/routing/_health_messages.py
@@ -72,6 +72,22 @@
     server: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class PeerCallsEnded:
+    """Calls of other entries to a server ended.
+
+    :param server: id of the server.
+    :param ok: number of calls that succeeded.
+    :param failed: number of calls that failed for the server's fault.
+    :param draw: random number from 0 to below 1 that spreads the entries' probes.
+    """
+
+    server: str
+    ok: int
+    failed: int
+    draw: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class CallEnded:
     """A call ended.
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
@@ -22,6 +22,7 @@
     :param weight: fraction of its normal share of work, 0 to 1.
     :param failure_domain: failure domain of the engine.
     :param memory_tokens: KV cache memory, in tokens; 0 for no bound.
+    :param slots: number of requests that it runs at once; 0 for no bound.
     :param penalty: cost added to the score for disadvantages other than latency, in
         seconds.
     :param max_begin_seconds: time within which the run must begin, in seconds; an
@@ -35,6 +36,7 @@
     weight: float = 1.0
     failure_domain: str = ""
     memory_tokens: int = 0
+    slots: int = 0
     penalty: float = 0.0
     max_begin_seconds: float = math.inf
 
@@ -70,11 +72,14 @@
     :param token_bytes: size of the KV cache of one token, in bytes.
     :param link_bytes_per_second: rate of an engine's link, in bytes per second.
     :param draw: random number from 0 to below 1 that selects among equal engines.
+    :param slack_seconds: difference of scores up to which engines count as equal. It
+        is the queue that may have changed since the load was last reported.
     """
 
     parts: tuple
     prompt_tokens: int
     output_tokens: int = 0
+    slack_seconds: float = 0.0
     candidates: tuple[PartCandidate, ...] = ()
     stores: tuple[PartStore, ...] = ()
     token_bytes: int = 1
@@ -186,8 +191,13 @@
         self.estimator_ = self.estimator or FirstTokenEstimator()
         self.estimator_.reset()
         self.reserved_tokens_ = {}
+        self.runs_ = {}
         self.requests_ = {}
+        #: Stores that hold a part, by its key, during one decision.
+        self.stores_by_part_ = {}
         self.peer_reservations_ = {}
+        self.peer_reserved_tokens_ = {}
+        self.peer_runs_ = {}
         return self
 
     def observe(self, event, now):
@@ -201,28 +211,43 @@
             self.requests_[event.request] = (event.server, event.tokens)
             reserved = self.reserved_tokens_.get(event.server, 0)
             self.reserved_tokens_[event.server] = reserved + event.tokens
+            self.runs_[event.server] = self.runs_.get(event.server, 0) + 1
         elif isinstance(event, MemoryReleased):
             server, tokens = self.requests_.pop(event.request, ("", 0))
             if server:
                 self.reserved_tokens_[server] -= tokens
+                self.runs_[server] -= 1
         elif isinstance(event, PeerMemoryReserved):
-            if event.reserved_tokens:
-                self.peer_reservations_[event.peer] = event.reserved_tokens
-            else:
-                self.peer_reservations_.pop(event.peer, None)
+            self._record_peer_reservation(event)
         else:
             self.estimator_.observe(event, now)
 
+    def _record_peer_reservation(self, event):
+        known = self.peer_reservations_.pop(event.peer, None)
+        if known is not None:
+            add_counts(self.peer_reserved_tokens_, known.reserved_tokens, -1)
+            add_counts(self.peer_runs_, known.runs, -1)
+        if event.reserved_tokens or event.runs:
+            self.peer_reservations_[event.peer] = event
+            add_counts(self.peer_reserved_tokens_, event.reserved_tokens, 1)
+            add_counts(self.peer_runs_, event.runs, 1)
+
     def get_reserved_tokens(self, server):
         """Return the memory that all entries have reserved at an engine.
 
         :param server: id of the engine.
         :return: tokens.
         """
-        peers = self.peer_reservations_.values()
-        others = sum(reserved_tokens.get(server, 0) for reserved_tokens in peers)
+        others = self.peer_reserved_tokens_.get(server, 0)
         return self.reserved_tokens_.get(server, 0) + others
 
+    def get_runs(self, server):
+        """Return the requests that all entries have open at an engine.
+
+        :param server: id of the engine.
+        """
+        return self.runs_.get(server, 0) + self.peer_runs_.get(server, 0)
+
     def decide(self, query, now):
         """Answer a :class:`PartQuery`.
 
@@ -234,6 +259,7 @@
             return NO_SERVER.with_reason(
                 "no model engine is a candidate for the prompt"
             )
+        self.stores_by_part_ = {}
         plans = [self._build_plan(query, item, now) for item in query.candidates]
         plans = [
             plan
@@ -245,7 +271,7 @@
                 "no model engine would begin the prompt within its time limit"
             )
         plans.sort(key=lambda plan: (plan.score, plan.candidate.server))
-        bound = plans[0].score * (1.0 + self.slack)
+        bound = plans[0].score * (1.0 + self.slack) + query.slack_seconds
         tied = sum(plan.score <= bound for plan in plans)
         plan = plans[min(int(query.draw * tied), tied - 1)]
         return PartDecision(
@@ -269,9 +295,11 @@
         )
         prefill_seconds = self.estimator_.estimate_prefill_seconds(server, tokens, now)
         queue = estimate.queue if estimate else 0.0
-        begin_seconds = max(queue, fetch_seconds) + self._estimate_memory_wait_seconds(
-            query, candidate
+        wait_seconds = max(
+            self._estimate_memory_wait_seconds(query, candidate),
+            self._estimate_slot_wait_seconds(candidate),
         )
+        begin_seconds = max(queue, fetch_seconds) + wait_seconds
         seconds = self.estimator_.overhead + begin_seconds + prefill_seconds
         seconds /= max(candidate.weight, 0.01)
         return _PartPlan(
@@ -328,12 +356,7 @@
 
     def _find_fastest_store(self, query, candidate, part):
         best = None
-        for store in query.stores:
-            found_tokens = self.parts.tokens(
-                store.address, candidate.cache_key, part.part
-            )
-            if found_tokens < part.tokens:
-                continue
+        for store in self._find_stores(query, candidate.cache_key, part):
             transfer_seconds = self._estimate_transfer_seconds(
                 query, candidate, store, part.tokens
             )
@@ -341,6 +364,18 @@
                 best = (store.address, transfer_seconds)
         return best
 
+    def _find_stores(self, query, cache_key, part):
+        """Return the stores that hold a part; found once for all candidates."""
+        key = cache_key, part.part
+        if key not in self.stores_by_part_:
+            holders = self.parts.get_holders(*key)
+            self.stores_by_part_[key] = [
+                store
+                for store in query.stores
+                if holders and holders.get(store.address, 0) >= part.tokens
+            ]
+        return self.stores_by_part_[key]
+
     def _estimate_transfer_seconds(self, query, candidate, store, tokens):
         rate = min(query.link_bytes_per_second, store.link_bytes_per_second)
         seconds = tokens * query.token_bytes / rate
@@ -357,6 +392,13 @@
         excess = self.get_reserved_tokens(candidate.server) + size - room
         return max(0.0, excess) * self.run_seconds / room
 
+    def _estimate_slot_wait_seconds(self, candidate):
+        """Estimate the seconds until the engine begins another request."""
+        if not candidate.slots:
+            return 0.0
+        excess = self.get_runs(candidate.server) + 1 - candidate.slots
+        return max(0, excess) * self.run_seconds / candidate.slots
+
     def _select_save_addresses(self, query, plan, now):
         """Return for each part the store to save it to, or ``""``."""
         cache_key = plan.candidate.cache_key
@@ -368,10 +410,7 @@
     def _select_save_address(self, query, cache_key, part, now):
         if self.parts.is_save_in_progress(cache_key, part.part, now):
             return ""
-        if any(
-            self.parts.tokens(store.address, cache_key, part.part) >= part.tokens
-            for store in query.stores
-        ):
+        if self._find_stores(query, cache_key, part):
             return ""
         for store in order_stores(query.stores, part.part):
             occupied_tokens = self.parts.get_total_tokens(store.address)
@@ -402,10 +441,12 @@
     :param peer: name of the entry.
     :param reserved_tokens: dict from the id of an engine to reserved tokens; empty if
         the entry has stopped or failed.
+    :param runs: dict from the id of an engine to the number of open requests.
     """
 
     peer: str
     reserved_tokens: dict
+    runs: dict = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -418,6 +459,21 @@
     request: str
 
 
+def add_counts(sums, counts, sign):
+    """Add counts to sums, or subtract them.
+
+    :param sums: dict of name to sum; names with a sum of 0 are removed.
+    :param counts: dict of name to count.
+    :param sign: 1 to add, -1 to subtract.
+    """
+    for name, count in counts.items():
+        total = sums.get(name, 0) + sign * count
+        if total:
+            sums[name] = total
+        else:
+            sums.pop(name, None)
+
+
 def order_stores(stores, part):
     """Order stores by preference for a part.
 
--- a/wasabistage/routing/_silence.py
+++ b/wasabistage/routing/_silence.py
@@ -34,6 +34,16 @@
     request: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class ServerHeard:
+    """Another entry received bytes from a server; observed with the time of that.
+
+    :param server: id of the server.
+    """
+
+    server: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class RequestEnded:
     """An attempt ended, successfully or not.
@@ -104,10 +114,13 @@
     def observe(self, event, now):
         """Record an event.
 
-        :param event: a :class:`RequestSent`, :class:`BytesReceived` or
-            :class:`RequestEnded`.
+        :param event: a :class:`RequestSent`, :class:`BytesReceived`,
+            :class:`ServerHeard` or :class:`RequestEnded`.
         :param now: monotonic time, in seconds.
         """
+        if isinstance(event, ServerHeard):
+            self._record_heard(event, now)
+            return
         activity = self.servers_.setdefault(event.server, _ServerActivity())
         if isinstance(event, RequestSent):
             activity.open_requests[event.request] = now
@@ -121,6 +134,12 @@
             if not activity.open_requests and now >= activity.silent_until:
                 del self.servers_[event.server]
 
+    def _record_heard(self, event, now):
+        activity = self.servers_.get(event.server)
+        if activity is not None and now > activity.last_byte_at:
+            activity.last_byte_at = now
+            activity.silent_until = float("-inf")
+
     def decide(self, query, now):
         """Return whether a server is silent.
 
--- a/wasabistage/routing/tests/test_engine_gate.py
+++ b/wasabistage/routing/tests/test_engine_gate.py
@@ -49,6 +49,18 @@
         urgent = make_query("u", rank=0, size=900, reserved_tokens=reserved_tokens)
         self.assertIs(self.gate.decide(urgent, 0.0), PASS)
 
+    def test_urgent_prompt_passes_at_full_slots_and_others_wait(self):
+        full = {"runs": 16, "slots": 16, "size": 900, "tokens": 900}
+        self.assertIs(self.gate.decide(make_query("u", rank=0, **full), 0.0), PASS)
+        self.assertIs(self.gate.decide(make_query("i", rank=1, **full), 0.0), WAIT)
+        most = {**full, "runs": 14}
+        self.gate.observe(WaitEnded(request="i"), 0.0)
+        self.assertIs(self.gate.decide(make_query("b", rank=2, **most), 0.0), WAIT)
+        self.gate.observe(WaitEnded(request="b"), 0.0)
+        self.assertIs(self.gate.decide(make_query("i", rank=1, **most), 0.0), PASS)
+        queued = {**full, "runs": 20}
+        self.assertIs(self.gate.decide(make_query("u2", rank=0, **queued), 0.0), WAIT)
+
     def test_prompts_above_size_share_pass_where_shorter_long_ones_pass(self):
         reserved_tokens = int(0.55 * MEMORY_TOKENS)
         for size in (12_000, 20_000, 36_000):
--- a/wasabistage/routing/tests/test_health.py
+++ b/wasabistage/routing/tests/test_health.py
@@ -16,6 +16,7 @@
     HealthPolicy,
     HealthQuery,
     NoEjection,
+    PeerCallsEnded,
     ServerAppeared,
     ServerLeaving,
 )
@@ -185,3 +186,47 @@
         found = policy.decide(HealthQuery(service="m"), 1.0)
         self.assertEqual({item.weight for item in found}, {found[0].weight})
         self.assertEqual(len(get_usable_servers(policy, 1.0)), 6)
+
+
+class PeerOutcomesTest(unittest.TestCase):
+    """Pattern: 32 entries of a failure domain make two calls a second each."""
+
+    def setUp(self):
+        self.policy = HealthPolicy(
+            min_outcomes=3, failure_share=0.5, open_delay=0.5, max_open_delay=4.0
+        ).reset()
+        for server in SERVERS:
+            event = ServerAppeared(server=server, service="s", incarnation="1")
+            self.policy.observe(event, 0.0)
+
+    def get_state(self, server):
+        return self.policy.servers_[server].state
+
+    def observe(self, server, ok, failed, now, draw=0.0):
+        event = PeerCallsEnded(server=server, ok=ok, failed=failed, draw=draw)
+        self.policy.observe(event, now)
+
+    def test_failures_of_others_eject_a_server(self):
+        self.observe(SERVERS[0], 0, 4, 1.0)
+        self.assertIs(self.get_state(SERVERS[0]), Health.OPEN)
+
+    def test_failures_of_few_entries_eject_nobody(self):
+        for step in range(20):
+            self.observe(SERVERS[0], 20, 4, 0.4 * step)
+        self.assertIsNot(self.get_state(SERVERS[0]), Health.OPEN)
+
+    def test_failed_probe_of_another_entry_postpones_the_own_one(self):
+        self.observe(SERVERS[0], 0, 4, 1.0)
+        state = self.policy.servers_[SERVERS[0]]
+        self.assertEqual(state.retry_at, 1.5)
+        self.observe(SERVERS[0], 0, 1, 1.4, draw=0.5)
+        self.assertEqual(state.retry_at, 2.4)
+
+    def test_served_probe_of_another_entry_allows_the_own_one(self):
+        self.observe(SERVERS[0], 0, 4, 1.0)
+        self.observe(SERVERS[0], 2, 0, 1.1)
+        self.assertLessEqual(self.policy.servers_[SERVERS[0]].retry_at, 1.1)
+
+    def test_unknown_server_is_ignored(self):
+        self.observe("unknown", 0, 9, 1.0)
+        self.assertNotIn("unknown", self.policy.servers_)
--- a/wasabistage/routing/tests/test_part_router.py
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -66,7 +66,7 @@
         estimator = FirstTokenEstimator(prefill_rate=85_000.0, chunk_tokens=0)
         self.router = PartRouter(self.parts, estimator=estimator).reset()
 
-    def route(self, *candidates, stores=(LARGE, SMALL), draw=0.0):
+    def route(self, *candidates, stores=(LARGE, SMALL), draw=0.0, slack_seconds=0.0):
         query = PartQuery(
             parts=PARTS,
             prompt_tokens=10_000,
@@ -76,6 +76,7 @@
             token_bytes=300_000,
             link_bytes_per_second=4e10,
             draw=draw,
+            slack_seconds=slack_seconds,
         )
         return self.router.decide(query, 0.0)
 
@@ -158,6 +159,37 @@
         self.router.observe(MemoryReleased(request="r"), 0.0)
         self.assertEqual(self.router.get_reserved_tokens("s2"), 0)
 
+    def test_engine_whose_slots_other_entries_use_is_not_selected(self):
+        busy = PeerMemoryReserved(peer="b", reserved_tokens={}, runs={"s1": 8})
+        self.router.observe(busy, 0.0)
+        self.assertEqual(self.router.get_runs("s1"), 8)
+        found = self.route(candidate("s1", slots=8), candidate("s2", slots=8))
+        self.assertEqual(found.candidate.server, "s2")
+        self.router.observe(PeerMemoryReserved(peer="b", reserved_tokens={}), 0.0)
+        self.assertEqual(self.router.get_runs("s1"), 0)
+
+    def test_reports_of_many_entries_add_up_and_are_replaced(self):
+        for peer in ("b", "c"):
+            for tokens in (100, 300):
+                event = PeerMemoryReserved(
+                    peer=peer, reserved_tokens={"s1": tokens}, runs={"s1": 1}
+                )
+                self.router.observe(event, 0.0)
+        self.assertEqual(self.router.get_reserved_tokens("s1"), 600)
+        self.assertEqual(self.router.get_runs("s1"), 2)
+        self.router.observe(PeerMemoryReserved(peer="b", reserved_tokens={}), 0.0)
+        self.assertEqual(self.router.get_reserved_tokens("s1"), 300)
+
+    def test_slack_in_seconds_makes_engines_equal(self):
+        self.router.observe(Dispatched(request="r", server="s1", tokens=6000), 0.0)
+        chosen = {self.route(draw=draw).candidate.server for draw in (0.0, 0.9)}
+        self.assertEqual(chosen, {"s2"})
+        chosen = {
+            self.route(draw=draw, slack_seconds=1.0).candidate.server
+            for draw in (0.0, 0.9)
+        }
+        self.assertEqual(chosen, {"s1", "s2"})
+
     def test_engine_with_penalty_is_not_selected(self):
         found = self.route(candidate("s1", penalty=1.0), candidate("s2"))
         self.assertEqual(found.candidate.server, "s2")
--- a/wasabistage/routing/tests/test_silence.py
+++ b/wasabistage/routing/tests/test_silence.py
@@ -5,6 +5,7 @@
     BytesReceived,
     RequestEnded,
     RequestSent,
+    ServerHeard,
     SilenceDetector,
     SilenceQuery,
 )
@@ -64,6 +65,19 @@
         self.receive("s", "1")
         self.assertFalse(self.is_silent("s"))
 
+    def test_server_that_another_entry_hears_is_not_silent(self):
+        self.send("s", "1")
+        for _ in range(4):
+            self.run_for(1.0)
+            self.detector.observe(ServerHeard(server="s"), self.now - 0.3)
+            self.assertFalse(self.is_silent("s"))
+        self.run_for(1.7)
+        self.assertTrue(self.is_silent("s"))
+        self.detector.observe(ServerHeard(server="s"), self.now)
+        self.assertFalse(self.is_silent("s"))
+        self.detector.observe(ServerHeard(server="other"), self.now)
+        self.assertNotIn("other", self.detector.servers_)
+
     def test_silent_server_without_requests_is_removed_after_hold(self):
         self.send("s", "1")
         self.run_for(1.7)
