--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -17,6 +17,7 @@
 from wasabistage.http1 import Answer, CallerChannel, CallerGoneError
 
 MAX_ADDRESS_LIFETIME_SECONDS = 2.0  # bounds how long callers try a lost entry
+MIN_NEAR_ADDRESSES = 8  # entries that share the callers of a failure domain
 MAX_ADDRESSES = 64  # callers ignore further addresses in a response
 START_RETRY_SECONDS = 0.3  # a starting entry may be ready by then
 KEYS_RETRY_SECONDS = 0.5  # the keys may have been confirmed by then
@@ -213,9 +214,11 @@
         platform = self.state.platform
         if platform.is_readiness_probe(request):
             return Answer(status=200 if self.state.is_ready else 503)
-        if platform.decode_address_request(request) is None:
+        address_request = platform.decode_address_request(request)
+        if address_request is None:
             return Answer(status=404)
-        addresses = self.get_addresses()
+        _, _, failure_domain = address_request
+        addresses = self.get_addresses(failure_domain)
         if not addresses:
             return Answer(status=503)
         lifetime = min(
@@ -227,13 +230,19 @@
             body=platform.encode_addresses(addresses, lifetime),
         )
 
-    def get_addresses(self):
-        """Return the ``IP:PORT`` of ready entries, in random order."""
+    def get_addresses(self, failure_domain=""):
+        """Return the ``IP:PORT`` of ready entries, in random order.
+
+        If the failure domain of the caller has enough of them, only those are
+        returned: others are further away, and would carry its traffic as well.
+
+        :param failure_domain: failure domain of the caller, or ``""``.
+        """
         state = self.state
-        addresses = [
-            peer.report.callers for peer in state.peers.values() if peer.report.is_ready
-        ]
-        if state.is_ready:
-            addresses.append(state.settings.listen.callers)
+        ready = [item for item in state.view.get_members().values() if item.is_ready]
+        near = [item for item in ready if item.failure_domain == failure_domain]
+        if len(near) >= MIN_NEAR_ADDRESSES:
+            ready = near
+        addresses = [item.callers for item in ready if item.callers]
         state.random.shuffle(addresses)
         return addresses[:MAX_ADDRESSES]
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -10,6 +10,7 @@
     Candidate,
     GateQuery,
     HealthQuery,
+    NearQuery,
     PaceQuery,
     PartCandidate,
     PartDecision,
@@ -32,6 +33,11 @@
 #: Penalty per token to generate on an engine that loads a version soon. The longer a
 #: request runs, the more likely the engine changes its weights before the request ends.
 LOADS_SOON_PENALTY_SECONDS_PER_TOKEN = 0.002
+#: Queue of an engine that other entries may have changed since it was last reported,
+#: in a fleet in which reports take two hops.
+FOLLOWER_SLACK_SECONDS = 0.03
+#: Cost of an engine in another failure domain, for the traffic between them.
+OTHER_DOMAIN_PENALTY_SECONDS = 0.005
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,10 +47,12 @@
     :param record: its :class:`wasabistage.fleet.ServerRecord`.
     :param plan: a :class:`wasabistage.routing.PartDecision`, or ``None`` for a request
         without a prompt.
+    :param room: free slots of all engines that were scored.
     """
 
     record: ServerRecord
     plan: PartDecision | None = None
+    room: int = 0
 
 
 def select_service(state, route, draw):
@@ -136,7 +144,7 @@
         [record.server for record in records], prompt.model
     )
     candidates = []
-    for record in records:
+    for record in select_near(state, prompt, dedicated_account, records):
         version = state.swap.version(record.server, prompt.model)
         if version is None or state.swap.is_ordered(record.server, now):
             continue
@@ -153,9 +161,11 @@
                 weight=weights[record.server],
                 failure_domain=record.failure_domain,
                 memory_tokens=service_config.engine.memory_tokens,
+                slots=record.slots,
                 penalty=estimate_version_penalty(
                     route, prompt, age, loads_soon=record.server in loading_soon
-                ),
+                )
+                + get_domain_penalty(state, record),
                 max_begin_seconds=max_begin_seconds,
             )
         )
@@ -168,13 +178,55 @@
         token_bytes=service_config.engine.token_bytes,
         link_bytes_per_second=service_config.engine.link_bytes_per_second,
         draw=state.random.random(),
+        slack_seconds=FOLLOWER_SLACK_SECONDS if state.view.is_large else 0.0,
     )
     decision = state.part_router.decide(query, now)
     if not decision:
         return decision
     server = decision.candidate.server
     record = next(item for item in records if item.server == server)
-    return Choice(record=record, plan=decision)
+    return Choice(record=record, plan=decision, room=count_room(state, candidates))
+
+
+def count_room(state, candidates):
+    """Return the free slots of engines, as far as they are known.
+
+    :param state: an :class:`EdgeState`.
+    :param candidates: list of :class:`wasabistage.routing.PartCandidate`.
+    """
+    return sum(
+        max(0, item.slots - state.part_router.get_runs(item.server))
+        for item in candidates
+    )
+
+
+def select_near(state, prompt, dedicated_account, records):
+    """Return the engines that are scored for a prompt.
+
+    :param state: an :class:`EdgeState`.
+    :param prompt: a :class:`Prompt`.
+    :param dedicated_account: name of its client account if it shares no part with
+        others, or ``""``.
+    :param records: list of :class:`wasabistage.fleet.ServerRecord`.
+    :return: list of some of them.
+    """
+    if len(records) <= state.near.limit:
+        return records
+    holders = set()
+    shared = prompt.parts[:-1]
+    if shared:
+        longest = max(shared, key=lambda part: part.tokens)
+        versions = {state.swap.version(item.server, prompt.model) for item in records}
+        for version in versions - {None}:
+            cache_key = part_cache_key(prompt.model, version, dedicated_account)
+            holders.update(state.parts.get_holders(cache_key, longest.part))
+    query = NearQuery(
+        servers=records,
+        failure_domain=state.settings.instance.failure_domain,
+        holders=frozenset(holders),
+        draw=state.random.random(),
+    )
+    return state.near.decide(query, state.timer.now())
 
 
 def get_version_time_left(state, age):
@@ -190,6 +242,17 @@
     return OLD_VERSION_FRACTION * state.settings.bounds.version_ms / 1000.0 - age
 
 
+def get_domain_penalty(state, record):
+    """Return the penalty of an engine for its failure domain, in seconds.
+
+    :param state: an :class:`EdgeState`.
+    :param record: the engine's :class:`wasabistage.fleet.ServerRecord`.
+    """
+    if record.failure_domain == state.settings.instance.failure_domain:
+        return 0.0
+    return OTHER_DOMAIN_PENALTY_SECONDS
+
+
 def estimate_version_penalty(route, prompt, age, *, loads_soon):
     """Estimate the penalty of an engine for its weight version.
 
@@ -245,6 +308,8 @@
         backlog=plan.backlog,
         reserved_tokens=state.part_router.get_reserved_tokens(plan.candidate.server),
         memory_tokens=plan.candidate.memory_tokens,
+        runs=state.part_router.get_runs(plan.candidate.server),
+        slots=plan.candidate.slots,
         predicted=plan.seconds,
         arrived_at=request.begun_at,
         objective=route.objective,
--- /dev/null
+++ b/wasabistage/edge/_fleet_view.py
@@ -0,0 +1,303 @@
+"""What an entry knows of the fleet: live entries, roles, and the relay it follows."""
+
+from wasabistage.edge._facts import to_row
+from wasabistage.fleet import Topic
+from wasabistage.topology import Member, MemberTable, RolePlan, RoleQuery
+
+FOLLOWER_TIMEOUT_SECONDS = 1.8  # a follower that is not heard is no member
+#: Time without a report of a relay after which a follower turns to the next one.
+RELAY_TIMEOUT_SECONDS = 0.95
+RELAY_RETRY_SECONDS = 3.0  # time for which a silent relay is not followed
+#: Time for which followers keep the members that a lost relay has told.
+FLEET_TIMEOUT_SECONDS = 6.0
+#: Time for which an entry counts as live after its address was first read.
+NEW_ENTRY_SECONDS = 2.0
+MAX_KNOWN_ENTRIES = 1024  # above the intended number of entries
+PROBES_PER_REPORT = 2  # reports to entries that are not known to be live
+DRAINING_WEIGHT = 1e-3  # a stopping entry is the last choice as a relay
+#: Entries that read a shared topic at the same time.
+READERS = {Topic.CONFIGURATION: 3, Topic.SERVERS: 2, Topic.ENTRIES: 2}
+#: Topics whose age is bounded; entries that are new are found by other means as well.
+BOUNDED_TOPICS = (Topic.CONFIGURATION, Topic.SERVERS)
+#: Age of a topic from which further relays read it, and its step per rank.
+MAX_TOPIC_AGE_SECONDS = 2.0
+TOPIC_AGE_STEP_SECONDS = 0.3
+#: Age of a topic from which a follower reads it.
+MAX_FOLLOWER_TOPIC_AGE_SECONDS = 3.0
+SOURCE_READERS = 1  # relays that read one cache source
+MAX_SOURCE_RANK = 4  # relays that try a source that others fail to read
+STORE_SUCCESS_SECONDS = 3.0  # time for which a read shows that the store is reached
+
+
+class FleetView:
+    """The live entries, the roles of all and the relay that this entry follows.
+
+    :param state: an :class:`EdgeState`.
+    """
+
+    def __init__(self, state):
+        self.state = state
+        #: Entries that were read from the record store, by name, and the time until
+        #: which each counts as live.
+        self.known_entries = {}
+        self.assumed_until = {}
+        self.seed_ips = []
+        self.table = MemberTable(timeout=FOLLOWER_TIMEOUT_SECONDS)
+        self.plan = RolePlan().reset()
+        self.roles = None
+        self.roles_key = None
+        #: Whether some entries are followers.
+        self.is_large = False
+        self.followed = ""
+        self.follow_since = float("-inf")
+        self.not_followed_until = {}
+        #: Topics and addresses of cache sources that this entry fails to read.
+        self.unreadable = set()
+        self.probe_position = 0
+        self._has_store = False
+        self.store_read_at = float("-inf")
+
+    @property
+    def has_store(self):
+        """Whether this entry reaches the record store, by a recent read."""
+        age = self.state.timer.now() - self.store_read_at
+        return self._has_store and age < STORE_SUCCESS_SECONDS
+
+    def record_store_read(self, ok):
+        """Record whether a read of the record store succeeded.
+
+        :param ok: whether it did.
+        """
+        self._has_store = ok
+        if ok:
+            self.store_read_at = self.state.timer.now()
+
+    def add_entry(self, name, entry):
+        """Add an entry that was read from the record store.
+
+        :param name: name of the entry.
+        :param entry: its :class:`PeerEntry`.
+        :return: whether it is new or has changed.
+        """
+        known = self.known_entries.get(name)
+        if known is not None and known.ip == entry.ip:
+            return False
+        if name == self.state.settings.instance.name:
+            return False
+        if known is None and len(self.known_entries) >= MAX_KNOWN_ENTRIES:
+            return False
+        self.known_entries[name] = Member(
+            name=name,
+            failure_domain=entry.failure_domain,
+            ip=entry.ip,
+            weight=entry.weight,
+        )
+        self.assumed_until[name] = self.state.timer.now() + NEW_ENTRY_SECONDS
+        self.roles_key = None
+        return True
+
+    def build_own_member(self):
+        """Return this entry as :class:`wasabistage.topology.Member`."""
+        settings, state = self.state.settings, self.state
+        weight = DRAINING_WEIGHT if state.is_draining else settings.instance.weight
+        return Member(
+            name=settings.instance.name,
+            failure_domain=settings.instance.failure_domain,
+            ip=settings.instance.ip,
+            callers=settings.listen.callers,
+            weight=weight,
+            is_ready=state.is_ready,
+        )
+
+    def get_members(self):
+        """Return the live entries with this one, as dict of name to ``Member``."""
+        own = self.build_own_member()
+        return {**self.table.get_members(), own.name: own}
+
+    def get_roles(self):
+        """Return the :class:`wasabistage.topology.Roles` of the last interval."""
+        return self.roles or self.update_roles()
+
+    def update_roles(self):
+        """Compute the roles from the entries that are live now, and return them."""
+        now = self.state.timer.now()
+        members = self.get_members()
+        for name, until in list(self.assumed_until.items()):
+            if now > until:
+                del self.assumed_until[name]
+            elif name not in members:
+                members[name] = self.known_entries[name]
+        own = self.state.settings.instance.name
+        # A relay that others follow exchanges facts, whatever its rank.
+        relays = {
+            name
+            for name, peer in self.state.peers.items()
+            if peer.report.is_relay and peer.report.members
+        }
+        if self.get_followers():
+            relays.add(own)
+        sizes = [peer.report.fleet_size for peer in self.state.peers.values()]
+        fleet_size = max([len(members), *sizes])
+        key = members, relays, fleet_size > self.plan.mesh_size
+        if key != self.roles_key:
+            query = RoleQuery(
+                name=own,
+                members=members,
+                followed_relays=frozenset(relays),
+                fleet_size=fleet_size,
+            )
+            was_relay = self.roles is not None and self.roles.is_relay
+            self.roles, self.roles_key = self.plan.decide(query), key
+            self.is_large = fleet_size > self.plan.mesh_size
+            if self.roles.is_relay != was_relay:
+                self.state.log.write(
+                    "role_changed", relay=self.roles.is_relay, entries=len(members)
+                )
+        return self.roles
+
+    def get_followers(self):
+        """Return the peers that follow this entry, as dict of name to ``Peer``."""
+        own = self.state.settings.instance.name
+        return {
+            name: peer
+            for name, peer in self.state.peers.items()
+            if peer.report.follows == own
+        }
+
+    def is_reader(self, topic, age):
+        """Return whether this entry should read a shared topic now.
+
+        :param topic: a :class:`wasabistage.fleet.Topic`.
+        :param age: time since the topic was last confirmed, in seconds.
+        """
+        roles, own = self.get_roles(), self.state.settings.instance.name
+        has_bound = topic in BOUNDED_TOPICS
+        if not roles.is_relay:
+            return has_bound and age > MAX_FOLLOWER_TOPIC_AGE_SECONDS
+        rank = roles.get_reader_rank(
+            own, str(topic), excluded=self._get_failed_readers(str(topic))
+        )
+        if rank < READERS[topic]:
+            return True
+        max_age = MAX_TOPIC_AGE_SECONDS + TOPIC_AGE_STEP_SECONDS * rank
+        return has_bound and age > max_age
+
+    def is_source_reader(self, address):
+        """Return whether this entry should read a cache source.
+
+        :param address: address of the source.
+        """
+        roles, own = self.get_roles(), self.state.settings.instance.name
+        if not roles.is_relay:
+            return False
+        failed = self._get_failed_readers(address)
+        domain = self.state.get_source_domain(address)
+        rank = roles.get_reader_rank(own, address, domain, failed)
+        if rank >= SOURCE_READERS:
+            return False
+        return rank + len(failed) < MAX_SOURCE_RANK
+
+    def _get_failed_readers(self, topic):
+        return {
+            name
+            for name, peer in self.state.peers.items()
+            if topic in peer.report.unreadable
+        }
+
+    def is_store_reached(self):
+        """Return whether this entry or a peer reaches the record store."""
+        return self.has_store or any(
+            peer.report.has_store for peer in self.state.peers.values()
+        )
+
+    def select_probes(self, relays):
+        """Return some entries that are not known to be live, to find them again."""
+        live = self.table.get_members()
+        names = sorted(name for name in self.known_entries if name not in live)
+        names = [name for name in names if name not in relays]
+        probes = []
+        for _ in range(min(PROBES_PER_REPORT, len(names))):
+            self.probe_position += 1
+            name = names[self.probe_position % len(names)]
+            probes.append((name, self.known_entries[name].ip))
+        if not live:
+            probes += [("", ip) for ip in self.seed_ips]
+        return probes
+
+    def get_ip(self, name):
+        """Return the IP of a relay."""
+        return self.get_roles().relays[name].ip
+
+    def select_relay(self):
+        """Keep the followed relay while it is heard, or turn to the next one."""
+        now, roles = self.state.timer.now(), self.get_roles()
+        if self.followed:
+            peer = self.state.peers.get(self.followed)
+            heard_at = max(peer.heard_at if peer else 0.0, self.follow_since)
+            is_silent = now - heard_at > RELAY_TIMEOUT_SECONDS
+            if not is_silent and self.followed in roles.candidates:
+                return
+            if is_silent:
+                self.state.log.write("relay_lost", relay=self.followed)
+                until = now + RELAY_RETRY_SECONDS
+                self.not_followed_until[self.followed] = until
+        allowed = [
+            name
+            for name in roles.candidates
+            if now > self.not_followed_until.get(name, float("-inf"))
+        ]
+        followed = next(iter(allowed or roles.candidates), "")
+        if followed != self.followed:
+            self.state.log.write("relay_followed", relay=followed)
+            # The changes that it tells apply to its own view of the fleet alone.
+            self.state.gossip.cursors.pop(f"{followed}/fleet", None)
+            self.state.facts.set_members([])
+        self.followed, self.follow_since = followed, now
+
+    def refresh_members(self, now):
+        """Keep the members that the followed relay has told."""
+        exchange = self.state.facts
+        timeout = FLEET_TIMEOUT_SECONDS
+        if not exchange.has_new_members and self.table.refresh("fleet", now, timeout):
+            return
+        exchange.has_new_members = False
+        members = list(exchange.members.values())
+        self.table.observe("fleet", members, now, timeout)
+
+    def count_waiting(self, *, is_group):
+        """Return the prompts that wait at the followers and this entry.
+
+        :param is_group: whether those of other relays of the failure domain are left
+            out.
+        """
+        settings = self.state.settings.instance
+        waiting = len(self.state.gate.waiting_)
+        for peer in self.state.peers.values():
+            report = peer.report
+            is_near = report.failure_domain == settings.failure_domain
+            is_counted = is_near and report.is_relay and not is_group
+            if report.follows == settings.name or is_counted:
+                waiting += report.waiting
+        return waiting
+
+    @property
+    def domain_waiting(self):
+        """The prompts that wait at the entries of the failure domain."""
+        followed = self.state.peers.get(self.followed)
+        if followed is not None:
+            return followed.report.waiting
+        return self.count_waiting(is_group=False)
+
+
+def build_row(report):
+    """Return the :class:`MemberRow` of the entry that sent a report."""
+    return to_row(
+        Member(
+            name=report.name,
+            failure_domain=report.failure_domain,
+            ip=report.ip,
+            callers=report.callers,
+            weight=report.weight,
+            is_ready=report.is_ready,
+        )
+    )
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -26,6 +26,7 @@
     RequestEnded,
     RequestSent,
     ServerRemoved,
+    TurnQuery,
     WaitEnded,
 )
 from wasabistage.sessions import EventTooLongError
@@ -36,6 +37,8 @@
 MAX_POOLS = 4096  # twice the servers of the largest deployment
 MAX_SHORT_BODY_BYTES = 16384  # fits into the send window of a new channel
 GATE_INTERVAL_SECONDS = 0.015  # pause between two queries to a gate without room
+#: The same in a fleet with followers: about the interval between two reports.
+FLEET_GATE_INTERVAL_SECONDS = 0.15
 FETCH_TIMEOUT_SECONDS = 2.5  # an engine starts no transfer after a wait of 2 s
 URGENCY_PER_RANK = 2  # leaves unused values between ranks
 LOWEST_URGENCY = 9
@@ -97,19 +100,42 @@
                 )
                 if not choice or choice.plan is None:
                     return choice
-                verdict = self.state.gate.decide(
-                    build_gate_query(self.state, exchange, choice), now
-                )
-                if verdict:
+                query = build_gate_query(self.state, exchange, choice)
+                verdict = self.state.gate.decide(query, now)
+                if verdict and self._has_turn(exchange, choice, now):
                     return choice
-                if verdict.has_same_name(TOO_LATE):
+                if verdict:
+                    self.state.gate.hold(query)
+                elif verdict.has_same_name(TOO_LATE):
                     return verdict
                 exchange.gate_waits += 1
-                await trio.sleep(GATE_INTERVAL_SECONDS)
+                await trio.sleep(self._get_gate_interval())
         finally:
             wait_ended = WaitEnded(request=request.request_id)
             self.state.gate.observe(wait_ended, self.state.timer.now())
 
+    def _has_turn(self, exchange, choice, now):
+        """Return whether a prompt that the gate admits is sent now.
+
+        In a fleet with followers, the room of an engine is known with a delay.
+        """
+        state = self.state
+        if not state.view.is_large:
+            return True
+        query = TurnQuery(
+            room=choice.room,
+            waiting=state.view.domain_waiting,
+            own_waiting=len(state.gate.waiting_),
+            has_waited=exchange.gate_waits > 0,
+            draw=state.random.random(),
+        )
+        return state.turns.decide(query, now)
+
+    def _get_gate_interval(self):
+        if not self.state.view.is_large:
+            return GATE_INTERVAL_SECONDS
+        return FLEET_GATE_INTERVAL_SECONDS * (0.5 + self.state.random.random())
+
     def _decide_retry(self, exchange, attempt):
         """Return a ``Retry`` for a failed attempt, or a sentinel with the reason."""
         route, now = exchange.route, self.state.timer.now()
@@ -235,7 +261,7 @@
             request=attempt.attempt_id, server=server, tokens=size
         )
         state.part_router.observe(reservation, now)
-        state.gossip.record_sent_tokens(server, plan.tokens)
+        state.loads.record_sent_tokens(server, plan.tokens)
         for part, address in zip(prompt.parts, plan.save_to, strict=True):
             if address:
                 state.parts.record_save_start(
@@ -259,6 +285,7 @@
             server=server, ok=not is_server_failure, seconds=now - begun_at
         )
         state.health.observe(event, now)
+        state.loads.record_outcome(server, ok=not is_server_failure)
 
     async def _send_and_forward(self, exchange, attempt):
         state, record = self.state, attempt.choice.record
@@ -466,8 +493,12 @@
 
     def _record_bytes(self, attempt):
         server = attempt.choice.record.server
-        event = BytesReceived(server=server, request=attempt.attempt_id)
-        self.state.silence.observe(event, self.state.timer.now())
+        event, now = (
+            BytesReceived(server=server, request=attempt.attempt_id),
+            self.state.timer.now(),
+        )
+        self.state.silence.observe(event, now)
+        self.state.loads.record_bytes(server, now)
 
     def _record_first_event(self, exchange, attempt):
         state, now = self.state, self.state.timer.now()
--- a/wasabistage/edge/_old_parts.py
+++ b/wasabistage/edge/_old_parts.py
@@ -30,7 +30,7 @@
         :param tick: unused.
         """
         state = self.state
-        if state.is_draining or not state.gossip.has_store:
+        if state.is_draining or not state.view.has_store:
             return
         now = state.timer.now()
         lowest = self._get_lowest_versions()
--- a/wasabistage/edge/_orders.py
+++ b/wasabistage/edge/_orders.py
@@ -20,6 +20,8 @@
 )
 
 ORDER_INTERVAL_SECONDS = 0.1  # pause between two searches for engines to order
+#: The same in an entry that does not read the record store, and can't hold the lease.
+STORE_INTERVAL_SECONDS = 0.5
 ORDER_LEAD_SECONDS = (
     0.3  # seconds without new requests before an order; most runs end by then
 )
@@ -59,6 +61,9 @@
         """Send orders until cancelled."""
         async with trio.open_nursery() as self.nursery:
             while True:
+                if not self.state.view.has_store:
+                    await trio.sleep(STORE_INTERVAL_SECONDS)
+                    continue
                 await trio.sleep(ORDER_INTERVAL_SECONDS)
                 if not self.state.is_draining:
                     await self._order_outdated()
@@ -66,7 +71,7 @@
     async def _order_outdated(self):
         """Start an order for each engine that should load a version now."""
         state, now = self.state, self.state.timer.now()
-        if not state.gossip.has_store or now < self.paused_until:
+        if not state.view.has_store or now < self.paused_until:
             return
         if self.append_begun_at is not None:
             await self._release_if_late(now)
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -3,67 +3,37 @@
 import msgspec
 import trio
 
+from wasabistage.edge._facts import to_member, to_row
+from wasabistage.edge._fleet_view import (
+    FLEET_TIMEOUT_SECONDS,
+    FOLLOWER_TIMEOUT_SECONDS,
+    build_row,
+)
+from wasabistage.edge._peer_messages import (
+    ENCODER,
+    ENVELOPE_DECODER,
+    PeerReport,
+    SentEnvelope,
+)
 from wasabistage.rollout import (
     PeerOrderEnded,
     ServerOrdered,
     ServerVersionReported,
     VersionNamed,
 )
-from wasabistage.routing import PeerDispatched, PeerMemoryReserved
+from wasabistage.topology import FactCursor, Gap
 
 GOSSIP_INTERVAL_SECONDS = 0.2
-MIN_LARGE_PROMPT_TOKENS = 2000  # about one step of an engine
+#: Intervals between two reports of an entry without load.
+TICKS_PER_REPORT = 2
 MIN_EARLY_INTERVAL_SECONDS = 0.02  # pause between two early reports
-PEER_TIMEOUT_SECONDS = 1.2  # six lost reports in a row
+#: The same in a fleet with followers, of which one relay has many.
+MIN_EARLY_FLEET_INTERVAL_SECONDS = 0.15
+PEER_TIMEOUT_SECONDS = 1.2  # three to six lost reports in a row
+MAX_FACTS_BYTES = 24000  # of the facts in a datagram
 MAX_DATAGRAM_BYTES = 60000  # below the largest UDP payload
-MAX_PEERS = 1024  # above the intended number of entries
-
-
-class PeerEntry(msgspec.Struct):
-    """Value of an entry's record: the IP at which its peers reach it."""
-
-    ip: str
-
-
-class PeerReport(msgspec.Struct, array_like=True):
-    """The report of an entry, sent as one datagram.
-
-    :param name: name of the entry.
-    :param incarnation: id of its process.
-    :param ip: IP at which its peers reach it.
-    :param callers: address for callers, ``IP:PORT``.
-    :param failure_domain: failure domain that it runs in.
-    :param is_ready: whether it is ready for requests of callers.
-    :param has_store: whether it reaches the record store.
-    :param sent: dict of server to prompt tokens sent since the last report.
-    :param promised: dict of server to KV cache memory reserved for running requests,
-        in tokens.
-    :param ordering: servers with an order to load a version that this entry has sent
-        or is about to send.
-    :param versions: rows of server, incarnation, model, version learned since the last
-        report.
-    :param named: rows of model, version, seconds since it was named, for versions that
-        some engine doesn't run yet.
-    :param known: IPs of the entries that it knows.
-    """
-
-    name: str
-    incarnation: str
-    ip: str
-    callers: str
-    failure_domain: str
-    is_ready: bool
-    has_store: bool
-    sent: dict[str, int] = {}
-    promised: dict[str, int] = {}
-    ordering: list[str] = []
-    versions: list[tuple[str, int, str, int]] = []
-    named: list[tuple[str, int, float]] = []
-    known: list[str] = []
-
-
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(PeerReport)
+MAX_VERSIONS = 64  # rows in a report
+INTRODUCTION_INTERVAL_SECONDS = 0.5  # between two to the same entry
 
 
 class Peer:
@@ -79,7 +49,7 @@
 
 
 class GossipTask:
-    """Sends and receives reports on a UDP socket.
+    """Sends and receives reports on a UDP socket, in the role of this entry.
 
     :param state: an :class:`EdgeState`.
     """
@@ -87,41 +57,40 @@
     def __init__(self, state):
         self.state = state
         self.sock = None
-        #: IPs of the known entries, by name.
-        self.addresses = {}
-        #: Prompt tokens sent since the last report, by server.
-        self.sent_tokens = {}
+        #: Position in the log of each entry whose facts this one receives.
+        self.cursors = {}
+        #: ``clock`` and incarnation of the last report of each entry.
+        self.clocks = {}
+        #: Lonely entries that wait to be told the relays: (name, IP).
+        self.introductions = []
+        self.introduced_at = {}
+        self.announced = {}
         #: Servers with an order that this entry has sent or is about to send.
         self.ordering = set()
         #: Set to send a report before the next interval.
         self.early_event = trio.Event()
-        #: Rows of server, incarnation, model, version for the next report.
-        self.learned_versions = []
-        #: Whether this entry reaches the record store.
-        self.has_store = False
-
-    def add_address(self, name, ip):
-        """Add the IP of an entry, unless it is this one's or the table is full.
-
-        :param name: name of the entry; any unique text if the name is unknown.
-        :param ip: IP of the entry.
-        """
-        if ip != self.state.settings.instance.ip and len(self.addresses) < MAX_PEERS:
-            self.addresses[name] = ip
-
-    def record_sent_tokens(self, server, tokens):
-        """Record prompt tokens that were sent to a server; report a large prompt early.
-
-        :param server: id of the server.
-        :param tokens: number of prompt tokens.
-        """
-        self.sent_tokens[server] = self.sent_tokens.get(server, 0) + tokens
-        if tokens >= MIN_LARGE_PROMPT_TOKENS:
-            self.early_event.set()
+        #: Rows of server, incarnation, model, version for the next report to relays,
+        #: and to followers.
+        self.group_versions = []
+        self.fleet_versions = []
+        #: Entries whose facts have a gap: name to IP, name of the log, ``Gap``; and
+        #: those from which the facts are being requested.
+        self.gaps = {}
+        self.open_gaps = set()
+        self.gap_event = trio.Event()
+        self.ticks = 0
+        self.own_position = 0
+        self.fleet_position = 0
 
     def record_version(self, server, incarnation, model, version):
         """Record the version that a server runs, for the next report."""
-        self.learned_versions.append((server, incarnation, model, version))
+        row = (server, incarnation, model, version)
+        self.group_versions.append(row)
+        self.fleet_versions.append(row)
+
+    def notify_facts(self):
+        """Send the facts that were added to the logs soon."""
+        self.early_event.set()
 
     async def open(self):
         """Open the socket and add the addresses of the seeds."""
@@ -131,112 +100,355 @@
         await self.sock.bind(address)
         for seed in settings.peers.seeds.split(","):
             ip = seed.strip().rpartition(":")[0]
-            if ip:
-                self.add_address(f"seed {ip}", ip)
+            if ip and ip != settings.instance.ip:
+                self.state.view.seed_ips.append(ip)
 
     async def send_periodically(self, tick):
-        """Send a report and remove silent peers; called by the timer service.
+        """Send reports and remove silent peers; called by the timer service.
 
         :param tick: unused.
         """
-        await self.send_report()
         self.remove_silent_peers()
+        self.state.view.update_roles()
+        self.ticks += 1
+        is_idle = self.state.loads.is_idle() and not self.ordering
+        if self.ticks % TICKS_PER_REPORT and is_idle:
+            return
+        await self.send_report()
 
     async def run_early_sending(self):
-        """Send a report right after each large prompt, until cancelled."""
+        """Send facts and large prompts before the next interval, until cancelled."""
         while True:
             await self.early_event.wait()
             self.early_event = trio.Event()
-            await self.send_report()
-            await trio.sleep(MIN_EARLY_INTERVAL_SECONDS)
+            await self._send_introductions()
+            if self.state.view.is_large:
+                await self._send_as_relay(has_loads=False)
+                await trio.sleep(MIN_EARLY_FLEET_INTERVAL_SECONDS)
+            else:
+                await self.send_report()
+                await trio.sleep(MIN_EARLY_INTERVAL_SECONDS)
 
     async def send_report(self):
-        """Send a report to every known entry."""
-        settings = self.state.settings
-        ips = set(self.addresses.values())
-        report = PeerReport(
-            name=settings.instance.name,
+        """Send the report that the role of this entry requires."""
+        view, loads, now = self.state.view, self.state.loads, self.state.timer.now()
+        own = self.state.settings.instance.name
+        rows = loads.take_own(now)
+        for server in self.ordering:
+            self.state.swap.observe(ServerOrdered(server=server), now)
+        if view.get_roles().is_relay:
+            view.followed = ""
+            loads.group.observe(own, rows, now)
+            loads.fleet.observe(own, rows, now)
+            await self._send_as_relay(has_loads=True)
+            return
+        loads.group.remove(own)
+        view.select_relay()
+        loads.sent_reports.record(now, rows)
+        versions, self.group_versions = self.group_versions, []
+        self.fleet_versions = []
+        report = self._build_report(
+            now, rows, follows=view.followed, versions=versions[-MAX_VERSIONS:]
+        )
+        if view.followed:
+            await self._send(report, [(view.followed, view.get_ip(view.followed))])
+        else:
+            await self._send(report, [("", ip) for ip in view.seed_ips])
+
+    async def _send_as_relay(self, *, has_loads):
+        """Send a report to the other relays, and one to the followers."""
+        view, exchange = self.state.view, self.state.facts
+        roles, followers = view.get_roles(), view.get_followers()
+        if not roles.is_relay and not followers:
+            return
+        clock = self.state.timer.now()
+        members = [build_row(peer.report) for peer in followers.values()]
+        if members:
+            members.append(to_row(view.build_own_member()))
+        group = self.state.loads.group.take(clock) if has_loads else {}
+        first, facts = self._take_facts(exchange.own_log, "own_position")
+        report = self._build_report(
+            clock,
+            group,
+            is_relay=True,
+            has_loads=has_loads,
+            log=exchange.own_log.log,
+            first=first,
+            facts=facts,
+            waiting=self.state.view.count_waiting(is_group=True),
+            ages=self._get_ages(exchange.own_log, first + len(facts), only_own=True),
+            versions=self.group_versions[-MAX_VERSIONS:],
+            members=members,
+        )
+        self.group_versions = []
+        own = self.state.settings.instance.name
+        relays = {
+            name: member.ip for name, member in roles.relays.items() if name != own
+        }
+        targets = list(relays.items())
+        if has_loads:
+            targets += view.select_probes(relays)
+        await self._send(report, targets)
+        if has_loads:
+            self._announce_members()
+        await self._send_to_followers(followers, clock, has_loads)
+
+    async def _send_to_followers(self, followers, clock, has_loads):
+        log = self.state.facts.fleet_log
+        first, facts = self._take_facts(log, "fleet_position")
+        fleet = self.state.loads.fleet.take(clock) if has_loads else {}
+        versions, self.fleet_versions = self.fleet_versions[-MAX_VERSIONS:], []
+        if not followers:
+            return
+        report = self._build_report(
+            clock,
+            fleet,
+            is_relay=True,
+            has_loads=has_loads,
+            log=log.log,
+            first=first,
+            facts=facts,
+            ages=self._get_ages(log, first + len(facts)),
+            waiting=self.state.view.count_waiting(is_group=False),
+            versions=versions,
+            has_store=self.state.view.is_store_reached(),
+            ordering=self._get_all_ordering(),
+        )
+        targets = [(name, peer.report.ip) for name, peer in followers.items()]
+        await self._send(report, targets)
+
+    def _take_facts(self, log, attribute):
+        """Return position and data of the facts that were not sent yet."""
+        first = max(getattr(self, attribute), log.first)
+        facts = log.read(first, MAX_FACTS_BYTES) or []
+        setattr(self, attribute, first + len(facts))
+        if first + len(facts) < log.end:
+            self.early_event.set()
+        return first, [msgspec.Raw(fact) for fact in facts]
+
+    def _get_ages(self, log, end, *, only_own=False):
+        """Return the ages of the topics, by own reads alone or by facts as well.
+
+        They hold for receivers with all facts; a report with a part of them has none.
+        """
+        now, ages = self.state.timer.now(), {}
+        if end < log.end:
+            return ages
+        for topic, watch in self.state.facts.watches.items():
+            age = now - (watch.read_at if only_own else watch.confirmed_at)
+            if age < FLEET_TIMEOUT_SECONDS:
+                ages[topic] = age
+        return ages
+
+    def _get_all_ordering(self):
+        ordering = set(self.ordering)
+        for peer in self.state.peers.values():
+            ordering.update(peer.report.ordering)
+        return sorted(ordering)
+
+    def _build_report(self, clock, loads, **fields):
+        own = self.state.view.build_own_member()
+        common = {
+            "has_store": self.state.view.has_store,
+            "has_loads": True,
+            "ordering": sorted(self.ordering),
+            "named": self.state.swap.get_named_version_ages(self.state.timer.now()),
+            "unreadable": sorted(self.state.view.unreadable),
+            "fleet_size": len(self.state.view.get_members()),
+            "waiting": len(self.state.gate.waiting_),
+        }
+        return PeerReport(
+            name=own.name,
             incarnation=self.state.incarnation,
-            ip=settings.instance.ip,
-            callers=settings.listen.callers,
-            failure_domain=settings.instance.failure_domain,
-            is_ready=self.state.is_ready,
-            has_store=self.has_store,
-            sent=self.sent_tokens,
-            promised=self.state.part_router.reserved_tokens_,
-            ordering=sorted(self.ordering),
-            versions=self.learned_versions[-64:],
-            named=self.state.swap.get_named_version_ages(self.state.timer.now()),
-            known=sorted(ips)[:64],
+            ip=own.ip,
+            callers=own.callers,
+            failure_domain=own.failure_domain,
+            weight=own.weight,
+            is_ready=own.is_ready,
+            clock=clock,
+            loads=loads,
+            **{**common, **fields},
         )
-        self.sent_tokens, self.learned_versions = {}, []
-        for server in self.ordering:
-            self.state.swap.observe(
-                ServerOrdered(server=server), self.state.timer.now()
-            )
-        data = ENCODER.encode(report)
-        for ip in ips:
+
+    async def _send(self, report, targets):
+        """Send a report.
+
+        :param report: a :class:`PeerReport`.
+        :param targets: list of (name, IP); the name is ``""`` if it is unknown.
+        """
+        data = msgspec.Raw(ENCODER.encode(report))
+        port = self.state.settings.listen.gossip_port
+        for name, ip in targets:
+            clock, incarnation = self.clocks.get(name, (None, ""))
+            datagram = ENCODER.encode(SentEnvelope(clock, incarnation, data))
             try:
-                await self.sock.sendto(data, (ip, settings.listen.gossip_port))
+                await self.sock.sendto(datagram, (ip, port))
             except OSError:
                 self.state.metrics.count("peer.failures")
 
-    def remove_silent_peers(self):
-        """Remove the peers that sent no report within ``PEER_TIMEOUT_SECONDS``."""
-        now = self.state.timer.now()
-        for name, peer in list(self.state.peers.items()):
-            if now - peer.heard_at > PEER_TIMEOUT_SECONDS:
-                del self.state.peers[name]
-                self.state.part_router.observe(
-                    PeerMemoryReserved(peer=name, reserved_tokens={}), now
-                )
-                self.state.log.write(
-                    "peer_lost", peer=name, silent=round(now - peer.heard_at, 3)
-                )
+    async def _send_introductions(self):
+        """Tell entries that know nobody which entries are relays."""
+        introductions, self.introductions = self.introductions, []
+        if introductions:
+            rows = [
+                to_row(item) for item in self.state.view.get_roles().relays.values()
+            ]
+            report = self._build_report(
+                self.state.timer.now(), {}, has_loads=False, members=rows
+            )
+            await self._send(report, introductions)
+
+    def _announce_members(self):
+        """Tell the followers which entries have appeared, changed or gone."""
+        rows = {
+            name: to_row(item) for name, item in self.state.view.get_members().items()
+        }
+        for name, row in rows.items():
+            if self.announced.get(name) != row:
+                self.state.facts.publish_member(row, is_live=True)
+        for name in set(self.announced) - set(rows):
+            self.state.facts.publish_member(self.announced[name], is_live=False)
+        self.announced = rows
 
     async def run_receiving(self):
         """Receive reports until cancelled."""
         while True:
             data, _ = await self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                report = DECODER.decode(data)
+                envelope = ENVELOPE_DECODER.decode(data)
             except msgspec.DecodeError:
                 self.state.metrics.count("peer.failures")
                 continue
-            self.handle_report(report, self.state.timer.now())
+            is_own_echo = envelope.echoed == self.state.incarnation
+            echo = envelope.echo if is_own_echo else None
+            self.handle_report(envelope.report, echo, self.state.timer.now())
 
-    def handle_report(self, report, now):
+    def handle_report(self, report, echo, now):
         """Apply a peer's report to the state of this entry.
 
         :param report: a :class:`PeerReport`.
+        :param echo: ``clock`` of the last report that the peer has received from this
+            entry, or ``None``.
         :param now: monotonic time, in seconds.
         """
-        if report.name == self.state.settings.instance.name:
+        state, own = self.state, self.state.settings.instance.name
+        if report.name == own:
             return
-        known = self.state.peers.get(report.name)
+        known = state.peers.get(report.name)
         if known is None:
-            self.state.log.write("peer_found", peer=report.name, ip=report.ip)
-        self.state.peers[report.name] = Peer(report, now)
-        self.add_address(report.name, report.ip)
-        for ip in report.known:
-            self.add_address(f"seed {ip}", ip)
-        for server, tokens in report.sent.items():
-            event = PeerDispatched(
-                server=server, tokens=tokens, lag=GOSSIP_INTERVAL_SECONDS / 2
-            )
-            self.state.part_router.observe(event, now)
-        memory = PeerMemoryReserved(peer=report.name, reserved_tokens=report.promised)
-        self.state.part_router.observe(memory, now)
+            state.log.write("peer_found", peer=report.name, ip=report.ip)
+        elif known.report.incarnation == report.incarnation:
+            if report.clock < known.report.clock:
+                return
+        state.peers[report.name] = Peer(report, now)
+        self._introduce(report, now)
+        if not report.has_loads and known is not None:
+            report.unreadable = report.unreadable or known.report.unreadable
+        self.clocks[report.name] = (report.clock, report.incarnation)
+        is_followed = report.name == state.view.followed
+        members = [to_member(row) for row in report.members]
+        if not is_followed or members:
+            members = members or [to_member(build_row(report))]
+            state.view.table.observe(report.name, members, now)
+        if report.is_relay and report.log:
+            self._handle_facts(report, echo, now, is_followed)
+        if report.has_loads:
+            state.loads.observe(report, echo, now, is_followed)
+        self._handle_rollout(report, known, now)
+        if report.follows == own and (known is None or known.report.follows != own):
+            self.early_event.set()
+
+    def _introduce(self, report, now):
+        """Have an entry told the relays if it takes itself for one."""
+        is_relay = report.name in self.state.view.get_roles().relays
+        if not report.is_relay or is_relay or is_followed_log(report):
+            return
+        last = self.introduced_at.get(report.name, float("-inf"))
+        if now - last > INTRODUCTION_INTERVAL_SECONDS:
+            self.introduced_at[report.name] = now
+            self.introductions.append((report.name, report.ip))
+            self.early_event.set()
+
+    def _handle_facts(self, report, echo, now, is_followed):
+        """Apply the facts of a relay, or request those that are missing."""
+        is_fleet_log = is_followed_log(report)
+        if is_fleet_log and not is_followed:
+            return
+        key = f"{report.name}/{'fleet' if is_fleet_log else 'own'}"
+        cursor = self.cursors.setdefault(key, FactCursor())
+        new = cursor.accept(report.log, report.first, report.facts)
+        if isinstance(new, Gap):
+            self.request_gap(report, new)
+            return
+        for fact in new:
+            self.state.facts.apply(fact, report.ip)
+        if is_fleet_log:
+            self.state.view.refresh_members(now)
+        if echo is not None:
+            self._confirm_topics(report.ages, echo)
+
+    def _confirm_topics(self, ages, echo):
+        """Record that topics were confirmed, unless a record of theirs is missing."""
+        exchange = self.state.facts
+        for topic, age in ages.items():
+            watch = exchange.watches.get(topic)
+            if watch is not None and age >= 0 and not exchange.is_missing(topic):
+                watch.confirm(echo - age)
+
+    def request_gap(self, report, gap):
+        """Have missing facts requested.
+
+        :param report: the :class:`PeerReport` after the gap.
+        :param gap: a :class:`wasabistage.topology.Gap`.
+        """
+        log = "fleet" if is_followed_log(report) else "own"
+        self.gaps.setdefault(report.name, (report.ip, log, gap))
+        self.gap_event.set()
+
+    def _handle_rollout(self, report, known, now):
+        swap = self.state.swap
         if known is not None:
             for server in set(known.report.ordering) - set(report.ordering):
-                self.state.swap.observe(PeerOrderEnded(server=server), now)
+                swap.observe(PeerOrderEnded(server=server), now)
         for server in report.ordering:
-            self.state.swap.observe(ServerOrdered(server=server), now)
+            swap.observe(ServerOrdered(server=server), now)
         for model, version, age in report.named:
             event = VersionNamed(model=model, version=version, age=age)
-            self.state.swap.observe(event, now)
+            swap.observe(event, now)
         for server, incarnation, model, version in report.versions:
             event = ServerVersionReported(
                 server=server, incarnation=incarnation, model=model, version=version
             )
-            self.state.swap.observe(event, now)
+            swap.observe(event, now)
+        self.fleet_versions += report.versions
+        if not report.is_relay:
+            self.group_versions += report.versions
+
+    def remove_silent_peers(self):
+        """Remove the peers that sent no report within their time limit."""
+        now, state = self.state.timer.now(), self.state
+        own = state.settings.instance.name
+        state.view.table.tick(now)
+        for name, peer in list(state.peers.items()):
+            is_follower = peer.report.follows == own
+            limit = FOLLOWER_TIMEOUT_SECONDS if is_follower else PEER_TIMEOUT_SECONDS
+            if now - peer.heard_at <= limit:
+                continue
+            del state.peers[name]
+            self.clocks.pop(name, None)
+            self.introduced_at.pop(name, None)
+            state.view.table.remove_source(name)
+            state.loads.remove(name, now)
+            state.log.write(
+                "peer_lost", peer=name, silent=round(now - peer.heard_at, 3)
+            )
+        if self.state.view.is_store_reached():
+            state.servers.end_outage(now)
+        else:
+            # Records of servers expire only while no entry reaches the store.
+            state.servers.start_outage()
+
+
+def is_followed_log(report):
+    """Return whether a report has facts for the followers of its sender."""
+    return report.log.endswith("/fleet")
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -12,13 +12,17 @@
 
 from wasabistage.edge._caches import CacheWatcher
 from wasabistage.edge._callers import CallerHandler, DirectoryHandler
+from wasabistage.edge._facts import SHARED_TOPICS, FactExchange
+from wasabistage.edge._fleet_view import FleetView
 from wasabistage.edge._forward import Forwarder
 from wasabistage.edge._handlers import RequestHandler
+from wasabistage.edge._load_exchange import LoadExchange
 from wasabistage.edge._old_parts import FREE_INTERVAL_SECONDS, OldPartCleaner
 from wasabistage.edge._orders import OrderTask
-from wasabistage.edge._peers import GOSSIP_INTERVAL_SECONDS, GossipTask, PeerEntry
+from wasabistage.edge._peer_messages import PeerEntry
+from wasabistage.edge._peers import GOSSIP_INTERVAL_SECONDS, GossipTask
 from wasabistage.edge._settings import load_edge_settings
-from wasabistage.edge._snapshots import SHARED_TOPICS, SnapshotClient, SnapshotHandler
+from wasabistage.edge._snapshots import SnapshotClient, SnapshotHandler
 from wasabistage.edge._state import EdgeState
 from wasabistage.edge._watches import (
     ConfigurationWatch,
@@ -37,6 +41,7 @@
 INCARNATION_BYTES = 6
 HEALTH_INTERVAL_SECONDS = 0.25  # pause between two checks for timed changes
 SILENCE_INTERVAL_SECONDS = 0.1  # pause between two checks for silent servers
+TOPICS_INTERVAL_SECONDS = 0.1  # pause between two checks for large records to request
 SETTINGS_INTERVAL_SECONDS = 2.0  # pause between two checks of the settings file
 #: Fraction of ``stop_s`` left for open requests after the last channel is accepted.
 FINAL_DRAIN_FRACTION = 0.25
@@ -82,7 +87,10 @@
         self.state = EdgeState(
             settings, timer, platform(timer), log, TextMetrics(), incarnation
         )
+        self.state.view = FleetView(self.state)
+        self.state.loads = LoadExchange(self.state, GOSSIP_INTERVAL_SECONDS)
         self.state.gossip = GossipTask(self.state)
+        self.state.facts = FactExchange(self.state)
         self.state.snapshots = SnapshotClient(self.state)
         self.callers = CallerHandler(self.state, Forwarder(self.state))
         self.directory = DirectoryHandler(self.state)
@@ -118,12 +126,12 @@
             topic: watch_class(state, state.platform.create_record_store(store_address))
             for topic, watch_class in watch_classes.items()
         }
-        shared = {str(topic): watches[topic] for topic in SHARED_TOPICS}
+        state.facts.watches = {str(topic): watches[topic] for topic in SHARED_TOPICS}
         await state.gossip.open()
         await self._listen(nursery, addresses.callers, self.callers.serve, True)
         for address in dict.fromkeys((addresses.readiness, addresses.directory)):
             await self._listen(nursery, address, self.directory.serve)
-        snapshots = SnapshotHandler(state, shared)
+        snapshots = SnapshotHandler(state)
         await self._listen(nursery, addresses.peers, snapshots.serve)
         metrics_address = f"{self.settings.instance.ip}:{addresses.metrics_port}"
         await self._listen(nursery, metrics_address, MetricsHandler(state).serve)
@@ -131,6 +139,7 @@
         tasks += [
             state.gossip.run_receiving,
             state.gossip.run_early_sending,
+            state.snapshots.run,
             CacheWatcher(state).run,
             OrderTask(state, self.store, watches[Topic.ORDERS]).run,
             self._register,
@@ -142,6 +151,7 @@
             (IDLE_CHANNELS_INTERVAL_SECONDS, self._close_idle_channels),
             (FREE_INTERVAL_SECONDS, OldPartCleaner(state).free_old_parts),
             (SETTINGS_INTERVAL_SECONDS, self._check_settings_file),
+            (TOPICS_INTERVAL_SECONDS, state.snapshots.request_wanted_records),
         )
         for period, receive in subscriptions:
             tasks.append(partial(state.timer.run_subscription, period, receive))
@@ -178,7 +188,12 @@
     async def _register(self):
         """Append the record that gives other entries the address of this one."""
         instance = self.settings.instance
-        value = msgspec.json.encode(PeerEntry(ip=instance.ip))
+        entry = PeerEntry(
+            ip=instance.ip,
+            failure_domain=instance.failure_domain,
+            weight=instance.weight,
+        )
+        value = msgspec.json.encode(entry)
         while True:
             try:
                 await self.store.append(Topic.ENTRIES, value, key=instance.name)
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -20,6 +20,17 @@
     name: str
     failure_domain: str
     ip: str
+    #: Bandwidth of its link. Entries with fast links carry the facts of others.
+    link_mbps: float = 1000.0
+
+    @property
+    def weight(self):
+        """Capacity to carry the facts of others, relative to other entries.
+
+        It grows with the square, since a fast link must be chosen although there are
+        many slow ones.
+        """
+        return self.link_mbps**2
 
 
 class ListenSection(msgspec.Struct):
@@ -173,7 +184,7 @@
     :param settings: an :class:`EdgeSettings`.
     :raises SettingError: if a value is invalid.
     """
-    for section in (settings.bounds, settings.engines):
+    for section in (settings.instance, settings.bounds, settings.engines):
         for name in section.__struct_fields__:
             value = getattr(section, name)
             if isinstance(value, int | float) and value <= 0:
--- a/wasabistage/edge/_snapshots.py
+++ b/wasabistage/edge/_snapshots.py
@@ -1,68 +1,75 @@
-"""Snapshots of record topics for entries that can't reach the record store."""
+"""Snapshots of topics, whole states and missing facts, between entries over HTTP."""
 
 import msgspec
+import trio
 
 from wasabistage.edge._handlers import RequestHandler
-from wasabistage.fleet import StoredRecord, StoreError, Topic
+from wasabistage.edge._peer_messages import (
+    BATCH_DECODER,
+    ENCODER,
+    SNAPSHOT_DECODER,
+    STATE_DECODER,
+    FactBatch,
+)
+from wasabistage.fleet import StoreError
 from wasabistage.http1 import Answer, ChannelError, HttpClient
+from wasabistage.topology import FactCursor, Gap
 
-REQUEST_TIMEOUT_SECONDS = 0.4  # peers answer in some milliseconds
+SNAPSHOT_TIMEOUT_SECONDS = 0.4  # peers answer in some milliseconds
+STATE_TIMEOUT_SECONDS = 2.0  # a state of 1 MB takes a second on the slowest links
 MAX_SNAPSHOT_BYTES = 8 << 20  # twice the largest configuration
+MAX_BATCH_BYTES = 1 << 20
+MAX_CLIENTS = 64
 SNAPSHOT_PATH = b"/facts/"
-
-
-class TopicSnapshot(msgspec.Struct, array_like=True):
-    """The newest record of each key of one topic, as one entry knows them.
-
-    :param age: time since the start of the read that confirmed them, in seconds.
-    :param end: offset up to which the topic was read.
-    :param records: rows of key, offset, value.
-    """
-
-    age: float
-    end: int
-    records: list[tuple[str, int, bytes]]
-
-
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(TopicSnapshot)
+STATE_PATH = b"/state/"
+LOG_PATH = b"/log/"
+GONE = 410
 
 
 class SnapshotHandler(RequestHandler):
-    """Serves snapshots to other entries.
+    """Serves snapshots, states and facts to other entries.
 
     :param state: an :class:`EdgeState`.
-    :param watches: dict of topic name to :class:`RecordWatch`.
     """
 
-    def __init__(self, state, watches):
-        super().__init__(state)
-        self.watches = watches
-
     def answer(self, request):
         """See :meth:`RequestHandler.answer`."""
-        snapshot = self._get_snapshot(request.target)
-        if snapshot is None:
+        path, _, name = request.target.decode("latin-1").rpartition("/")
+        if path == "/facts":
+            return self._answer_snapshot(name)
+        if path == "/state":
+            return self._answer_state(name)
+        if path.startswith("/log/"):
+            return self._answer_batch(path.removeprefix("/log/"), name)
+        return Answer(status=404)
+
+    def _answer_snapshot(self, topic):
+        watch = self.state.facts.watches.get(topic)
+        if watch is None or not watch.is_known:
             return Answer(status=404)
+        snapshot = watch.build_snapshot(self.state.timer.now())
         return Answer(status=200, body=ENCODER.encode(snapshot))
 
-    def _get_snapshot(self, target):
-        name = target.removeprefix(SNAPSHOT_PATH).decode("latin-1")
-        watch = self.watches.get(name)
-        if watch is None or watch.position is None:
-            return None
-        return TopicSnapshot(
-            age=self.state.timer.now() - watch.confirmed_at,
-            end=watch.position,
-            records=[
-                (record.key, record.offset, record.value)
-                for record in watch.newest_records.values()
-            ],
+    def _answer_state(self, name):
+        if self.state.facts.get_log(name) is None:
+            return Answer(status=404)
+        return Answer(
+            status=200, body=ENCODER.encode(self.state.facts.build_state(name))
         )
 
+    def _answer_batch(self, name, position):
+        log = self.state.facts.get_log(name)
+        if log is None or not position.isdigit() or len(position) > 18:
+            return Answer(status=404)
+        facts = log.read(int(position), MAX_BATCH_BYTES)
+        if not isinstance(facts, list):
+            return Answer(status=GONE)
+        batch = FactBatch(log.log, int(position), [msgspec.Raw(item) for item in facts])
+        return Answer(status=200, body=ENCODER.encode(batch))
+
 
 class SnapshotClient:
-    """Requests snapshots from other entries.
+    """Requests snapshots, states and facts from other entries.
 
     :param state: an :class:`EdgeState`.
     """
@@ -71,47 +78,113 @@
         self.state = state
         self.clients = {}
 
-    async def request(self, topic):
-        """Request a snapshot from one entry, preferably one that reaches the store.
+    async def request(self, topic, ip=None):
+        """Request the snapshot of a topic.
 
-        :param topic: a :class:`wasabistage.fleet.Topic`.
-        :return: a tuple of :class:`TopicSnapshot`, its records as
-            :class:`wasabistage.fleet.StoredRecord`, and the time of the request,
+        :param topic: name of the topic.
+        :param ip: IP of the entry to ask; ``None`` for any, preferably one that reaches
+            the record store.
+        :return: a tuple of :class:`TopicSnapshot` and the time of the request,
             monotonic seconds.
         :raises StoreError: if no other entry is known, or the entry gave no snapshot.
         """
-        address = self._select_address()
-        if address not in self.clients:
-            self.clients[address] = HttpClient(
-                address, self.state.timer, MAX_SNAPSHOT_BYTES
-            )
+        ip = ip or self._select_ip()
         requested_at = self.state.timer.now()
-        target = SNAPSHOT_PATH + str(topic).encode()
+        target = SNAPSHOT_PATH + topic.encode()
         try:
-            reply = await self.clients[address].call(
-                b"GET", target, timeout=REQUEST_TIMEOUT_SECONDS
-            )
+            reply = await self._call(ip, target, SNAPSHOT_TIMEOUT_SECONDS)
             if reply.status != 200:
-                raise StoreError(f"peer {address} has not read the topic yet")
-            snapshot = DECODER.decode(reply.body)
+                raise StoreError(f"peer {ip} has not read the topic yet")
+            return SNAPSHOT_DECODER.decode(reply.body), requested_at
         except (ChannelError, msgspec.DecodeError) as error:
-            raise StoreError(f"peer {address} sent no snapshot: {error}") from error
-        records = tuple(
-            StoredRecord(offset=offset, key=key, value=value)
-            for key, offset, value in snapshot.records
-        )
-        return snapshot, records, requested_at
+            raise StoreError(f"peer {ip} sent no snapshot: {error}") from error
+
+    async def _call(self, ip, target, timeout):
+        if ip not in self.clients:
+            if len(self.clients) >= MAX_CLIENTS:
+                self.clients.pop(next(iter(self.clients))).close()
+            port = self.state.settings.listen.peers.rpartition(":")[2]
+            self.clients[ip] = HttpClient(
+                f"{ip}:{port}", self.state.timer, MAX_SNAPSHOT_BYTES
+            )
+        return await self.clients[ip].call(b"GET", target, timeout=timeout)
 
-    def _select_address(self):
-        state = self.state
-        port = state.settings.listen.peers.rpartition(":")[2]
+    def _select_ip(self):
+        state, view = self.state, self.state.view
         own = state.settings.instance.ip
         ips = [peer.report.ip for peer in state.peers.values() if peer.report.has_store]
-        ips = ips or [ip for ip in state.gossip.addresses.values() if ip != own]
+        ips = ips or [peer.report.ip for peer in state.peers.values()]
+        ips = ips or [entry.ip for entry in view.known_entries.values()]
+        ips = [ip for ip in ips or view.seed_ips if ip != own]
         if not ips:
             raise StoreError("no other entry is known")
-        return f"{state.random.choice(ips)}:{port}"
+        return state.random.choice(ips)
+
+    async def run(self):
+        """Request missing facts whenever a report shows a gap, until cancelled."""
+        gossip = self.state.gossip
+        async with trio.open_nursery() as nursery:
+            while True:
+                await gossip.gap_event.wait()
+                gossip.gap_event = trio.Event()
+                for name, (ip, log, gap) in list(gossip.gaps.items()):
+                    if name not in gossip.open_gaps:
+                        gossip.open_gaps.add(name)
+                        nursery.start_soon(self._close_gap, name, ip, log, gap)
+
+    async def _close_gap(self, name, ip, log, gap):
+        gossip, exchange = self.state.gossip, self.state.facts
+        cursor = gossip.cursors.setdefault(f"{name}/{log}", FactCursor())
+        try:
+            if gap.position is not None:
+                target = LOG_PATH + f"{log}/{gap.position}".encode()
+                reply = await self._call(ip, target, STATE_TIMEOUT_SECONDS)
+                if reply.status == 200:
+                    batch = BATCH_DECODER.decode(reply.body)
+                    new = cursor.accept(batch.log, batch.first, batch.facts)
+                    if not isinstance(new, Gap):
+                        for fact in new:
+                            exchange.apply(fact, ip)
+                        return
+            requested_at = self.state.timer.now()
+            target = STATE_PATH + log.encode()
+            reply = await self._call(ip, target, STATE_TIMEOUT_SECONDS)
+            if reply.status != 200:
+                raise ChannelError(f"the peer answered {reply.status}")
+            fleet_state = STATE_DECODER.decode(reply.body)
+            exchange.apply_state(fleet_state, requested_at)
+            cursor.set(fleet_state.log, fleet_state.position)
+        except (ChannelError, msgspec.DecodeError) as error:
+            self.state.metrics.count("peer.failures")
+            self.state.log.write("peer_state_missing", peer=name, reason=str(error))
+        finally:
+            gossip.gaps.pop(name, None)
+            gossip.open_gaps.discard(name)
+
+    async def request_wanted_records(self, tick):
+        """Request the records that were too large for a datagram, until each is known.
 
+        Called by the timer service.
 
-#: Topics of which entries serve snapshots.
-SHARED_TOPICS = (Topic.CONFIGURATION, Topic.SERVERS)
+        :param tick: unused.
+        """
+        exchange = self.state.facts
+        for key, (record, ip) in list(exchange.wanted_records.items()):
+            topic, _ = key
+            watch = exchange.watches[topic]
+            if watch.is_newer(record):
+                # Any entry, if the one that told of the record can't be reached.
+                is_reachable = any(
+                    peer.report.ip == ip for peer in self.state.peers.values()
+                )
+                await self._request_record(topic, watch, ip if is_reachable else None)
+            if not watch.is_newer(record):
+                exchange.wanted_records.pop(key, None)
+
+    async def _request_record(self, topic, watch, ip):
+        try:
+            snapshot, requested_at = await self.request(topic, ip)
+        except StoreError as error:
+            self.state.log.write("facts_missing", topic=topic, reason=str(error))
+            return
+        watch.apply_snapshot(snapshot, requested_at)
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -14,10 +14,12 @@
     FirstTokenEstimator,
     HealthPolicy,
     LeastOutstandingRouter,
+    NearSelection,
     PaceEstimator,
     PartRouter,
     RankedGate,
     SilenceDetector,
+    TurnLottery,
 )
 
 #: Fraction of ``key_removal_ms`` for which keys stay valid without a new read. Their
@@ -62,7 +64,9 @@
                 chunk_tokens=0,
             ),
         ).reset()
+        self.near = NearSelection().reset()
         self.gate = RankedGate().reset()
+        self.turns = TurnLottery().reset()
         self.plain_router = LeastOutstandingRouter().reset()
         # Response times of engines depend on the prompt, so only failures count.
         self.health = HealthPolicy(
@@ -80,22 +84,29 @@
         self.silence = SilenceDetector().reset()
         #: Cancel scopes of running attempts that may be retried elsewhere, by server.
         self.repeatable_scopes = {}
-        self.swap = VersionRollout(at_once=settings.engines.loads_at_once).reset()
+        self.swap = VersionRollout(
+            at_once=settings.engines.loads_at_once,
+            version_time=bounds.version_ms / 1000.0,
+        ).reset()
         self.lease = OrderLease(
             settings.instance.name,
             incarnation,
             turn_time=bounds.order_turn_ms / 1000.0,
         ).reset()
-        #: The :class:`GossipTask` and :class:`SnapshotClient`, which need this state;
-        #: set by :class:`EdgeProcess`.
+        #: The :class:`FleetView`, :class:`LoadExchange`, :class:`GossipTask`,
+        #: :class:`FactExchange` and :class:`SnapshotClient`, which need this state; set
+        #: by :class:`EdgeProcess`.
+        self.view = None
+        self.loads = None
         self.gossip = None
+        self.facts = None
         self.snapshots = None
         self.retries = WindowRetryPolicy(
             ratio=bounds.retry_ratio,
             extra=bounds.retry_extra,
             window=bounds.retry_window_s,
         ).reset()
-        #: The :class:`Peer` of each other entry, by its name.
+        #: The :class:`Peer` of each entry that sends reports to this one, by its name.
         self.peers = {}
         #: Pools of channels to backend servers, by address.
         self.pools = {}
@@ -105,6 +116,8 @@
         self.stops_at = None
         self.has_read_servers = False
         self.server_clock_offset = None
+        #: Failure domain of each cache source, by its address.
+        self.source_domains = {}
 
     @property
     def is_ready(self):
@@ -118,15 +131,32 @@
     @property
     def entry_count(self):
         """The number of entries that share the retry budget, including this one."""
-        return 1 + len(self.peers)
+        return len(self.view.get_members())
+
+    def get_source_domain(self, address):
+        """Return the failure domain of a cache source, or ``""``.
 
-    def record_server_clock(self, clock):
+        :param address: address of the source.
+        """
+        return self.source_domains.get(address, "")
+
+    def record_server_clock(self, clock, *, is_relayed=False):
         """Record the offset of the servers' wall clock from the monotonic clock.
 
         :param clock: time on the servers' wall clock now, in seconds, or ``None``.
+        :param is_relayed: whether another entry has read the clock some time ago, so
+            that the offset can only be higher.
         """
-        if clock is not None:
-            self.server_clock_offset = clock - self.timer.now()
+        if clock is None:
+            return
+        offset = clock - self.timer.now()
+        if is_relayed and self.server_clock_offset is not None:
+            offset = max(offset, self.server_clock_offset)
+        self.server_clock_offset = offset
+
+    def get_server_clock(self):
+        """Return the time on the servers' wall clock, or ``None`` if it is unknown."""
+        return self.to_server_time(self.timer.now())
 
     def to_server_time(self, moment):
         """Convert a time to the servers' wall clock.
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -5,9 +5,9 @@
 import msgspec
 import trio
 
-from wasabistage.edge._peers import PeerEntry
-from wasabistage.edge._snapshots import SHARED_TOPICS
-from wasabistage.fleet import StoreError, Topic, TrimmedError
+from wasabistage.edge._facts import SHARED_TOPICS, build_snapshot
+from wasabistage.edge._peer_messages import PeerEntry
+from wasabistage.fleet import StoredRecord, StoreError, Topic, TrimmedError
 from wasabistage.rollout import (
     LeaseRecord,
     ServerVersionReported,
@@ -18,6 +18,11 @@
 
 MIN_RETRY_INTERVAL_SECONDS = 0.1  # the store answers in milliseconds
 MAX_RETRY_INTERVAL_SECONDS = 1.0  # well below the time for which keys stay valid
+#: The same for followers, of which a fleet has many.
+MAX_FOLLOWER_RETRY_INTERVAL_SECONDS = 4.0
+#: Age of a topic from which an entry that can't read it asks another one.
+MIN_SNAPSHOT_AGE_SECONDS = 1.0
+ROLE_INTERVAL_SECONDS = 0.25  # pause between two checks whether to read a topic
 
 
 class RecordWatch(ABC):
@@ -39,13 +44,22 @@
         self.position = None
         self.is_store_lost = False
         self.has_read_page = False
+        #: Whether the records are known, from the store or another entry.
+        self.is_known = False
         self.newest_records = {}
+        #: Time at which the records were confirmed as the newest, and the same by a
+        #: read of this entry alone; monotonic seconds.
         self.confirmed_at = float("-inf")
+        self.read_at = float("-inf")
 
     async def run(self):
         """Follow the topic until cancelled."""
         retry = MIN_RETRY_INTERVAL_SECONDS
         while True:
+            if not self.should_read():
+                self._stop_reading()
+                await trio.sleep(ROLE_INTERVAL_SECONDS)
+                continue
             try:
                 await self._read_next()
                 retry = MIN_RETRY_INTERVAL_SECONDS
@@ -56,7 +70,27 @@
                 self._record_failure(error)
                 await self._request_from_peer()
                 await trio.sleep(retry * (0.5 + self.state.random.random()))
-                retry = min(2.0 * retry, MAX_RETRY_INTERVAL_SECONDS)
+                retry = min(2.0 * retry, self._get_max_retry_interval())
+
+    def should_read(self):
+        """Return whether this entry should read the topic from the store now."""
+        if not self.is_known or self.topic not in SHARED_TOPICS:
+            return True
+        age = self.state.timer.now() - self.confirmed_at
+        return self.state.view.is_reader(self.topic, age)
+
+    def _stop_reading(self):
+        """Leave the topic to other entries, which tell this one its records."""
+        if self.topic in SHARED_TOPICS:
+            # The next read of this entry starts with the newest records.
+            self.position = None
+            self.has_read_page = False
+        self.state.view.unreadable.discard(str(self.topic))
+
+    def _get_max_retry_interval(self):
+        if self.is_known and not self.state.view.get_roles().is_relay:
+            return MAX_FOLLOWER_RETRY_INTERVAL_SECONDS
+        return MAX_RETRY_INTERVAL_SECONDS
 
     async def _read_next(self):
         begun_at = self.state.timer.now()
@@ -73,49 +107,100 @@
             self._record_success(begun_at)
         now = self.state.timer.now()
         for record in page.records:
-            self.apply_record(record, now)
+            is_new = self.apply_record(record, now)
+            # Other entries read the records that a starting one finds by themselves.
+            if is_new and self.is_known and self.topic in SHARED_TOPICS:
+                self.state.facts.publish_record(self.topic, record)
         self.position = page.end
+        self.is_known = True
         self.handle_page_end(page.end, now)
         if page.records and self.pause_seconds:
             await trio.sleep(self.pause_seconds)
 
+    def is_newer(self, record):
+        """Return whether a record is newer than the known one of its key.
+
+        :param record: a :class:`wasabistage.fleet.StoredRecord`.
+        """
+        known = self.newest_records.get(record.key)
+        return known is None or known.offset < record.offset
+
+    def apply_shared(self, record):
+        """Apply a record that another entry has read; return whether it is new.
+
+        :param record: a :class:`wasabistage.fleet.StoredRecord`.
+        """
+        return bool(self.apply_record(record, self.state.timer.now()))
+
+    def build_snapshot(self, now):
+        """Return the :class:`TopicSnapshot` of the known records.
+
+        :param now: monotonic time, in seconds.
+        """
+        records = self.newest_records.values()
+        end = max((record.offset + 1 for record in records), default=0)
+        return build_snapshot(
+            records, now - self.confirmed_at, max(end, self.position or 0)
+        )
+
+    def apply_snapshot(self, snapshot, requested_at):
+        """Apply the records that another entry knows, unless they are older.
+
+        :param snapshot: a :class:`TopicSnapshot`.
+        :param requested_at: time of the request, monotonic seconds.
+        """
+        if self.position is not None and snapshot.end < self.position:
+            return
+        now = self.state.timer.now()
+        records = tuple(
+            StoredRecord(offset=offset, key=key, value=value)
+            for key, offset, value in snapshot.records
+        )
+        confirmed_at = requested_at - snapshot.age
+        if confirmed_at >= self.confirmed_at:
+            self.reset_keys(records, now)
+        for record in records:
+            if self.apply_record(record, now):
+                self.state.facts.publish_record(self.topic, record, is_own=False)
+        self.is_known = True
+        self.handle_page_end(snapshot.end, now)
+        self.confirm(confirmed_at)
+
     async def _request_from_peer(self):
         """Apply the snapshot of another entry, unless it ends before ``position``."""
-        if self.topic not in SHARED_TOPICS:
+        age = self.state.timer.now() - self.confirmed_at
+        if self.topic not in SHARED_TOPICS or age < MIN_SNAPSHOT_AGE_SECONDS:
             return
         try:
-            snapshot, records, requested_at = await self.state.snapshots.request(
-                self.topic
-            )
+            snapshot, requested_at = await self.state.snapshots.request(str(self.topic))
         except StoreError as error:
             self.state.metrics.count("peer.failures")
             self.state.log.write(
                 "facts_missing", topic=str(self.topic), reason=str(error)
             )
             return
-        if self.position is not None and snapshot.end < self.position:
-            return
-        now = self.state.timer.now()
-        self.reset_keys(records, now)
-        for record in records:
-            self.apply_record(record, now)
-        self.position = snapshot.end
-        self.handle_page_end(snapshot.end, now)
-        self._confirm(requested_at - snapshot.age)
+        self.apply_snapshot(snapshot, requested_at)
 
     def _record_success(self, begun_at):
+        self.state.view.unreadable.discard(str(self.topic))
         if self.is_store_lost:
             self.is_store_lost = False
             self.state.log.write("store_regained", topic=str(self.topic))
-        self._confirm(begun_at)
+        self.read_at = max(self.read_at, begun_at)
+        self.confirm(begun_at)
         self.handle_store_read()
 
-    def _confirm(self, at):
+    def confirm(self, at):
+        """Record that the known records were the newest at a time.
+
+        :param at: monotonic seconds.
+        """
         self.confirmed_at = max(self.confirmed_at, at)
         self.handle_confirmed(self.confirmed_at)
 
     def _record_failure(self, error):
         self.state.metrics.count("store.failures", label=str(self.topic))
+        self.state.view.unreadable.add(str(self.topic))
         if not self.is_store_lost:
             self.is_store_lost = True
             self.state.log.write("store_lost", topic=str(self.topic), reason=str(error))
@@ -135,6 +220,7 @@
 
         :param record: a :class:`wasabistage.fleet.StoredRecord`.
         :param now: monotonic time, in seconds.
+        :return: whether other entries need it.
         """
 
     def handle_page_end(self, end, now):
@@ -171,13 +257,12 @@
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
-        known = self.newest_records.get(record.key)
-        if known is not None and known.offset >= record.offset:
-            return
+        if not self.is_newer(record):
+            return False
         self.newest_records[record.key] = record
         if self.state.platform.is_configuration(record):
             self._apply_configuration(record)
-            return
+            return True
         named = self.state.platform.decode_named_version(record)
         if named is not None:
             event = VersionNamed(model=named.model, version=named.version)
@@ -188,6 +273,7 @@
                 version=named.version,
                 offset=record.offset,
             )
+        return True
 
     def _apply_configuration(self, record):
         configuration = self.state.platform.decode_configuration(record.value)
@@ -211,11 +297,11 @@
 
     def handle_store_read(self):
         """See :meth:`RecordWatch.handle_store_read`."""
-        self.state.gossip.has_store = True
+        self.state.view.record_store_read(True)
 
     def handle_read_failure(self):
         """See :meth:`RecordWatch.handle_read_failure`."""
-        self.state.gossip.has_store = False
+        self.state.view.record_store_read(False)
 
 
 class ServerWatch(RecordWatch):
@@ -227,28 +313,33 @@
     def reset_keys(self, records, now):
         """See :meth:`RecordWatch.reset_keys`."""
         listed = {record.key for record in records if record.value is not None}
+        end = max((record.offset for record in records), default=0)
         for server in list(self.state.servers.servers):
             if server not in listed:
-                self.newest_records.pop(server, None)
+                known = self.newest_records.pop(server, None)
                 self._remove(server, now)
+                offset = max(end, known.offset + 1 if known is not None else 0)
+                removal = StoredRecord(offset=offset, key=server, value=None)
+                self.state.facts.publish_record(self.topic, removal)
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
-        known = self.newest_records.get(record.key)
-        if known is not None and known.offset >= record.offset:
-            return
+        if not self.is_newer(record):
+            return False
         if record.value is None:
-            if self.newest_records.pop(record.key, None) is not None:
-                self._remove(record.key, now)
-            return
+            if self.newest_records.pop(record.key, None) is None:
+                return False
+            self._remove(record.key, now)
+            return True
         server = self.state.platform.decode_server(record)
         if server is None:
             self.state.metrics.count("servers.unreadable")
-            return
+            return False
         self.newest_records[record.key] = record
         if not self.state.servers.observe(server, now):
-            return
+            return False
         self._record_server(server, now)
+        return True
 
     def _record_server(self, server, now):
         state = self.state
@@ -294,9 +385,7 @@
 
     def handle_read_failure(self):
         """See :meth:`RecordWatch.handle_read_failure`."""
-        peers = self.state.peers.values()
-        # Server records expire only while no entry reaches the store.
-        if not any(peer.report.has_store for peer in peers):
+        if not self.state.view.is_store_reached():
             self.state.servers.start_outage()
 
 
@@ -308,14 +397,15 @@
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
-        if record.value is None or record.key == self.state.settings.instance.name:
-            return
+        if record.value is None or not self.is_newer(record):
+            return False
+        self.newest_records[record.key] = record
         try:
             entry = msgspec.json.decode(record.value, type=PeerEntry)
         except msgspec.DecodeError:
             self.state.log.write("entry_unreadable", key=record.key)
-            return
-        self.state.gossip.add_address(record.key, entry.ip)
+            return False
+        return self.state.view.add_entry(record.key, entry)
 
 
 class OrderRecord(msgspec.Struct):
@@ -339,6 +429,10 @@
         super().__init__(state, store)
         self.read_scope = trio.CancelScope()
 
+    def should_read(self):
+        """Return whether this entry may hold the order lease."""
+        return self.state.view.has_store
+
     async def _read_next(self):
         # The topic has no newest record per key, so it is read from its start.
         if self.position is None:
@@ -360,7 +454,7 @@
             grant = msgspec.json.decode(record.value, type=OrderRecord)
         except msgspec.DecodeError:
             self.state.log.write("order_unreadable", offset=record.offset)
-            return
+            return False
         event = LeaseRecord(
             offset=record.offset,
             holder=grant.holder,
@@ -368,6 +462,7 @@
             servers=tuple(grant.servers),
         )
         self.state.lease.observe(event, now)
+        return True
 
     def handle_page_end(self, end, now):
         """See :meth:`RecordWatch.handle_page_end`."""
--- /dev/null
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -0,0 +1,303 @@
+import random
+import unittest
+
+from wasabistage.edge._messages import CacheEvent, CacheEvents
+from wasabistage.edge.tests.fleet_case import Fleet
+from wasabistage.fleet import Topic
+
+#: Size of a fleet and its failure domains.
+FLEETS = ((7, 4), (65, 3), (195, 6))
+#: Time for which keys stay valid: 0.9 of the shortest removal time of 5 s.
+MAX_AGE_SECONDS = 4.5
+MAX_DATAGRAMS_PER_SECOND = 30.0
+MAX_BYTES_PER_SECOND = 6000.0
+MAX_READS_PER_SECOND = 30.0
+START_SECONDS = 4.0
+
+
+class CalmFleetTest(unittest.TestCase):
+    """Pattern: nobody calls; every entry knows all facts at a bounded cost."""
+
+    def test_facts_reach_every_entry_in_time(self):
+        for size, domains in FLEETS:
+            with self.subTest(size):
+                fleet = Fleet(size, domains)
+                fleet.play(START_SECONDS)
+                fleet.write(Topic.CONFIGURATION, "config", b"2")
+                fleet.write(Topic.SERVERS, "s1", b"10.5.5.5:80 0")
+                fleet.play(2.0)
+                self.assertEqual(fleet.get_versions(), {2})
+                for entry in fleet.entries.values():
+                    self.assertIn("s1", entry.state.servers.servers)
+                fleet.write(Topic.SERVERS, "s1", b"10.5.5.5:80 1")
+                fleet.play(2.0)
+                for entry in fleet.entries.values():
+                    self.assertEqual(entry.state.servers.find_usable("s"), [])
+
+    def test_start_of_a_fleet_is_no_storm(self):
+        """Pattern: 195 entries start within half a second and know nobody."""
+        fleet = Fleet(195, 6)
+        fleet.play(START_SECONDS)
+        rate = fleet.datagrams / len(fleet.entries) / START_SECONDS
+        self.assertLessEqual(rate, MAX_DATAGRAMS_PER_SECOND)
+        for entry in fleet.entries.values():
+            self.assertEqual(len(entry.state.view.get_members()), 195)
+
+    def test_large_configuration_reaches_every_entry(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        fleet.write(Topic.CONFIGURATION, "config", b"7 " + b"x" * 100000)
+        fleet.play(3.0)
+        self.assertEqual(fleet.get_versions(), {7})
+
+    def test_keys_are_not_confirmed_while_a_large_configuration_is_missing(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        entry = next(
+            item
+            for item in fleet.entries.values()
+            if item.name not in fleet.get_relays()
+        )
+        entry.is_http_cut, entry.reaches_store = True, False
+        watch = entry.watches[str(Topic.CONFIGURATION)]
+        fleet.write(Topic.CONFIGURATION, "config", b"2 " + b"x" * 100000)
+        fleet.play(1.0)
+        confirmed_at = watch.confirmed_at
+        fleet.play(2.0)
+        self.assertEqual(watch.confirmed_at, confirmed_at)
+        entry.is_http_cut = False
+        fleet.play(1.0)
+        self.assertEqual(fleet.get_versions(), {2})
+        self.assertGreater(watch.confirmed_at, confirmed_at + 1.0)
+
+    def test_cost_of_an_entry_does_not_grow_with_the_fleet(self):
+        for size, domains in FLEETS:
+            with self.subTest(size):
+                fleet = Fleet(size, domains)
+                fleet.play(START_SECONDS)
+                for entry in fleet.entries.values():
+                    entry.received = entry.carried_bytes = 0
+                fleet.reads = 0
+                fleet.play(5.0)
+                relays = fleet.get_relays()
+                self.assertLess(fleet.reads / 5.0, MAX_READS_PER_SECOND)
+                for entry in fleet.entries.values():
+                    if size > 12 and entry.name in relays:
+                        continue
+                    rate = entry.received / 5.0
+                    self.assertLessEqual(rate, MAX_DATAGRAMS_PER_SECOND)
+                    rate = entry.carried_bytes / 5.0
+                    self.assertLess(rate, MAX_BYTES_PER_SECOND)
+
+    def test_every_entry_knows_the_members(self):
+        for size, domains in FLEETS:
+            fleet = Fleet(size, domains)
+            fleet.play(START_SECONDS)
+            for entry in fleet.entries.values():
+                self.assertEqual(len(entry.state.view.get_members()), size)
+
+    def test_domain_has_as_many_relays_as_it_needs(self):
+        fleet = Fleet(195, 6)
+        fleet.play(START_SECONDS)
+        self.assertLessEqual(len(fleet.get_relays()), 14)
+
+
+class BrokenFleetTest(unittest.TestCase):
+    def check_ages(self, fleet):
+        self.assertLess(max(fleet.get_config_ages()), MAX_AGE_SECONDS)
+
+    def test_relays_die_together(self):
+        """Pattern: all relays of the fleet lose power at the same moment."""
+        for size, domains in FLEETS[1:]:
+            with self.subTest(size):
+                fleet = Fleet(size, domains)
+                fleet.play(START_SECONDS)
+                fleet.kill(fleet.get_relays())
+                fleet.play(6.0, self.check_ages)
+                fleet.write(Topic.CONFIGURATION, "config", b"2")
+                fleet.play(2.0, self.check_ages)
+                self.assertEqual(fleet.get_versions(), {2})
+
+    def test_single_relay_is_passed_over_within_two_seconds(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        relay = sorted(fleet.get_relays())[0]
+        fleet.kill({relay})
+        fleet.play(2.0)
+        fleet.write(Topic.CONFIGURATION, "config", b"2")
+        fleet.play(2.0)
+        self.assertEqual(fleet.get_versions(), {2})
+        for entry in fleet.entries.values():
+            self.assertNotEqual(entry.state.view.followed, relay)
+
+    def test_halves_go_on_and_meet_again(self):
+        """Pattern: two halves of the fleet don't hear each other for 6 s."""
+        for size, domains in FLEETS:
+            with self.subTest(size):
+                fleet = Fleet(size, domains)
+                fleet.play(START_SECONDS)
+                for number, entry in enumerate(fleet.entries.values()):
+                    fleet.sides[entry.name] = number % 2
+                fleet.play(6.0, self.check_ages)
+                fleet.write(Topic.CONFIGURATION, "config", b"2")
+                fleet.play(2.0, self.check_ages)
+                self.assertEqual(fleet.get_versions(), {2})
+                fleet.sides = {}
+                fleet.play(5.0)
+                for entry in fleet.entries.values():
+                    self.assertEqual(len(entry.state.view.get_members()), size)
+
+    def test_domain_that_is_cut_off_goes_on_and_returns(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        for entry in fleet.entries.values():
+            fleet.sides[entry.name] = entry.domain == "domain-1"
+        fleet.play(5.0, self.check_ages)
+        fleet.sides = {}
+        fleet.play(5.0)
+        for entry in fleet.entries.values():
+            self.assertEqual(len(entry.state.view.get_members()), 65)
+
+    def test_store_that_turns_readers_away_is_read_by_others(self):
+        """Pattern: the store answers two thirds of the entries, for long."""
+        for seed in range(3):
+            for size, domains in FLEETS:
+                with self.subTest(size=size, seed=seed):
+                    fleet = Fleet(size, domains, seed)
+                    fleet.play(START_SECONDS)
+                    rng = random.Random(seed)
+                    for entry in rng.sample(list(fleet.entries.values()), size // 3):
+                        entry.reaches_store = False
+                    fleet.play(6.0, self.check_ages)
+                    fleet.write(Topic.CONFIGURATION, "config", b"2")
+                    fleet.play(4.0, self.check_ages)
+                    self.assertEqual(fleet.get_versions(), {2})
+
+    def test_store_that_is_away_is_not_met_by_a_herd(self):
+        """Pattern: the store is away for 9 s; the reads of the fleet stay few."""
+        fleet = Fleet(195, 6)
+        fleet.play(START_SECONDS)
+        fleet.is_store_up, fleet.reads = False, 0
+        fleet.play(9.0)
+        self.assertFalse(any(e.state.servers.servers for e in fleet.entries.values()))
+        for entry in fleet.entries.values():
+            self.assertTrue(entry.state.servers.is_in_outage)
+        fleet.is_store_up = True
+        fleet.play(3.0)
+        for entry in fleet.entries.values():
+            self.assertFalse(entry.state.servers.is_in_outage)
+        self.check_ages(fleet)
+
+    def test_lost_datagrams_delay_facts_only(self):
+        """Pattern: one datagram in five is lost."""
+        fleet = Fleet(65, 3, loss=0.2)
+        fleet.play(START_SECONDS)
+        for version in range(2, 8):
+            fleet.write(Topic.CONFIGURATION, "config", b"%d" % version)
+            fleet.play(1.0, self.check_ages)
+        fleet.play(2.0, self.check_ages)
+        self.assertEqual(fleet.get_versions(), {7})
+
+    def test_new_entry_learns_everything_without_the_store(self):
+        fleet = Fleet(65, 3)
+        fleet.write(Topic.SERVERS, "s1", b"10.5.5.5:80 0")
+        fleet.play(START_SECONDS)
+        entry = fleet.add(3)
+        entry.reaches_store = False
+        entry.state.view.seed_ips = [next(iter(fleet.entries))]
+        fleet.play(4.0)
+        self.assertIsNotNone(entry.state.routes.configuration)
+        self.assertIn("s1", entry.state.servers.servers)
+        self.assertEqual(len(entry.state.view.get_members()), 66)
+
+    def test_configuration_never_goes_back(self):
+        fleet = Fleet(65, 3, loss=0.1)
+        fleet.play(START_SECONDS)
+        seen = {}
+
+        def check(fleet):
+            for entry in fleet.entries.values():
+                version = entry.state.routes.configuration.version
+                self.assertGreaterEqual(version, seen.get(entry.name, 0))
+                seen[entry.name] = version
+
+        rng = random.Random(4)
+        for version in range(2, 12):
+            fleet.write(Topic.CONFIGURATION, "config", b"%d" % version)
+            for entry in fleet.entries.values():
+                fleet.sides[entry.name] = int(rng.random() < 0.2)
+            fleet.play(0.8, check)
+        fleet.sides = {}
+        fleet.play(5.0, check)
+        self.assertEqual(fleet.get_versions(), {11})
+
+
+class CacheFactTest(unittest.TestCase):
+    def publish(self, fleet, address, epoch, since, position, rows, **options):
+        relays = fleet.get_relays()
+        reader = next(e for e in fleet.entries.values() if e.name in relays)
+        events = CacheEvents(
+            epoch=epoch,
+            position=position,
+            has_gap=False,
+            events=tuple(
+                CacheEvent(cache_key="k", part=part, tokens=tokens)
+                for part, tokens in rows
+            ),
+            clock=5.0,
+        )
+        reader.state.parts.apply_events(address, events)
+        reader.state.facts.publish_events(address, since, events, **options)
+
+    def test_events_reach_every_entry_in_order(self):
+        for size, domains in FLEETS:
+            fleet = Fleet(size, domains, loss=0.05)
+            fleet.play(START_SECONDS)
+            self.publish(fleet, "e:1", 7, 0, 2, [("a", 100), ("b", 50)])
+            self.publish(fleet, "e:1", 7, 2, 3, [("a", 0)])
+            fleet.play(2.0)
+            for entry in fleet.entries.values():
+                parts = entry.state.parts
+                self.assertEqual(parts.tokens("e:1", "k", "a"), 0)
+                self.assertEqual(parts.tokens("e:1", "k", "b"), 50)
+                self.assertEqual(parts.get_holders("k", "b"), {"e:1": 50})
+
+    def test_restart_empties_the_source_and_old_epochs_are_ignored(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        self.publish(fleet, "e:1", 7, 0, 2, [("a", 100)])
+        fleet.play(1.0)
+        self.publish(fleet, "e:1", 8, 0, 1, [("b", 5)])
+        fleet.play(1.0)
+        reader = next(iter(fleet.entries.values()))
+        self.assertTrue(reader.state.parts.is_old_epoch("e:1", 7))
+        for entry in fleet.entries.values():
+            self.assertEqual(entry.state.parts.tokens("e:1", "k", "a"), 0)
+            self.assertEqual(entry.state.parts.tokens("e:1", "k", "b"), 5)
+
+    def test_long_listing_is_split_and_whole(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        self.publish(fleet, "e:1", 7, 0, 2, [("old", 100)])
+        rows = [(f"part-{number}", 10) for number in range(3000)]
+        self.publish(fleet, "e:1", 7, 9, 9, rows, is_listing=True)
+        fleet.play(6.0)
+        for entry in fleet.entries.values():
+            if "old" in [k[1] for k in entry.state.parts.source("e:1").tokens_by_part]:
+                continue
+            self.assertEqual(entry.state.parts.get_total_tokens("e:1"), 30000)
+
+
+class ForeignDatagramTest(unittest.TestCase):
+    def test_foreign_fact_is_counted_and_harms_nothing(self):
+        fleet = Fleet(7, 4)
+        fleet.play(START_SECONDS)
+        entry = next(iter(fleet.entries.values()))
+        for data in (b"", b"\xff" * 9, b"\x93\xa1r\x01\x02", b"\x91\xa1z"):
+            entry.state.facts.apply(data, "10.0.0.9")
+        self.assertEqual(fleet.get_versions(), {1})
+        self.assertIn(b"peer", entry.state.metrics.render())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wasabistage/edge/tests/test_old_parts.py
+++ b/wasabistage/edge/tests/test_old_parts.py
@@ -46,7 +46,7 @@
             self.parts.source(address).set((NEW, "aa"), 500)
         self.state = SimpleNamespace(
             is_draining=False,
-            gossip=SimpleNamespace(has_store=True),
+            view=SimpleNamespace(has_store=True),
             timer=SimpleNamespace(now=lambda: self.now),
             swap=VersionRollout().reset(),
             routes=SimpleNamespace(configuration=configuration),
@@ -103,7 +103,7 @@
         self.assertEqual(self.free_after_delay(), 0)
 
     def test_entry_without_record_store_frees_nothing(self):
-        self.state.gossip.has_store = False
+        self.state.view.has_store = False
         self.assertEqual(self.free_after_delay(), 0)
 
     def test_entry_with_unknown_server_clock_frees_nothing(self):
--- /dev/null
+++ b/wasabistage/topology/__init__.py
@@ -0,0 +1,25 @@
+"""Decisions on how facts travel between the entries of a fleet of any size.
+
+A few entries of each failure domain are relays. Every other entry, a follower, sends
+its reports to one relay and receives the facts of the whole fleet from it. Relays
+exchange theirs with each other, and share the reads of record topics and cache
+sources. All entries compute the same roles from the live entries by weighted
+rendezvous hashing, so that no role is voted on or leased. Two holders of a role for a
+moment cost a few messages; a role without a holder is taken over by the next in rank.
+
+Nothing here has a socket, a clock or randomness.
+"""
+
+from wasabistage.utils import build_lazy_exports
+
+__getattr__, __all__ = build_lazy_exports(
+    __name__,
+    {
+        "_echoes": ("SentReports",),
+        "_fact_log": ("FactCursor", "FactLog", "Gap", "GAP"),
+        "_loads": ("LoadRow", "LoadTable", "NOT_HEARD", "subtract_loads"),
+        "_members": ("Member", "MemberTable"),
+        "_ranking": ("rank_members",),
+        "_roles": ("RoleQuery", "Roles", "RolePlan"),
+    },
+)
--- /dev/null
+++ b/wasabistage/topology/_loads.py
@@ -0,0 +1,118 @@
+"""Sums of the load that entries put on backend servers, and of what they see there."""
+
+from typing import NamedTuple
+
+NOT_HEARD = -1.0
+
+
+class LoadRow(NamedTuple):
+    """Load that a group of entries puts on one server, and what it sees there.
+
+    :param sent: prompt tokens sent since the last report.
+    :param reserved: KV cache memory reserved for running requests, in tokens.
+    :param runs: open requests.
+    :param ok: calls that succeeded since the last report.
+    :param failed: calls since the last report that failed for the server's fault.
+    :param heard: time since the last byte of a response, in seconds; ``NOT_HEARD`` if
+        there was none.
+    """
+
+    sent: int = 0
+    reserved: int = 0
+    runs: int = 0
+    ok: int = 0
+    failed: int = 0
+    heard: float = NOT_HEARD
+
+
+EMPTY_ROW = LoadRow()
+
+
+class LoadTable:
+    """Adds up the rows that entries report.
+
+    What happened since the last report adds up until it is taken; what holds at a
+    moment counts as last reported.
+    """
+
+    def __init__(self):
+        self._rows = {}
+        self._counts = {}
+        self._heard_at = {}
+
+    def observe(self, source, rows, now, *, is_near=True):
+        """Record the rows that a source reports.
+
+        :param source: name of the entry.
+        :param rows: dict of server to :class:`LoadRow`.
+        :param now: monotonic time, in seconds.
+        :param is_near: whether the source is in the own failure domain. Only then the
+            outcomes of its calls count: a server may fail for some domains alone.
+        """
+        self._rows[source] = rows
+        for server, row in rows.items():
+            sent, ok, failed = self._counts.get(server, (0, 0, 0))
+            sent += row.sent
+            if is_near:
+                ok, failed = ok + row.ok, failed + row.failed
+                if row.heard >= 0:
+                    heard_at = self._heard_at.get(server, float("-inf"))
+                    self._heard_at[server] = max(heard_at, now - row.heard)
+            if sent or ok or failed:
+                self._counts[server] = (sent, ok, failed)
+
+    @property
+    def has_counts(self):
+        """Whether something has happened since the last report."""
+        return bool(self._counts)
+
+    def remove(self, source):
+        """Remove what a source that has stopped or moved has reported.
+
+        :param source: name of the entry.
+        """
+        self._rows.pop(source, None)
+
+    def take(self, now):
+        """Return the sums and start those since the last report anew.
+
+        :param now: monotonic time, in seconds.
+        :return: dict of server to :class:`LoadRow`.
+        """
+        held = {}
+        for rows in self._rows.values():
+            for server, row in rows.items():
+                if row.reserved or row.runs:
+                    reserved, runs = held.get(server, (0, 0))
+                    held[server] = (reserved + row.reserved, runs + row.runs)
+        counts, self._counts = self._counts, {}
+        heard_at, self._heard_at = self._heard_at, {}
+        return {
+            server: LoadRow(
+                counts.get(server, (0,))[0],
+                *held.get(server, (0, 0)),
+                *counts.get(server, (0, 0, 0))[1:],
+                round(now - heard_at[server], 3) if server in heard_at else NOT_HEARD,
+            )
+            for server in {**held, **counts, **heard_at}
+        }
+
+
+def subtract_loads(totals, own):
+    """Return the rows of the others in sums that include the own ones.
+
+    :param totals: dict of server to :class:`LoadRow` of all.
+    :param own: the same of one entry as counted in ``totals``.
+    """
+    others = {}
+    for server, row in totals.items():
+        mine = own.get(server, EMPTY_ROW)
+        others[server] = LoadRow(
+            max(0, row.sent - mine.sent),
+            max(0, row.reserved - mine.reserved),
+            max(0, row.runs - mine.runs),
+            max(0, row.ok - mine.ok),
+            max(0, row.failed - mine.failed),
+            row.heard,
+        )
+    return others
--- /dev/null
+++ b/wasabistage/topology/_ranking.py
@@ -0,0 +1,27 @@
+"""Weighted rendezvous hashing of the entries for a role."""
+
+import hashlib
+import math
+
+HASH_RANGE = 2.0**64
+MIN_WEIGHT = 1e-6
+
+
+def rank_members(members, role):
+    """Rank entries for a role.
+
+    Each entry is first with a probability in proportion to its weight. If an entry is
+    removed, the order of the others does not change.
+
+    :param members: iterable of :class:`Member`.
+    :param role: name of the role.
+    :return: list of the entries, the best first.
+    """
+
+    def get_score(member):
+        name = f"{role}\0{member.name}".encode()
+        digest = hashlib.blake2b(name, digest_size=8).digest()
+        uniform = (int.from_bytes(digest) + 1.0) / (HASH_RANGE + 1.0)
+        return math.log(uniform) / max(member.weight, MIN_WEIGHT), member.name
+
+    return sorted(members, key=get_score, reverse=True)
