Don't take a busy engine for a silent one in a large fleet

Entries of other failure domains heard the engine, but only bytes heard within the own domain counted, since a path may be cut for one domain.

Ruled out: the change of configuration beside which the rule counts; the attempts' own times give the limit.

Change: bytes that any entry hears double the limit (3 s): the engine works unless the path is cut. The table of loads has them as a figure of their own.

Test: a server heard only by other domains; it failed before.

--- a/wasabistage/edge/_load_exchange.py
+++ b/wasabistage/edge/_load_exchange.py
@@ -7,10 +7,10 @@
     ServerHeard,
 )
 from wasabistage.topology import (
-    NOT_HEARD,
     LoadRow,
     LoadTable,
     SentReports,
+    get_age,
     subtract_loads,
 )
 
@@ -77,7 +77,7 @@
                 router.reserved_tokens_.get(server, 0),
                 running.get(server, 0),
                 *outcomes.get(server, (0, 0)),
-                round(now - heard_at[server], 3) if server in heard_at else NOT_HEARD,
+                get_age(heard_at, server, now),
             )
             for server in {**sent, **running, **outcomes, **heard_at}
         }
@@ -138,6 +138,10 @@
                 state.health.observe(ended, now)
             if is_near and row.heard >= 0:
                 state.silence.observe(ServerHeard(server=server), now - row.heard)
+            far_heard = row.heard if row.far_heard < 0 else row.far_heard
+            if far_heard >= 0:
+                heard = ServerHeard(server=server, is_near=False)
+                state.silence.observe(heard, now - far_heard)
         memory = PeerMemoryReserved(
             peer=name,
             reserved_tokens={key: row.reserved for key, row in loads.items()},
--- a/wasabistage/routing/_silence.py
+++ b/wasabistage/routing/_silence.py
@@ -39,9 +39,11 @@
     """Another entry received bytes from a server; observed with the time of that.
 
     :param server: id of the server.
+    :param is_near: whether the other entry is in the own failure domain.
     """
 
     server: str
+    is_near: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -69,6 +71,7 @@
 @dataclass
 class _ServerActivity:
     last_byte_at: float = float("-inf")
+    far_byte_at: float = float("-inf")
     silent_until: float = float("-inf")
     open_requests: dict = field(default_factory=dict)
     streaming_requests: set = field(default_factory=set)
@@ -86,15 +89,26 @@
     :param first_limit: longest time without a byte while a server streams no answer,
         counted from the last byte or from the dispatch of the oldest open request,
         whichever is later, in seconds.
+    :param far_limit: the same two limits for a server from which entries of other
+        failure domains receive bytes: it works, unless the path to it is cut.
     :param pause_limit: longest time between two ticks, in seconds. A longer time means
         that this process itself was suspended, and does not count as silence.
     :param hold: time for which a server counts as silent after a tick last found it
         silent, in seconds, unless bytes arrive from it.
     """
 
-    def __init__(self, *, stream_limit=0.8, first_limit=1.5, pause_limit=0.4, hold=1.0):
+    def __init__(
+        self,
+        *,
+        stream_limit=0.8,
+        first_limit=1.5,
+        far_limit=3.0,
+        pause_limit=0.4,
+        hold=1.0,
+    ):
         self.stream_limit = stream_limit
         self.first_limit = first_limit
+        self.far_limit = far_limit
         self.pause_limit = pause_limit
         self.hold = hold
 
@@ -136,7 +150,10 @@
 
     def _record_heard(self, event, now):
         activity = self.servers_.get(event.server)
-        if activity is not None and now > activity.last_byte_at:
+        if activity is None:
+            return
+        activity.far_byte_at = max(activity.far_byte_at, now)
+        if event.is_near and now > activity.last_byte_at:
             activity.last_byte_at = now
             activity.silent_until = float("-inf")
 
@@ -174,7 +191,11 @@
     def _is_silent(self, activity, now):
         if not activity.open_requests:
             return False
-        if activity.streaming_requests:
-            return now - activity.last_byte_at > self.stream_limit
+        is_streaming = bool(activity.streaming_requests)
+        limit = self.stream_limit if is_streaming else self.first_limit
+        if now - activity.far_byte_at <= limit:
+            limit = max(limit, self.far_limit)
+        if is_streaming:
+            return now - activity.last_byte_at > limit
         oldest = min(activity.open_requests.values())
-        return now - max(activity.last_byte_at, oldest) > self.first_limit
+        return now - max(activity.last_byte_at, oldest) > limit
--- a/wasabistage/routing/tests/test_silence.py
+++ b/wasabistage/routing/tests/test_silence.py
@@ -78,6 +78,16 @@
         self.detector.observe(ServerHeard(server="other"), self.now)
         self.assertNotIn("other", self.detector.servers_)
 
+    def test_server_that_other_domains_hear_has_a_longer_limit(self):
+        self.send("s", "1")
+        for _ in range(5):
+            self.run_for(0.5)
+            event = ServerHeard(server="s", is_near=False)
+            self.detector.observe(event, self.now - 0.2)
+            self.assertFalse(self.is_silent("s"))
+        self.run_for(0.8)
+        self.assertTrue(self.is_silent("s"))
+
     def test_silent_server_without_requests_is_removed_after_hold(self):
         self.send("s", "1")
         self.run_for(1.7)
--- a/wasabistage/topology/_loads.py
+++ b/wasabistage/topology/_loads.py
@@ -13,8 +13,9 @@
     :param runs: open requests.
     :param ok: calls that succeeded since the last report.
     :param failed: calls since the last report that failed for the server's fault.
-    :param heard: time since the last byte of a response, in seconds; ``NOT_HEARD`` if
-        there was none.
+    :param heard: time since the last byte of a response to an entry of the same
+        failure domain, in seconds; ``NOT_HEARD`` if there was none.
+    :param far_heard: the same for an entry of any failure domain.
     """
 
     sent: int = 0
@@ -23,6 +24,7 @@
     ok: int = 0
     failed: int = 0
     heard: float = NOT_HEARD
+    far_heard: float = NOT_HEARD
 
 
 EMPTY_ROW = LoadRow()
@@ -39,6 +41,7 @@
         self._rows = {}
         self._counts = {}
         self._heard_at = {}
+        self._far_heard_at = {}
 
     def observe(self, source, rows, now, *, is_near=True):
         """Record the rows that a source reports.
@@ -55,9 +58,9 @@
             sent += row.sent
             if is_near:
                 ok, failed = ok + row.ok, failed + row.failed
-                if row.heard >= 0:
-                    heard_at = self._heard_at.get(server, float("-inf"))
-                    self._heard_at[server] = max(heard_at, now - row.heard)
+                record_age(self._heard_at, server, row.heard, now)
+            record_age(self._far_heard_at, server, row.heard, now)
+            record_age(self._far_heard_at, server, row.far_heard, now)
             if sent or ok or failed:
                 self._counts[server] = (sent, ok, failed)
 
@@ -87,17 +90,41 @@
                     held[server] = (reserved + row.reserved, runs + row.runs)
         counts, self._counts = self._counts, {}
         heard_at, self._heard_at = self._heard_at, {}
+        far_heard_at, self._far_heard_at = self._far_heard_at, {}
         return {
             server: LoadRow(
                 counts.get(server, (0,))[0],
                 *held.get(server, (0, 0)),
                 *counts.get(server, (0, 0, 0))[1:],
-                round(now - heard_at[server], 3) if server in heard_at else NOT_HEARD,
+                get_age(heard_at, server, now),
+                get_age(far_heard_at, server, now),
             )
-            for server in {**held, **counts, **heard_at}
+            for server in {**held, **counts, **far_heard_at}
         }
 
 
+def record_age(times, name, age, now):
+    """Record the time of an event from its age, if it is the newest of its name.
+
+    :param times: dict of name to time.
+    :param name: name of the server.
+    :param age: time since the event, in seconds, or ``NOT_HEARD``.
+    :param now: monotonic time, in seconds.
+    """
+    if age >= 0:
+        times[name] = max(times.get(name, float("-inf")), now - age)
+
+
+def get_age(times, name, now):
+    """Return the age of an event in milliseconds' precision, or ``NOT_HEARD``.
+
+    :param times: dict of name to time.
+    :param name: name of the server.
+    :param now: monotonic time, in seconds.
+    """
+    return round(now - times[name], 3) if name in times else NOT_HEARD
+
+
 def subtract_loads(totals, own):
     """Return the rows of the others in sums that include the own ones.
 
@@ -114,5 +141,6 @@
             max(0, row.ok - mine.ok),
             max(0, row.failed - mine.failed),
             row.heard,
+            row.far_heard,
         )
     return others
