Save nothing to a store that has just restarted

Cause: an entry learns of a store's restart from the entry that reads its events, up to a second later. If another one saves a part to the store anew in this time, the first would have an engine fetch a part that is still being written: it counts as memory that isn't whole. Found by reading; with every entry reading every store itself the time was that of one read.

Change: nothing is saved to a store for 2 s after an entry has learned of its restart.

Tests: the router passes over the store, the restart reaches the whole fleet.

--- a/wasabistage/cache/_part_map.py
+++ b/wasabistage/cache/_part_map.py
@@ -7,6 +7,9 @@
 SAVE_TIMEOUT_SECONDS = 3.0
 
 MAX_OLD_EPOCHS = 8  # of one source that are remembered
+#: Time after the restart of a source in which nothing is saved to it. Entries that
+#: have not heard of the restart would fetch a part that is still being saved again.
+SAVE_PAUSE_SECONDS = 2.0
 
 
 @dataclass
@@ -71,6 +74,8 @@
         self.sources = {}  # address to SourceParts
         # Maps (cache key, part) to the tokens of each source that holds it, by address.
         self.holders = {}
+        # Time at which the last restart of a source was learned, by its address.
+        self.restarted_at = {}
         # Maps (cache key, part) to the store's address, the tokens and the monotonic
         # time at which the save times out, in seconds.
         self.saves = {}
@@ -90,6 +95,7 @@
         :param address: address of the source.
         """
         source = self.sources.pop(address, None)
+        self.restarted_at.pop(address, None)
         if source is not None:
             source.clear()
 
@@ -130,6 +136,23 @@
             source.set((event.cache_key, event.part), event.tokens)
         return has_restarted
 
+    def record_restart(self, address, now):
+        """Record that a source has restarted, by what :meth:`apply_events` returned.
+
+        :param address: address of the source.
+        :param now: monotonic time, in seconds.
+        """
+        self.restarted_at[address] = now
+
+    def may_save(self, address, now):
+        """Return whether parts may be saved to a store.
+
+        :param address: address of the store.
+        :param now: monotonic time, in seconds.
+        """
+        restarted_at = self.restarted_at.get(address, float("-inf"))
+        return now - restarted_at >= SAVE_PAUSE_SECONDS
+
     def is_old_epoch(self, address, epoch):
         """Return whether a source has restarted since an epoch.
 
--- a/wasabistage/edge/_caches.py
+++ b/wasabistage/edge/_caches.py
@@ -88,6 +88,8 @@
         state.record_server_clock(events.clock)
         is_first = source.epoch is None
         is_new = state.parts.apply_events(address, events)
+        if is_new:
+            state.parts.record_restart(address, state.timer.now())
         if is_new or is_first or events.events:
             state.facts.publish_events(address, since, events)
         if is_new or events.has_gap:
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -206,7 +206,8 @@
                 for part, tokens in zip(names, counts, strict=False)
             ),
         )
-        parts.apply_events(fact.address, events, is_listing=fact.is_listing)
+        if parts.apply_events(fact.address, events, is_listing=fact.is_listing):
+            parts.record_restart(fact.address, self.state.timer.now())
         if fact.clock is not None:
             self.state.record_server_clock(fact.clock, is_relayed=True)
         return True
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -274,6 +274,7 @@
         for entry in fleet.entries.values():
             self.assertEqual(entry.state.parts.tokens("e:1", "k", "a"), 0)
             self.assertEqual(entry.state.parts.tokens("e:1", "k", "b"), 5)
+            self.assertIn("e:1", entry.state.parts.restarted_at)
 
     def test_long_listing_is_split_and_whole(self):
         fleet = Fleet(65, 3)
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -413,6 +413,8 @@
         if self._find_stores(query, cache_key, part):
             return ""
         for store in order_stores(query.stores, part.part):
+            if not self.parts.may_save(store.address, now):
+                continue
             occupied_tokens = self.parts.get_total_tokens(store.address)
             occupied_tokens += self.parts.get_saving_tokens(store.address, now)
             if occupied_tokens + part.tokens <= self.fill_limit * store.capacity_tokens:
--- a/wasabistage/routing/tests/test_part_router.py
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -190,6 +190,15 @@
         }
         self.assertEqual(chosen, {"s1", "s2"})
 
+    def test_nothing_is_saved_to_a_store_that_has_just_restarted(self):
+        self.assertEqual(self.route().save_to[0], LARGE.address)
+        self.parts.record_restart(LARGE.address, 0.0)
+        self.assertNotEqual(self.route().save_to[0], LARGE.address)
+        self.assertFalse(self.parts.may_save(LARGE.address, 1.9))
+        self.assertTrue(self.parts.may_save(LARGE.address, 2.1))
+        self.parts.remove_source(LARGE.address)
+        self.assertEqual(self.route().save_to[0], LARGE.address)
+
     def test_engine_with_penalty_is_not_selected(self):
         found = self.route(candidate("s1", penalty=1.0), candidate("s2"))
         self.assertEqual(found.candidate.server, "s2")
