Bound the datagrams and the known entries of a long-lived fleet

Cause, found by reading: with 1,100 engines and 24 KB of facts a report to followers exceeds what a datagram can hold, so that none would arrive; names of replaced entries stay in the table of known entries until it is full and new ones are refused.

Change: a report has the rows of the 500 busiest servers; the oldest known entry that is not live makes room.

--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -12,7 +12,7 @@
 FLEET_TIMEOUT_SECONDS = 6.0
 #: Time for which an entry counts as live after its address was first read.
 NEW_ENTRY_SECONDS = 2.0
-MAX_KNOWN_ENTRIES = 1024  # above the intended number of entries
+MAX_KNOWN_ENTRIES = 1024  # twice the intended number of entries
 PROBES_PER_REPORT = 2  # reports to entries that are not known to be live
 DRAINING_WEIGHT = 1e-3  # a stopping entry is the last choice as a relay
 #: Entries that read a shared topic at the same time.
@@ -85,7 +85,7 @@
         if name == self.state.settings.instance.name:
             return False
         if known is None and len(self.known_entries) >= MAX_KNOWN_ENTRIES:
-            return False
+            self._remove_gone_entry()
         self.known_entries[name] = Member(
             name=name,
             failure_domain=entry.failure_domain,
@@ -96,6 +96,14 @@
         self.roles_key = None
         return True
 
+    def _remove_gone_entry(self):
+        """Remove the entry that was read first among those that are not live."""
+        live = self.table.get_members()
+        names = (name for name in self.known_entries if name not in live)
+        name = next(names, next(iter(self.known_entries)))
+        del self.known_entries[name]
+        self.assumed_until.pop(name, None)
+
     def build_own_member(self):
         """Return this entry as :class:`wasabistage.topology.Member`."""
         settings, state = self.state.settings, self.state
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -21,7 +21,7 @@
     ServerVersionReported,
     VersionNamed,
 )
-from wasabistage.topology import FactCursor, Gap
+from wasabistage.topology import FactCursor, Gap, select_busiest
 
 GOSSIP_INTERVAL_SECONDS = 0.2
 #: Intervals between two reports of an entry without load.
@@ -33,6 +33,7 @@
 MAX_FACTS_BYTES = 24000  # of the facts in a datagram
 MAX_DATAGRAM_BYTES = 60000  # below the largest UDP payload
 MAX_VERSIONS = 64  # rows in a report
+MAX_LOAD_ROWS = 500  # some 25 KB; with the facts a datagram is not above its bound
 INTRODUCTION_INTERVAL_SECONDS = 0.5  # between two to the same entry
 
 
@@ -266,7 +267,7 @@
             weight=own.weight,
             is_ready=own.is_ready,
             clock=clock,
-            loads=loads,
+            loads=select_busiest(loads, MAX_LOAD_ROWS),
             **{**common, **fields},
         )
 
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -1,9 +1,13 @@
 import random
 import unittest
 
+from wasabistage.edge._fleet_view import MAX_KNOWN_ENTRIES
 from wasabistage.edge._messages import CacheEvent, CacheEvents
-from wasabistage.edge.tests.fleet_case import Fleet
+from wasabistage.edge._peer_messages import PeerEntry
+from wasabistage.edge._peers import MAX_DATAGRAM_BYTES
+from wasabistage.edge.tests.fleet_case import Fleet, run
 from wasabistage.fleet import Topic
+from wasabistage.topology import LoadRow
 
 #: Size of a fleet and its failure domains.
 FLEETS = ((7, 4), (65, 3), (195, 6))
@@ -289,6 +293,45 @@
             self.assertEqual(entry.state.parts.get_total_tokens("e:1"), 30000)
 
 
+class BoundsTest(unittest.TestCase):
+    def test_replaced_entries_make_room_for_new_ones(self):
+        fleet = Fleet(7, 4)
+        fleet.play(START_SECONDS)
+        view = next(iter(fleet.entries.values())).state.view
+        live = set(view.table.get_members())
+        for number in range(2 * MAX_KNOWN_ENTRIES):
+            self.assertTrue(view.add_entry(f"new-{number}", PeerEntry(ip=f"i{number}")))
+        self.assertLessEqual(len(view.known_entries), MAX_KNOWN_ENTRIES)
+        self.assertLessEqual(live, set(view.known_entries))
+        self.assertIn(f"new-{2 * MAX_KNOWN_ENTRIES - 1}", view.known_entries)
+
+    def test_datagram_with_many_engines_and_facts_is_bounded(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        largest = 0
+
+        def send(sender, ip, data):
+            nonlocal largest
+            largest = max(largest, len(data))
+
+        relay = next(
+            entry
+            for entry in fleet.entries.values()
+            if entry.name in fleet.get_relays() and entry.state.view.get_followers()
+        )
+        rows = {
+            f"i-{number:010}": LoadRow(9999, 99999, 16, 9, 9, 0.123, 0.123)
+            for number in range(2000)
+        }
+        relay.state.loads.fleet.observe("x", rows, fleet.now)
+        for _ in range(3000):
+            relay.state.facts.fleet_log.append(b"\xc4\x20" + bytes(32))
+        fleet.send = send
+        run(relay.state.gossip.send_report())
+        self.assertGreater(largest, 20000)
+        self.assertLess(largest, MAX_DATAGRAM_BYTES)
+
+
 class ForeignDatagramTest(unittest.TestCase):
     def test_foreign_fact_is_counted_and_harms_nothing(self):
         fleet = Fleet(7, 4)
--- a/wasabistage/topology/__init__.py
+++ b/wasabistage/topology/__init__.py
@@ -17,7 +17,14 @@
     {
         "_echoes": ("SentReports",),
         "_fact_log": ("FactCursor", "FactLog", "Gap", "GAP"),
-        "_loads": ("LoadRow", "LoadTable", "NOT_HEARD", "get_age", "subtract_loads"),
+        "_loads": (
+            "LoadRow",
+            "LoadTable",
+            "NOT_HEARD",
+            "get_age",
+            "select_busiest",
+            "subtract_loads",
+        ),
         "_members": ("Member", "MemberTable"),
         "_ranking": ("rank_members",),
         "_roles": ("RoleQuery", "Roles", "RolePlan"),
--- a/wasabistage/topology/_loads.py
+++ b/wasabistage/topology/_loads.py
@@ -125,6 +125,18 @@
     return round(now - times[name], 3) if name in times else NOT_HEARD
 
 
+def select_busiest(rows, limit):
+    """Return the rows with the most open requests, to bound the size of a report.
+
+    :param rows: dict of server to :class:`LoadRow`.
+    :param limit: largest number of rows.
+    """
+    if len(rows) <= limit:
+        return rows
+    servers = sorted(rows, key=lambda server: rows[server].runs, reverse=True)
+    return {server: rows[server] for server in servers[:limit]}
+
+
 def subtract_loads(totals, own):
     """Return the rows of the others in sums that include the own ones.
 
