Confirm a topic only to an entry with its newest record

Cause, found by reading: an entry that missed a record from every reader, and hears a later reader that knew the record already, was told an age without ever being told the record; keys would look fresh although one was taken away. The state that a relay gives to another one after a gap had no records either.

Change: an age goes with the offset of the newest record told; who lacks it requests the topic and counts nothing until it is known. States have the topics.

Tests: the direct one fails without the check; a record missed by one relay while all its readers die is a fleet's case (that one passed before as well, since the next readers read anew).

--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -82,6 +82,9 @@
         #: Records that were too large for a datagram: topic and key to the record,
         #: without its value, and the IP of an entry that has it.
         self.wanted_records = {}
+        #: Topics of which another entry has told a record that this one has missed:
+        #: offset of the record and IP of the entry.
+        self.missed_offsets = {}
 
     def get_log(self, name):
         """Return the :class:`wasabistage.topology.FactLog` of a name, or ``None``."""
@@ -217,22 +220,23 @@
 
         :param topic: name of the topic.
         """
-        return any(name == topic for name, _ in self.wanted_records)
+        is_wanted = any(name == topic for name, _ in self.wanted_records)
+        return is_wanted or topic in self.missed_offsets
 
     def build_state(self, name):
         """Build the :class:`FleetState` at the end of a log.
 
-        :param name: ``"own"`` for the sources that this entry reads, ``"fleet"`` for
-            all that it knows.
+        :param name: ``"own"`` for the topics and the sources that this entry reads,
+            ``"fleet"`` for all that it knows.
         """
         log = self.get_log(name)
         is_fleet = log is self.fleet_log
         view, now = self.state.view, self.state.timer.now()
-        topics = {}
-        if is_fleet:
-            for topic, watch in self.watches.items():
-                if watch.is_known:
-                    topics[topic] = watch.build_snapshot(now)
+        topics = {
+            topic: watch.build_snapshot(now)
+            for topic, watch in self.watches.items()
+            if watch.is_known
+        }
         sources = [
             self._build_listing(address, source)
             for address, source in self.state.parts.sources.items()
@@ -289,15 +293,17 @@
         self.has_new_members = True
 
 
-def build_snapshot(records, age, end):
+def build_snapshot(records, age, end, newest):
     """Return the :class:`TopicSnapshot` of records.
 
     :param records: the newest :class:`wasabistage.fleet.StoredRecord` of each key.
     :param age: time since the start of the read that confirmed them, in seconds.
     :param end: offset up to which the topic is known.
+    :param newest: offset of the newest record that was told as a fact.
     """
     return TopicSnapshot(
         age=age,
         end=end,
+        newest=newest,
         records=[(record.key, record.offset, record.value) for record in records],
     )
--- a/wasabistage/edge/_load_exchange.py
+++ b/wasabistage/edge/_load_exchange.py
@@ -101,14 +101,12 @@
         settings = self.state.settings.instance
         is_near = report.failure_domain == settings.failure_domain
         loads = report.loads
-        if report.follows == settings.name:
-            self.group.observe(report.name, loads, now)
-            self.fleet.observe(report.name, loads, now)
-        else:
+        if report.follows != settings.name:
             # It may have been a follower before.
             self.group.remove(report.name)
         if report.follows == settings.name:
-            pass
+            self.group.observe(report.name, loads, now)
+            self.fleet.observe(report.name, loads, now)
         elif is_followed:
             if echo is not None:
                 loads = subtract_loads(loads, self.sent_reports.take(echo))
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -50,7 +50,8 @@
     :param first: position of the first fact.
     :param facts: encoded facts.
     :param ages: dict of topic to the time since the start of the read that confirmed
-        its records, in seconds. They hold once ``facts`` are applied.
+        its records, in seconds, and the offset of the newest one that was told as a
+        fact. The age holds once ``facts`` and that record are applied.
     :param has_loads: whether the report has loads; one that only tells facts has none.
     :param loads: dict of server to the load that the sender and the entries behind it
         put on it.
@@ -82,7 +83,7 @@
     log: str = ""
     first: int = 0
     facts: list[msgspec.Raw] = []
-    ages: dict[str, float] = {}
+    ages: dict[str, tuple[float, int]] = {}
     has_loads: bool = False
     loads: dict[str, LoadRow] = {}
     waiting: int = 0
@@ -172,11 +173,13 @@
 
     :param age: time since the start of the read that confirmed them, in seconds.
     :param end: offset up to which the topic was read.
+    :param newest: offset of the newest record that was told as a fact.
     :param records: rows of key, offset, value.
     """
 
     age: float
     end: int
+    newest: int
     records: list[tuple[str, int, bytes]]
 
 
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -238,7 +238,7 @@
         for topic, watch in self.state.facts.watches.items():
             age = now - (watch.read_at if only_own else watch.confirmed_at)
             if age < FLEET_TIMEOUT_SECONDS:
-                ages[topic] = age
+                ages[topic] = (age, watch.newest_fact)
         return ages
 
     def _get_all_ordering(self):
@@ -386,14 +386,18 @@
         if is_fleet_log:
             self.state.view.refresh_members(now)
         if echo is not None:
-            self._confirm_topics(report.ages, echo)
+            self._confirm_topics(report, echo)
 
-    def _confirm_topics(self, ages, echo):
+    def _confirm_topics(self, report, echo):
         """Record that topics were confirmed, unless a record of theirs is missing."""
         exchange = self.state.facts
-        for topic, age in ages.items():
+        for topic, (age, newest) in report.ages.items():
             watch = exchange.watches.get(topic)
-            if watch is not None and age >= 0 and not exchange.is_missing(topic):
+            if watch is None or not age >= 0:
+                continue
+            if newest > watch.newest_fact:
+                exchange.missed_offsets[topic] = (newest, report.ip)
+            elif not exchange.is_missing(topic):
                 watch.confirm(echo - age)
 
     def request_gap(self, report, gap):
--- a/wasabistage/edge/_snapshots.py
+++ b/wasabistage/edge/_snapshots.py
@@ -162,7 +162,7 @@
             gossip.open_gaps.discard(name)
 
     async def request_wanted_records(self, tick):
-        """Request the records that were too large for a datagram, until each is known.
+        """Request the records that were too large or missed, until each is known.
 
         Called by the timer service.
 
@@ -173,17 +173,24 @@
             topic, _ = key
             watch = exchange.watches[topic]
             if watch.is_newer(record):
-                # Any entry, if the one that told of the record can't be reached.
-                is_reachable = any(
-                    peer.report.ip == ip for peer in self.state.peers.values()
-                )
-                await self._request_record(topic, watch, ip if is_reachable else None)
+                await self._request_record(topic, watch, ip)
             if not watch.is_newer(record):
                 exchange.wanted_records.pop(key, None)
+        for topic, (offset, ip) in list(exchange.missed_offsets.items()):
+            watch = exchange.watches[topic]
+            if watch.newest_fact < offset:
+                await self._request_record(topic, watch, ip)
+            if watch.newest_fact >= offset:
+                exchange.missed_offsets.pop(topic, None)
 
     async def _request_record(self, topic, watch, ip):
+        # Any entry, if the one that told of the record can't be reached.
+        peers = self.state.peers.values()
+        is_reachable = any(peer.report.ip == ip for peer in peers)
         try:
-            snapshot, requested_at = await self.request(topic, ip)
+            snapshot, requested_at = await self.request(
+                topic, ip if is_reachable else None
+            )
         except StoreError as error:
             self.state.log.write("facts_missing", topic=topic, reason=str(error))
             return
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -47,6 +47,8 @@
         #: Whether the records are known, from the store or another entry.
         self.is_known = False
         self.newest_records = {}
+        #: Offset of the newest record that was told as a fact, or read at the start.
+        self.newest_fact = -1
         #: Time at which the records were confirmed as the newest, and the same by a
         #: read of this entry alone; monotonic seconds.
         self.confirmed_at = float("-inf")
@@ -108,6 +110,8 @@
         now = self.state.timer.now()
         for record in page.records:
             is_new = self.apply_record(record, now)
+            if is_new or not self.is_known:
+                self.newest_fact = max(self.newest_fact, record.offset)
             # Other entries read the records that a starting one finds by themselves.
             if is_new and self.is_known and self.topic in SHARED_TOPICS:
                 self.state.facts.publish_record(self.topic, record)
@@ -130,7 +134,10 @@
 
         :param record: a :class:`wasabistage.fleet.StoredRecord`.
         """
-        return bool(self.apply_record(record, self.state.timer.now()))
+        is_new = bool(self.apply_record(record, self.state.timer.now()))
+        if is_new:
+            self.newest_fact = max(self.newest_fact, record.offset)
+        return is_new
 
     def build_snapshot(self, now):
         """Return the :class:`TopicSnapshot` of the known records.
@@ -139,9 +146,8 @@
         """
         records = self.newest_records.values()
         end = max((record.offset + 1 for record in records), default=0)
-        return build_snapshot(
-            records, now - self.confirmed_at, max(end, self.position or 0)
-        )
+        end = max(end, self.position or 0)
+        return build_snapshot(records, now - self.confirmed_at, end, self.newest_fact)
 
     def apply_snapshot(self, snapshot, requested_at):
         """Apply the records that another entry knows, unless they are older.
@@ -163,6 +169,7 @@
             if self.apply_record(record, now):
                 self.state.facts.publish_record(self.topic, record, is_own=False)
         self.is_known = True
+        self.newest_fact = max(self.newest_fact, snapshot.newest)
         self.handle_page_end(snapshot.end, now)
         self.confirm(confirmed_at)
 
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -228,6 +228,7 @@
         self.reads = 0
         self.datagrams = 0
         self.sides = {}
+        self.is_deaf = set()  # names of entries that receive nothing
         self.write(Topic.CONFIGURATION, "config", b"1")
         self.numbers = itertools.count()
         for _ in range(size):
@@ -276,7 +277,9 @@
         while self.queue and self.queue[0][0] <= until:
             at, _, sender, ip, data = heapq.heappop(self.queue)
             receiver = self.entries.get(ip)
-            if receiver is None or not self.may_pass(sender, receiver):
+            if receiver is None or receiver.name in self.is_deaf:
+                continue
+            if not self.may_pass(sender, receiver):
                 continue
             self.now = max(self.now, at)
             receiver.received += 1
@@ -318,6 +321,14 @@
             if entry.state.view.get_roles().is_relay
         }
 
+    def get_readers(self, topic):
+        """Return the names of the entries that should read a topic."""
+        return {
+            entry.name
+            for entry in self.entries.values()
+            if entry.state.view.is_reader(Topic(topic), 0.0)
+        }
+
     def get_config_ages(self):
         """Return the age of the configuration in each entry."""
         topic = str(Topic.CONFIGURATION)
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -1,6 +1,8 @@
 import random
 import unittest
 
+from msgspec import structs
+
 from wasabistage.edge._fleet_view import MAX_KNOWN_ENTRIES
 from wasabistage.edge._messages import CacheEvent, CacheEvents
 from wasabistage.edge._peer_messages import PeerEntry
@@ -214,6 +216,52 @@
         self.assertIn("s1", entry.state.servers.servers)
         self.assertEqual(len(entry.state.view.get_members()), 66)
 
+    def test_record_that_no_living_reader_tells_is_requested(self):
+        """Pattern: an entry misses a record, and all that told it die."""
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        relays = fleet.get_relays()
+        topic = str(Topic.CONFIGURATION)
+        readers = fleet.get_readers(topic)
+        entry = next(
+            item
+            for item in fleet.entries.values()
+            if item.name in relays and item.name not in readers
+        )
+        for name in readers:
+            fleet.sides[name] = 0
+        fleet.is_deaf = {entry.name}
+        fleet.write(Topic.CONFIGURATION, "config", b"2")
+        fleet.play(0.8)
+        fleet.kill(readers)
+        fleet.is_deaf = set()
+        confirmed_at = entry.watches[topic].confirmed_at
+        version = entry.state.routes.configuration.version
+        if version < 2:
+            fleet.play(0.4)
+            version = entry.state.routes.configuration.version
+            is_confirmed = entry.watches[topic].confirmed_at > confirmed_at
+            self.assertTrue(version == 2 or not is_confirmed)
+        fleet.play(4.0)
+        self.assertEqual(fleet.get_versions(), {2})
+
+    def test_topic_is_not_confirmed_while_a_record_is_missed(self):
+        fleet = Fleet(7, 4)
+        fleet.play(START_SECONDS)
+        entry, other = list(fleet.entries.values())[:2]
+        topic = str(Topic.CONFIGURATION)
+        watch = entry.watches[topic]
+        report = entry.state.peers[other.name].report
+        report = structs.replace(
+            report,
+            clock=fleet.now + 1.0,
+            ages={topic: (0.0, watch.newest_fact + 1)},
+        )
+        confirmed_at = watch.confirmed_at
+        entry.state.gossip.handle_report(report, fleet.now, fleet.now)
+        self.assertEqual(watch.confirmed_at, confirmed_at)
+        self.assertTrue(entry.state.facts.is_missing(topic))
+
     def test_configuration_never_goes_back(self):
         fleet = Fleet(65, 3, loss=0.1)
         fleet.play(START_SECONDS)
@@ -250,7 +298,8 @@
             ),
             clock=5.0,
         )
-        reader.state.parts.apply_events(address, events)
+        if reader.state.parts.apply_events(address, events):
+            reader.state.parts.record_restart(address, fleet.now)
         reader.state.facts.publish_events(address, since, events, **options)
 
     def test_events_reach_every_entry_in_order(self):
