Drop the claim of a record that its teller doesn't have

Cause, found by reading: a datagram that names a record which doesn't exist would have kept a topic from being confirmed for good, and with it the keys.

Change: a record that was named is requested once from who named it, or from any entry if that one is gone; whoever reads the topic next tells of it again.

Test: extends that of the missed record; it failed before.

--- a/wasabistage/edge/_snapshots.py
+++ b/wasabistage/edge/_snapshots.py
@@ -162,9 +162,11 @@
             gossip.open_gaps.discard(name)
 
     async def request_wanted_records(self, tick):
-        """Request the records that were too large or missed, until each is known.
+        """Request the records that were too large or missed.
 
-        Called by the timer service.
+        An entry that turns out not to have such a record told nonsense, or was not
+        asked as it is gone; who reads the topic next tells of the record again. Called
+        by the timer service.
 
         :param tick: unused.
         """
@@ -172,26 +174,26 @@
         for key, (record, ip) in list(exchange.wanted_records.items()):
             topic, _ = key
             watch = exchange.watches[topic]
-            if watch.is_newer(record):
-                await self._request_record(topic, watch, ip)
-            if not watch.is_newer(record):
+            if not watch.is_newer(record) or await self._request_topic(topic, ip):
                 exchange.wanted_records.pop(key, None)
         for topic, (offset, ip) in list(exchange.missed_offsets.items()):
             watch = exchange.watches[topic]
-            if watch.newest_fact < offset:
-                await self._request_record(topic, watch, ip)
-            if watch.newest_fact >= offset:
+            if watch.newest_fact >= offset or await self._request_topic(topic, ip):
                 exchange.missed_offsets.pop(topic, None)
 
-    async def _request_record(self, topic, watch, ip):
-        # Any entry, if the one that told of the record can't be reached.
+    async def _request_topic(self, topic, ip):
+        """Apply the snapshot of an entry, or of any if that one is not heard any more.
+
+        :param topic: name of the topic.
+        :param ip: IP of the entry.
+        :return: whether a snapshot was applied.
+        """
         peers = self.state.peers.values()
-        is_reachable = any(peer.report.ip == ip for peer in peers)
+        is_heard = any(peer.report.ip == ip for peer in peers)
         try:
-            snapshot, requested_at = await self.request(
-                topic, ip if is_reachable else None
-            )
+            snapshot, requested_at = await self.request(topic, ip if is_heard else None)
         except StoreError as error:
             self.state.log.write("facts_missing", topic=topic, reason=str(error))
-            return
-        watch.apply_snapshot(snapshot, requested_at)
+            return False
+        self.state.facts.watches[topic].apply_snapshot(snapshot, requested_at)
+        return True
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -261,6 +261,10 @@
         entry.state.gossip.handle_report(report, fleet.now, fleet.now)
         self.assertEqual(watch.confirmed_at, confirmed_at)
         self.assertTrue(entry.state.facts.is_missing(topic))
+        # The other entry has no such record, so that its claim blocks nothing.
+        fleet.play(2.0)
+        self.assertFalse(entry.state.facts.is_missing(topic))
+        self.assertGreater(watch.confirmed_at, confirmed_at)
 
     def test_configuration_never_goes_back(self):
         fleet = Fleet(65, 3, loss=0.1)
