Give engines that read long prompts time between two events

Only the detector of silent servers ends a running stream of a caller that waits; its limit for open streams was 0.8 s. An engine of this site makes several tokens an event, and reads 4,096 tokens of other prompts (0.1 s) between two of them, so that events are up to a second apart while it reads long prompts.

Change: 1.5 s, as for an engine without open streams. A dark engine's streams are moved 0.7 s later; they were late at 0.8 s, too.

Test: events 0.95 s apart are no silence; it fails with 0.8 s. The detector's own tests keep their limit.

--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -26,6 +26,9 @@
 #: age counts from the start of a read, so the rest covers only the network delay of
 #: the request.
 KEY_TRUST_FRACTION = 0.9
+#: Time without a byte after which an engine with open streams counts as silent. An
+#: engine that reads long prompts sends an event of several tokens every second.
+STREAM_SILENCE_SECONDS = 1.5
 PREFILL_OVERHEAD_SECONDS = 0.01  # first engine step and two network hops
 
 
@@ -81,7 +84,7 @@
             first_weight=0.3,
         ).reset()
         self.pace = PaceEstimator().reset()
-        self.silence = SilenceDetector().reset()
+        self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
         #: Cancel scopes of running attempts that may be retried elsewhere, by server.
         self.repeatable_scopes = {}
         self.swap = VersionRollout(
--- a/wasabistage/routing/tests/test_silence.py
+++ b/wasabistage/routing/tests/test_silence.py
@@ -1,5 +1,6 @@
 import unittest
 
+from wasabistage.edge._state import STREAM_SILENCE_SECONDS
 from wasabistage.exceptions import SettingError
 from wasabistage.routing import (
     BytesReceived,
@@ -65,6 +66,17 @@
         self.receive("s", "1")
         self.assertFalse(self.is_silent("s"))
 
+    def test_engine_that_reads_long_prompts_is_not_silent_with_the_edge_limit(self):
+        """Pattern: nine steps of 105 ms between two events of each stream."""
+        self.detector = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
+        self.send("s", "1")
+        for _ in range(5):
+            self.receive("s", "1")
+            self.run_for(0.95)
+            self.assertFalse(self.is_silent("s"))
+        self.run_for(0.7)
+        self.assertTrue(self.is_silent("s"))
+
     def test_server_that_another_entry_hears_is_not_silent(self):
         self.send("s", "1")
         for _ in range(4):
