--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -8,9 +8,9 @@
 from wasabistage.routing import (
     NO_SERVER,
     Candidate,
+    CandidateQuery,
     GateQuery,
     HealthQuery,
-    NearQuery,
     PaceQuery,
     PartCandidate,
     PartDecision,
@@ -144,7 +144,7 @@
         [record.server for record in records], prompt.model
     )
     candidates = []
-    for record in select_near(state, prompt, dedicated_account, records):
+    for record in select_candidates(state, prompt, dedicated_account, records):
         version = state.swap.version(record.server, prompt.model)
         if version is None or state.swap.is_ordered(record.server, now):
             continue
@@ -200,7 +200,7 @@
     )
 
 
-def select_near(state, prompt, dedicated_account, records):
+def select_candidates(state, prompt, dedicated_account, records):
     """Return the engines that are scored for a prompt.
 
     :param state: an :class:`EdgeState`.
@@ -210,7 +210,7 @@
     :param records: list of :class:`wasabistage.fleet.ServerRecord`.
     :return: list of some of them.
     """
-    if len(records) <= state.near.limit:
+    if len(records) <= state.candidate_selector.limit:
         return records
     holders = set()
     shared = prompt.parts[:-1]
@@ -220,13 +220,13 @@
         for version in versions - {None}:
             cache_key = part_cache_key(prompt.model, version, dedicated_account)
             holders.update(state.parts.get_holders(cache_key, longest.part))
-    query = NearQuery(
+    query = CandidateQuery(
         servers=records,
         failure_domain=state.settings.instance.failure_domain,
         holders=frozenset(holders),
         draw=state.random.random(),
     )
-    return state.near.decide(query, state.timer.now())
+    return state.candidate_selector.decide(query, state.timer.now())
 
 
 def get_version_time_left(state, age):
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -14,7 +14,7 @@
     TopicSnapshot,
 )
 from wasabistage.fleet import StoredRecord, Topic
-from wasabistage.topology import FactLog, Member
+from wasabistage.topology import FactLog, FleetMember
 
 #: Topics whose records are facts.
 SHARED_TOPICS = (Topic.CONFIGURATION, Topic.SERVERS, Topic.ENTRIES)
@@ -23,7 +23,7 @@
 
 
 def to_row(member):
-    """Return the :class:`MemberRow` of a :class:`wasabistage.topology.Member`."""
+    """Return the :class:`MemberRow` of a :class:`wasabistage.topology.FleetMember`."""
     return MemberRow(
         member.name,
         member.failure_domain,
@@ -35,8 +35,8 @@
 
 
 def to_member(row):
-    """Return the :class:`wasabistage.topology.Member` of a :class:`MemberRow`."""
-    return Member(
+    """Return the :class:`wasabistage.topology.FleetMember` of a :class:`MemberRow`."""
+    return FleetMember(
         name=row.name,
         failure_domain=row.failure_domain,
         ip=row.ip,
@@ -66,7 +66,7 @@
     :param state: an :class:`EdgeState`.
     :ivar own_log: facts that this entry has read itself, for other relays.
     :ivar fleet_log: all facts, for followers.
-    :ivar members: dict of name to :class:`wasabistage.topology.Member`: the live
+    :ivar members: dict of name to :class:`wasabistage.topology.FleetMember`: the live
         entries as told by the relay that this entry follows.
     :ivar has_new_members: whether ``members`` has changed; cleared by its reader.
     """
@@ -146,7 +146,7 @@
         if is_own:
             self.own_log.append(data)
         self.fleet_log.append(data)
-        self.state.gossip.notify_facts()
+        self.state.reports.notify_facts()
 
     def apply(self, data, ip):
         """Apply a fact of another entry, and keep it for the followers if it is new.
@@ -162,7 +162,7 @@
             return
         if self._apply_fact(fact, ip):
             self.fleet_log.append(bytes(data))
-            self.state.gossip.notify_facts()
+            self.state.reports.notify_facts()
 
     def _apply_fact(self, fact, ip):
         if isinstance(fact, RecordFact):
--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -1,20 +1,18 @@
 """What an entry knows of the fleet: live entries, roles, and the relay it follows."""
 
-from wasabistage.edge._facts import to_row
 from wasabistage.fleet import Topic
 from wasabistage.topology import (
-    Member,
-    MemberTable,
+    FleetMember,
+    FleetMemberTable,
     ReaderPolicy,
     ReadQuery,
+    RelayChoice,
+    RelayQuery,
     RolePlan,
     RoleQuery,
 )
 
-FOLLOWER_TIMEOUT_SECONDS = 1.8  # a follower that is not heard is no member
-#: Time without a report of a relay after which a follower turns to the next one.
-RELAY_TIMEOUT_SECONDS = 0.95
-RELAY_RETRY_SECONDS = 3.0  # time for which a silent relay is not followed
+FOLLOWER_TIMEOUT_SECONDS = 1.8  # a follower without a report is no member
 #: Time for which followers keep the members that a lost relay has told.
 FLEET_TIMEOUT_SECONDS = 6.0
 #: Time for which an entry counts as live after its address was first read.
@@ -50,15 +48,13 @@
         self.known_entries = {}
         self.assumed_until = {}
         self.seed_ips = []
-        self.table = MemberTable(timeout=FOLLOWER_TIMEOUT_SECONDS)
+        self.table = FleetMemberTable(timeout=FOLLOWER_TIMEOUT_SECONDS)
         self.plan = RolePlan().reset()
         self.roles = None
         self.roles_key = None
         #: Whether some entries are followers.
         self.is_large = False
-        self.followed = ""
-        self.follow_since = float("-inf")
-        self.not_followed_until = {}
+        self.relay_choice = RelayChoice().reset()
         #: Topics and addresses of cache sources that this entry fails to read.
         self.unreadable = set()
         self.reader_policy = ReaderPolicy().reset()
@@ -96,7 +92,7 @@
             return False
         if known is None and len(self.known_entries) >= MAX_KNOWN_ENTRIES:
             self._remove_gone_entry()
-        self.known_entries[name] = Member(
+        self.known_entries[name] = FleetMember(
             name=name,
             failure_domain=entry.failure_domain,
             ip=entry.ip,
@@ -115,10 +111,10 @@
         self.assumed_until.pop(name, None)
 
     def build_own_member(self):
-        """Return this entry as :class:`wasabistage.topology.Member`."""
+        """Return this entry as :class:`wasabistage.topology.FleetMember`."""
         settings, state = self.state.settings, self.state
         weight = DRAINING_WEIGHT if state.is_draining else settings.instance.weight
-        return Member(
+        return FleetMember(
             name=settings.instance.name,
             failure_domain=settings.instance.failure_domain,
             ip=settings.instance.ip,
@@ -128,7 +124,7 @@
         )
 
     def get_members(self):
-        """Return the live entries with this one, as dict of name to ``Member``."""
+        """Return the live entries with this one, as dict of name to ``FleetMember``."""
         own = self.build_own_member()
         return {**self.table.get_members(), own.name: own}
 
@@ -248,31 +244,26 @@
         """Return the IP of a relay."""
         return self.get_roles().relays[name].ip
 
+    @property
+    def followed(self):
+        """Name of the relay that this entry follows, or ``""``."""
+        return self.relay_choice.followed_
+
     def select_relay(self):
-        """Keep the followed relay while it is heard, or turn to the next one."""
-        now, roles = self.state.timer.now(), self.get_roles()
-        if self.followed:
-            peer = self.state.peers.get(self.followed)
-            heard_at = max(peer.heard_at if peer else 0.0, self.follow_since)
-            is_silent = now - heard_at > RELAY_TIMEOUT_SECONDS
-            if not is_silent and self.followed in roles.candidates:
-                return
-            if is_silent:
-                self.state.log.write("relay_lost", relay=self.followed)
-                until = now + RELAY_RETRY_SECONDS
-                self.not_followed_until[self.followed] = until
-        allowed = [
-            name
-            for name in roles.candidates
-            if now > self.not_followed_until.get(name, float("-inf"))
-        ]
-        followed = next(iter(allowed or roles.candidates), "")
-        if followed != self.followed:
-            self.state.log.write("relay_followed", relay=followed)
-            # The changes that it tells apply to its own view of the fleet alone.
-            self.state.gossip.cursors.pop(f"{followed}/fleet", None)
-            self.state.facts.set_members([])
-        self.followed, self.follow_since = followed, now
+        """Choose the relay to follow, none if this entry is one.
+
+        :return: whether it is another one than before.
+        """
+        roles, before = self.get_roles(), self.followed
+        query = RelayQuery(candidates=() if roles.is_relay else roles.candidates)
+        followed = self.relay_choice.decide(query, self.state.timer.now())
+        if followed == before:
+            return False
+        self.state.log.write("relay_followed", relay=followed, before=before)
+        # The changes that a relay tells apply to its own view of the fleet alone.
+        self.state.reports.cursors.pop(f"{followed}/fleet", None)
+        self.state.facts.set_members([])
+        return True
 
     def refresh_members(self, now):
         """Keep the members that the followed relay has told."""
@@ -309,15 +300,13 @@
         return self.count_waiting(is_group=False)
 
 
-def build_row(report):
-    """Return the :class:`MemberRow` of the entry that sent a report."""
-    return to_row(
-        Member(
-            name=report.name,
-            failure_domain=report.failure_domain,
-            ip=report.ip,
-            callers=report.callers,
-            weight=report.weight,
-            is_ready=report.is_ready,
-        )
+def build_member(report):
+    """Return the entry that sent a report, as ``FleetMember``."""
+    return FleetMember(
+        name=report.name,
+        failure_domain=report.failure_domain,
+        ip=report.ip,
+        callers=report.callers,
+        weight=report.weight,
+        is_ready=report.is_ready,
     )
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -25,8 +25,8 @@
     PaceReported,
     RequestEnded,
     RequestSent,
+    RoomQuery,
     ServerRemoved,
-    TurnQuery,
     WaitEnded,
 )
 from wasabistage.sessions import EventTooLongError
@@ -102,7 +102,7 @@
                     return choice
                 query = build_gate_query(self.state, exchange, choice)
                 verdict = self.state.gate.decide(query, now)
-                if verdict and self._has_turn(exchange, choice, now):
+                if verdict and self._is_admitted(exchange, choice, now):
                     return choice
                 if verdict:
                     self.state.gate.hold(query)
@@ -114,7 +114,7 @@
             wait_ended = WaitEnded(request=request.request_id)
             self.state.gate.observe(wait_ended, self.state.timer.now())
 
-    def _has_turn(self, exchange, choice, now):
+    def _is_admitted(self, exchange, choice, now):
         """Return whether a prompt that the gate admits is sent now.
 
         In a fleet with followers, the room of an engine is known with a delay.
@@ -122,14 +122,14 @@
         state = self.state
         if not state.view.is_large:
             return True
-        query = TurnQuery(
+        query = RoomQuery(
             room=choice.room,
             waiting=state.view.domain_waiting,
             own_waiting=len(state.gate.waiting_),
             has_waited=exchange.gate_waits > 0,
             draw=state.random.random(),
         )
-        return state.turns.decide(query, now)
+        return state.admission.decide(query, now)
 
     def _get_gate_interval(self):
         if not self.state.view.is_large:
--- a/wasabistage/edge/_load_exchange.py
+++ b/wasabistage/edge/_load_exchange.py
@@ -1,10 +1,10 @@
 """Load on backend servers, as this entry and others put it on them."""
 
 from wasabistage.routing import (
+    PeerBytesReceived,
     PeerCallsEnded,
     PeerDispatched,
     PeerMemoryReserved,
-    ServerHeard,
 )
 from wasabistage.topology import (
     LoadRow,
@@ -35,7 +35,7 @@
         #: and failed; and the time of the last byte received, monotonic seconds.
         self.sent_tokens = {}
         self.outcomes = {}
-        self.heard_at = {}
+        self.last_byte_at = {}
 
     def record_sent_tokens(self, server, tokens):
         """Record prompt tokens that were sent to a server; report a large prompt early.
@@ -45,7 +45,7 @@
         """
         self.sent_tokens[server] = self.sent_tokens.get(server, 0) + tokens
         if tokens >= MIN_LARGE_PROMPT_TOKENS and not self.state.view.is_large:
-            self.state.gossip.early_event.set()
+            self.state.reports.early_event.set()
 
     def record_outcome(self, server, *, ok):
         """Record the end of a call to a server, for the next report.
@@ -62,14 +62,14 @@
         :param server: id of the server.
         :param now: monotonic time, in seconds.
         """
-        self.heard_at[server] = now
+        self.last_byte_at[server] = now
 
     def take_own(self, now):
         """Return the load of this entry alone, as dict of server to ``LoadRow``."""
         router = self.state.part_router
         sent, self.sent_tokens = self.sent_tokens, {}
         outcomes, self.outcomes = self.outcomes, {}
-        heard_at, self.heard_at = self.heard_at, {}
+        last_byte_at, self.last_byte_at = self.last_byte_at, {}
         running = {server: count for server, count in router.runs_.items() if count}
         return {
             server: LoadRow(
@@ -77,9 +77,9 @@
                 router.reserved_tokens_.get(server, 0),
                 running.get(server, 0),
                 *outcomes.get(server, (0, 0)),
-                get_age(heard_at, server, now),
+                get_age(last_byte_at, server, now),
             )
-            for server in {**sent, **running, **outcomes, **heard_at}
+            for server in {**sent, **running, **outcomes, **last_byte_at}
         }
 
     def is_idle(self):
@@ -94,7 +94,7 @@
         """Count the load that a peer and the entries behind it put on servers.
 
         :param report: its :class:`PeerReport`.
-        :param echo: see :meth:`GossipTask.handle_report`.
+        :param echo: see :meth:`ReportTask.handle_report`.
         :param now: monotonic time, in seconds.
         :param is_followed: whether this entry follows the peer.
         """
@@ -119,33 +119,42 @@
         self._apply_loads(report.name, loads, now, is_near or is_followed)
 
     def _apply_loads(self, name, loads, now, is_near):
-        state, lag = self.state, self.interval / 2
-        if self.state.view.is_large:
-            lag *= 2  # half an interval at each of two hops
         for server, row in loads.items():
-            if row.sent:
-                event = PeerDispatched(server=server, tokens=row.sent, lag=lag)
-                state.part_router.observe(event, now)
-            if is_near and (row.ok or row.failed):
-                ended = PeerCallsEnded(
-                    server=server,
-                    ok=row.ok,
-                    failed=row.failed,
-                    draw=state.random.random(),
-                )
-                state.health.observe(ended, now)
-            if is_near and row.heard >= 0:
-                state.silence.observe(ServerHeard(server=server), now - row.heard)
-            far_heard = row.heard if row.far_heard < 0 else row.far_heard
-            if far_heard >= 0:
-                heard = ServerHeard(server=server, is_near=False)
-                state.silence.observe(heard, now - far_heard)
+            self._apply_sent_tokens(server, row, now)
+            if is_near:
+                self._apply_outcomes(server, row, now)
+            self._apply_bytes(server, row, now, is_near)
         memory = PeerMemoryReserved(
             peer=name,
             reserved_tokens={key: row.reserved for key, row in loads.items()},
             runs={key: row.runs for key, row in loads.items()},
         )
-        state.part_router.observe(memory, now)
+        self.state.part_router.observe(memory, now)
+
+    def _apply_sent_tokens(self, server, row, now):
+        if row.sent:
+            # Half an interval at each of one or two hops.
+            hops = 2 if self.state.view.is_large else 1
+            lag = hops * self.interval / 2
+            event = PeerDispatched(server=server, tokens=row.sent, lag=lag)
+            self.state.part_router.observe(event, now)
+
+    def _apply_outcomes(self, server, row, now):
+        if row.ok or row.failed:
+            draw = self.state.random.random()
+            event = PeerCallsEnded(
+                server=server, ok=row.ok, failed=row.failed, draw=draw
+            )
+            self.state.health.observe(event, now)
+
+    def _apply_bytes(self, server, row, now, is_near):
+        if is_near and row.byte_age >= 0:
+            event = PeerBytesReceived(server=server)
+            self.state.silence.observe(event, now - row.byte_age)
+        any_byte_age = row.byte_age if row.any_byte_age < 0 else row.any_byte_age
+        if any_byte_age >= 0:
+            event = PeerBytesReceived(server=server, is_near=False)
+            self.state.silence.observe(event, now - any_byte_age)
 
     def remove(self, name, now):
         """Remove the load that a silent peer has reported.
--- a/wasabistage/edge/_orders.py
+++ b/wasabistage/edge/_orders.py
@@ -93,10 +93,10 @@
         for swap in swaps:
             if swap.server in grant.servers:
                 state.swap.observe(ServerOrdered(server=swap.server), now)
-                state.gossip.ordering.add(swap.server)
+                state.reports.ordering.add(swap.server)
                 self.pending_servers.add(swap.server)
                 self.nursery.start_soon(self._run_order, swap)
-        await state.gossip.send_report()
+        await state.reports.send_report()
 
     async def _release_if_late(self, now):
         """Give up the pending engines if the store doesn't answer in time.
@@ -105,9 +105,9 @@
         """
         if now - self.append_begun_at > APPEND_RELEASE_SECONDS and self.pending_servers:
             self.state.log.write("order_released", servers=sorted(self.pending_servers))
-            self.state.gossip.ordering -= self.pending_servers
+            self.state.reports.ordering -= self.pending_servers
             self.pending_servers.clear()
-            await self.state.gossip.send_report()
+            await self.state.reports.send_report()
 
     def _log_denial(self, reason, servers):
         if reason != self.last_denial:
@@ -176,7 +176,7 @@
         except ChannelError as error:
             state.log.write("order_failed", server=swap.server, reason=str(error))
         finally:
-            state.gossip.ordering.discard(swap.server)
+            state.reports.ordering.discard(swap.server)
             self.pending_servers.discard(swap.server)
             event = VersionLoadEnded(server=swap.server, ok=ok)
             state.swap.observe(event, state.timer.now())
@@ -222,7 +222,7 @@
             state.log.write("order_withheld", server=swap.server, fencing=order.fencing)
             return False
         self.pending_servers.discard(swap.server)
-        state.gossip.ordering.add(swap.server)
+        state.reports.ordering.add(swap.server)
         answer = await state.platform.send_order(
             record.address, order, SERVER_TIMEOUT_SECONDS
         )
@@ -254,7 +254,7 @@
                 and not report.is_loading
             ):
                 self._record_version(record, swap.model, version)
-                await state.gossip.send_report()
+                await state.reports.send_report()
                 return
 
     def _record_version(self, record, model, version):
@@ -266,7 +266,7 @@
             version=version,
         )
         state.swap.observe(event, now)
-        state.gossip.record_version(record.server, record.incarnation, model, version)
+        state.reports.record_version(record.server, record.incarnation, model, version)
         state.log.write("server_loaded", server=record.server, version=version)
 
 
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -19,7 +19,7 @@
 
 
 class MemberRow(msgspec.Struct, array_like=True, frozen=True):
-    """A live entry; see :class:`wasabistage.topology.Member`."""
+    """A live entry; see :class:`wasabistage.topology.FleetMember`."""
 
     name: str
     failure_domain: str
@@ -95,7 +95,7 @@
     members: list[MemberRow] = []
 
 
-class Envelope(msgspec.Struct, array_like=True):
+class ReportDatagram(msgspec.Struct, array_like=True):
     """A datagram: a report, and what concerns its receiver alone.
 
     :param echo: ``clock`` of the last report received from the receiver, or ``None``.
@@ -108,8 +108,8 @@
     report: PeerReport
 
 
-class SentEnvelope(msgspec.Struct, array_like=True):
-    """An :class:`Envelope` whose report is encoded once for all receivers."""
+class EncodedReportDatagram(msgspec.Struct, array_like=True):
+    """An :class:`ReportDatagram` whose report is encoded once for all receivers."""
 
     echo: float | None
     echoed: str
@@ -214,7 +214,7 @@
 
 
 ENCODER = msgspec.msgpack.Encoder()
-ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+DATAGRAM_DECODER = msgspec.msgpack.Decoder(ReportDatagram)
 FACT_DECODER = msgspec.msgpack.Decoder(Fact)
 SNAPSHOT_DECODER = msgspec.msgpack.Decoder(TopicSnapshot)
 STATE_DECODER = msgspec.msgpack.Decoder(FleetState)
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -7,13 +7,13 @@
 from wasabistage.edge._fleet_view import (
     FLEET_TIMEOUT_SECONDS,
     FOLLOWER_TIMEOUT_SECONDS,
-    build_row,
+    build_member,
 )
 from wasabistage.edge._peer_messages import (
+    DATAGRAM_DECODER,
     ENCODER,
-    ENVELOPE_DECODER,
+    EncodedReportDatagram,
     PeerReport,
-    SentEnvelope,
 )
 from wasabistage.rollout import (
     PeerOrderEnded,
@@ -21,9 +21,14 @@
     ServerVersionReported,
     VersionNamed,
 )
-from wasabistage.topology import FactCursor, Gap, select_busiest
+from wasabistage.topology import (
+    FactCursor,
+    MissingFacts,
+    RelayReported,
+    select_busiest,
+)
 
-GOSSIP_INTERVAL_SECONDS = 0.2
+PEER_REPORT_INTERVAL_SECONDS = 0.2
 #: Intervals between two reports of an entry without load.
 TICKS_PER_REPORT = 2
 MIN_EARLY_INTERVAL_SECONDS = 0.02  # pause between two early reports
@@ -41,15 +46,15 @@
     """Another entry.
 
     :param report: its last :class:`PeerReport`.
-    :param heard_at: time at which the report was received, monotonic seconds.
+    :param received_at: time at which the report was received, monotonic seconds.
     """
 
-    def __init__(self, report, heard_at):
+    def __init__(self, report, received_at):
         self.report = report
-        self.heard_at = heard_at
+        self.received_at = received_at
 
 
-class GossipTask:
+class ReportTask:
     """Sends and receives reports on a UDP socket, in the role of this entry.
 
     :param state: an :class:`EdgeState`.
@@ -62,7 +67,7 @@
         self.cursors = {}
         #: ``clock`` and incarnation of the last report of each entry.
         self.clocks = {}
-        #: Lonely entries that wait to be told the relays: (name, IP).
+        #: Entries that don't know the relays and wait to be told: (name, IP).
         self.introductions = []
         self.introduced_at = {}
         self.announced = {}
@@ -74,8 +79,8 @@
         #: and to followers.
         self.group_versions = []
         self.fleet_versions = []
-        #: Entries whose facts have a gap: name to IP, name of the log, ``Gap``; and
-        #: those from which the facts are being requested.
+        #: Entries of which facts are missing: name to IP, name of the log and
+        #: ``MissingFacts``; and those from which they are being requested.
         self.gaps = {}
         self.open_gaps = set()
         self.gap_event = trio.Event()
@@ -110,10 +115,14 @@
         :param tick: unused.
         """
         self.remove_silent_peers()
-        self.state.view.update_roles()
+        view = self.state.view
+        view.update_roles()
+        has_new_relay = view.select_relay()
         self.ticks += 1
         is_idle = self.state.loads.is_idle() and not self.ordering
-        if self.ticks % TICKS_PER_REPORT and is_idle:
+        # Followers leave a relay that is silent for a few intervals.
+        may_skip = is_idle and not has_new_relay and not view.get_followers()
+        if may_skip and self.ticks % TICKS_PER_REPORT:
             return
         await self.send_report()
 
@@ -138,13 +147,11 @@
         for server in self.ordering:
             self.state.swap.observe(ServerOrdered(server=server), now)
         if view.get_roles().is_relay:
-            view.followed = ""
             loads.group.observe(own, rows, now)
             loads.fleet.observe(own, rows, now)
             await self._send_as_relay(has_loads=True)
             return
         loads.group.remove(own)
-        view.select_relay()
         loads.sent_reports.record(now, rows)
         versions, self.group_versions = self.group_versions, []
         self.fleet_versions = []
@@ -152,7 +159,8 @@
             now, rows, follows=view.followed, versions=versions[-MAX_VERSIONS:]
         )
         if view.followed:
-            await self._send(report, [(view.followed, view.get_ip(view.followed))])
+            relay = view.get_roles().relays[view.followed]
+            await self._send(report, [(relay.name, relay.ip)])
         else:
             await self._send(report, [("", ip) for ip in view.seed_ips])
 
@@ -163,9 +171,9 @@
         if not roles.is_relay and not followers:
             return
         clock = self.state.timer.now()
-        members = [build_row(peer.report) for peer in followers.values()]
+        members = [build_member(peer.report) for peer in followers.values()]
         if members:
-            members.append(to_row(view.build_own_member()))
+            members.append(view.build_own_member())
         group = self.state.loads.group.take(clock) if has_loads else {}
         first, facts = self._take_facts(exchange.own_log, "own_position")
         report = self._build_report(
@@ -179,7 +187,7 @@
             waiting=self.state.view.count_waiting(is_group=True),
             ages=self._get_ages(exchange.own_log, first + len(facts), only_own=True),
             versions=self.group_versions[-MAX_VERSIONS:],
-            members=members,
+            members=[to_row(item) for item in members],
         )
         self.group_versions = []
         own = self.state.settings.instance.name
@@ -281,7 +289,7 @@
         port = self.state.settings.listen.gossip_port
         for name, ip in targets:
             clock, incarnation = self.clocks.get(name, (None, ""))
-            datagram = ENCODER.encode(SentEnvelope(clock, incarnation, data))
+            datagram = ENCODER.encode(EncodedReportDatagram(clock, incarnation, data))
             try:
                 await self.sock.sendto(datagram, (ip, port))
             except OSError:
@@ -316,13 +324,13 @@
         while True:
             data, _ = await self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                envelope = ENVELOPE_DECODER.decode(data)
+                message = DATAGRAM_DECODER.decode(data)
             except msgspec.DecodeError:
                 self.state.metrics.count("peer.failures")
                 continue
-            is_own_echo = envelope.echoed == self.state.incarnation
-            echo = envelope.echo if is_own_echo else None
-            self.handle_report(envelope.report, echo, self.state.timer.now())
+            is_own_echo = message.echoed == self.state.incarnation
+            echo = message.echo if is_own_echo else None
+            self.handle_report(message.report, echo, self.state.timer.now())
 
     def handle_report(self, report, echo, now):
         """Apply a peer's report to the state of this entry.
@@ -342,14 +350,13 @@
             if report.clock < known.report.clock:
                 return
         state.peers[report.name] = Peer(report, now)
+        state.view.relay_choice.observe(RelayReported(relay=report.name), now)
         self._introduce(report, now)
-        if not report.has_loads and known is not None:
-            report.unreadable = report.unreadable or known.report.unreadable
         self.clocks[report.name] = (report.clock, report.incarnation)
         is_followed = report.name == state.view.followed
         members = [to_member(row) for row in report.members]
         if not is_followed or members:
-            members = members or [to_member(build_row(report))]
+            members = members or [build_member(report)]
             state.view.table.observe(report.name, members, now)
         if report.is_relay and report.log:
             self._handle_facts(report, echo, now, is_followed)
@@ -362,7 +369,7 @@
     def _introduce(self, report, now):
         """Have an entry told the relays if it takes itself for one."""
         is_relay = report.name in self.state.view.get_roles().relays
-        if not report.is_relay or is_relay or is_followed_log(report):
+        if not report.is_relay or is_relay or has_fleet_facts(report):
             return
         last = self.introduced_at.get(report.name, float("-inf"))
         if now - last > INTRODUCTION_INTERVAL_SECONDS:
@@ -372,18 +379,18 @@
 
     def _handle_facts(self, report, echo, now, is_followed):
         """Apply the facts of a relay, or request those that are missing."""
-        is_fleet_log = is_followed_log(report)
-        if is_fleet_log and not is_followed:
+        is_for_followers = has_fleet_facts(report)
+        if is_for_followers and not is_followed:
             return
-        key = f"{report.name}/{'fleet' if is_fleet_log else 'own'}"
+        key = f"{report.name}/{'fleet' if is_for_followers else 'own'}"
         cursor = self.cursors.setdefault(key, FactCursor())
         new = cursor.accept(report.log, report.first, report.facts)
-        if isinstance(new, Gap):
+        if isinstance(new, MissingFacts):
             self.request_gap(report, new)
             return
         for fact in new:
             self.state.facts.apply(fact, report.ip)
-        if is_fleet_log:
+        if is_for_followers:
             self.state.view.refresh_members(now)
         if echo is not None:
             self._confirm_topics(report, echo)
@@ -404,9 +411,9 @@
         """Have missing facts requested.
 
         :param report: the :class:`PeerReport` after the gap.
-        :param gap: a :class:`wasabistage.topology.Gap`.
+        :param gap: a :class:`wasabistage.topology.MissingFacts`.
         """
-        log = "fleet" if is_followed_log(report) else "own"
+        log = "fleet" if has_fleet_facts(report) else "own"
         self.gaps.setdefault(report.name, (report.ip, log, gap))
         self.gap_event.set()
 
@@ -437,7 +444,7 @@
         for name, peer in list(state.peers.items()):
             is_follower = peer.report.follows == own
             limit = FOLLOWER_TIMEOUT_SECONDS if is_follower else PEER_TIMEOUT_SECONDS
-            if now - peer.heard_at <= limit:
+            if now - peer.received_at <= limit:
                 continue
             del state.peers[name]
             self.clocks.pop(name, None)
@@ -445,7 +452,7 @@
             state.view.table.remove_source(name)
             state.loads.remove(name, now)
             state.log.write(
-                "peer_lost", peer=name, silent=round(now - peer.heard_at, 3)
+                "peer_lost", peer=name, silent=round(now - peer.received_at, 3)
             )
         if self.state.view.is_store_reached():
             state.servers.end_outage(now)
@@ -454,6 +461,6 @@
             state.servers.start_outage()
 
 
-def is_followed_log(report):
+def has_fleet_facts(report):
     """Return whether a report has facts for the followers of its sender."""
     return report.log.endswith("/fleet")
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -20,7 +20,7 @@
 from wasabistage.edge._old_parts import FREE_INTERVAL_SECONDS, OldPartCleaner
 from wasabistage.edge._orders import OrderTask
 from wasabistage.edge._peer_messages import PeerEntry
-from wasabistage.edge._peers import GOSSIP_INTERVAL_SECONDS, GossipTask
+from wasabistage.edge._peers import PEER_REPORT_INTERVAL_SECONDS, ReportTask
 from wasabistage.edge._settings import load_edge_settings
 from wasabistage.edge._snapshots import SnapshotClient, SnapshotHandler
 from wasabistage.edge._state import EdgeState
@@ -88,8 +88,8 @@
             settings, timer, platform(timer), log, TextMetrics(), incarnation
         )
         self.state.view = FleetView(self.state)
-        self.state.loads = LoadExchange(self.state, GOSSIP_INTERVAL_SECONDS)
-        self.state.gossip = GossipTask(self.state)
+        self.state.loads = LoadExchange(self.state, PEER_REPORT_INTERVAL_SECONDS)
+        self.state.reports = ReportTask(self.state)
         self.state.facts = FactExchange(self.state)
         self.state.snapshots = SnapshotClient(self.state)
         self.callers = CallerHandler(self.state, Forwarder(self.state))
@@ -127,7 +127,7 @@
             for topic, watch_class in watch_classes.items()
         }
         state.facts.watches = {str(topic): watches[topic] for topic in SHARED_TOPICS}
-        await state.gossip.open()
+        await state.reports.open()
         await self._listen(nursery, addresses.callers, self.callers.serve, True)
         for address in dict.fromkeys((addresses.readiness, addresses.directory)):
             await self._listen(nursery, address, self.directory.serve)
@@ -137,15 +137,15 @@
         await self._listen(nursery, metrics_address, MetricsHandler(state).serve)
         tasks = [watch.run for watch in watches.values()]
         tasks += [
-            state.gossip.run_receiving,
-            state.gossip.run_early_sending,
+            state.reports.run_receiving,
+            state.reports.run_early_sending,
             state.snapshots.run,
             CacheWatcher(state).run,
             OrderTask(state, self.store, watches[Topic.ORDERS]).run,
             self._register,
         ]
         subscriptions = (
-            (GOSSIP_INTERVAL_SECONDS, state.gossip.send_periodically),
+            (PEER_REPORT_INTERVAL_SECONDS, state.reports.send_periodically),
             (HEALTH_INTERVAL_SECONDS, self._update_health),
             (SILENCE_INTERVAL_SECONDS, self._cancel_silent_attempts),
             (IDLE_CHANNELS_INTERVAL_SECONDS, self._close_idle_channels),
@@ -260,7 +260,7 @@
         state = self.state
         state.is_draining = True
         state.stops_at = state.timer.now() + self.settings.bounds.stop_s
-        await state.gossip.send_report()
+        await state.reports.send_report()
         stop_after = self.settings.bounds.stop_s * (1.0 - FINAL_DRAIN_FRACTION)
         started_at = trio.current_time()
         for channel in self.callers.channels:
--- a/wasabistage/edge/_snapshots.py
+++ b/wasabistage/edge/_snapshots.py
@@ -13,7 +13,7 @@
 )
 from wasabistage.fleet import StoreError
 from wasabistage.http1 import Answer, ChannelError, HttpClient
-from wasabistage.topology import FactCursor, Gap
+from wasabistage.topology import FactCursor, MissingFacts
 
 SNAPSHOT_TIMEOUT_SECONDS = 0.4  # peers answer in some milliseconds
 STATE_TIMEOUT_SECONDS = 2.0  # a state of 1 MB takes a second on the slowest links
@@ -122,19 +122,19 @@
 
     async def run(self):
         """Request missing facts whenever a report shows a gap, until cancelled."""
-        gossip = self.state.gossip
+        reports = self.state.reports
         async with trio.open_nursery() as nursery:
             while True:
-                await gossip.gap_event.wait()
-                gossip.gap_event = trio.Event()
-                for name, (ip, log, gap) in list(gossip.gaps.items()):
-                    if name not in gossip.open_gaps:
-                        gossip.open_gaps.add(name)
+                await reports.gap_event.wait()
+                reports.gap_event = trio.Event()
+                for name, (ip, log, gap) in list(reports.gaps.items()):
+                    if name not in reports.open_gaps:
+                        reports.open_gaps.add(name)
                         nursery.start_soon(self._close_gap, name, ip, log, gap)
 
     async def _close_gap(self, name, ip, log, gap):
-        gossip, exchange = self.state.gossip, self.state.facts
-        cursor = gossip.cursors.setdefault(f"{name}/{log}", FactCursor())
+        reports, exchange = self.state.reports, self.state.facts
+        cursor = reports.cursors.setdefault(f"{name}/{log}", FactCursor())
         try:
             if gap.position is not None:
                 target = LOG_PATH + f"{log}/{gap.position}".encode()
@@ -142,7 +142,7 @@
                 if reply.status == 200:
                     batch = BATCH_DECODER.decode(reply.body)
                     new = cursor.accept(batch.log, batch.first, batch.facts)
-                    if not isinstance(new, Gap):
+                    if not isinstance(new, MissingFacts):
                         for fact in new:
                             exchange.apply(fact, ip)
                         return
@@ -158,8 +158,8 @@
             self.state.metrics.count("peer.failures")
             self.state.log.write("peer_state_missing", peer=name, reason=str(error))
         finally:
-            gossip.gaps.pop(name, None)
-            gossip.open_gaps.discard(name)
+            reports.gaps.pop(name, None)
+            reports.open_gaps.discard(name)
 
     async def request_wanted_records(self, tick):
         """Request the records that were too large or missed.
@@ -182,16 +182,16 @@
                 exchange.missed_offsets.pop(topic, None)
 
     async def _request_topic(self, topic, ip):
-        """Apply the snapshot of an entry, or of any if that one is not heard any more.
+        """Apply the snapshot of an entry, or of any if that one sends no reports.
 
         :param topic: name of the topic.
         :param ip: IP of the entry.
         :return: whether a snapshot was applied.
         """
         peers = self.state.peers.values()
-        is_heard = any(peer.report.ip == ip for peer in peers)
+        is_live = any(peer.report.ip == ip for peer in peers)
         try:
-            snapshot, requested_at = await self.request(topic, ip if is_heard else None)
+            snapshot, requested_at = await self.request(topic, ip if is_live else None)
         except StoreError as error:
             self.state.log.write("facts_missing", topic=topic, reason=str(error))
             return False
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -11,15 +11,15 @@
 from wasabistage.retries import WindowRetryPolicy
 from wasabistage.rollout import OrderLease, VersionRollout
 from wasabistage.routing import (
+    CandidateSelector,
     FirstTokenEstimator,
     HealthPolicy,
     LeastOutstandingRouter,
-    NearSelection,
     PaceEstimator,
     PartRouter,
+    ProbabilisticAdmission,
     RankedGate,
     SilenceDetector,
-    TurnLottery,
 )
 
 #: Fraction of ``key_removal_ms`` for which keys stay valid without a new read. Their
@@ -67,9 +67,9 @@
                 chunk_tokens=0,
             ),
         ).reset()
-        self.near = NearSelection().reset()
+        self.candidate_selector = CandidateSelector().reset()
         self.gate = RankedGate().reset()
-        self.turns = TurnLottery().reset()
+        self.admission = ProbabilisticAdmission().reset()
         self.plain_router = LeastOutstandingRouter().reset()
         # Response times of engines depend on the prompt, so only failures count.
         self.health = HealthPolicy(
@@ -96,12 +96,12 @@
             incarnation,
             turn_time=bounds.order_turn_ms / 1000.0,
         ).reset()
-        #: The :class:`FleetView`, :class:`LoadExchange`, :class:`GossipTask`,
+        #: The :class:`FleetView`, :class:`LoadExchange`, :class:`ReportTask`,
         #: :class:`FactExchange` and :class:`SnapshotClient`, which need this state; set
         #: by :class:`EdgeProcess`.
         self.view = None
         self.loads = None
-        self.gossip = None
+        self.reports = None
         self.facts = None
         self.snapshots = None
         self.retries = WindowRetryPolicy(
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -10,8 +10,8 @@
 from wasabistage.edge._facts import FactExchange
 from wasabistage.edge._fleet_view import FleetView
 from wasabistage.edge._load_exchange import LoadExchange
-from wasabistage.edge._peer_messages import ENVELOPE_DECODER, PeerEntry
-from wasabistage.edge._peers import GOSSIP_INTERVAL_SECONDS, GossipTask
+from wasabistage.edge._peer_messages import DATAGRAM_DECODER, PeerEntry
+from wasabistage.edge._peers import PEER_REPORT_INTERVAL_SECONDS, ReportTask
 from wasabistage.edge._settings import (
     EdgeSettings,
     InstanceSection,
@@ -139,13 +139,13 @@
         )
         self.state.routes = Routes()
         self.state.view = FleetView(self.state)
-        self.state.loads = LoadExchange(self.state, GOSSIP_INTERVAL_SECONDS)
-        self.state.gossip = GossipTask(self.state)
+        self.state.loads = LoadExchange(self.state, PEER_REPORT_INTERVAL_SECONDS)
+        self.state.reports = ReportTask(self.state)
         self.state.facts = FactExchange(self.state)
         self.client = DirectSnapshotClient(self.state)
         self.client.fleet, self.client.entry = fleet, self
         self.state.snapshots = self.client
-        self.state.gossip.sock = Socket(fleet, self)
+        self.state.reports.sock = Socket(fleet, self)
         watches = (ConfigurationWatch, ServerWatch, EntryWatch)
         self.watches = {str(watch.topic): watch(self.state, None) for watch in watches}
         self.state.facts.watches = self.watches
@@ -183,21 +183,21 @@
     def tick(self):
         """Do what the tasks of the process do in one interval."""
         self.read_store()
-        run(self.state.gossip.send_periodically(None))
+        run(self.state.reports.send_periodically(None))
         self.close_gaps()
         run(self.client.request_wanted_records(None))
 
     def flush(self):
         """Send facts early."""
-        gossip = self.state.gossip
-        if gossip.early_event.is_set():
-            gossip.early_event = SimpleEvent()
-            run(gossip._send_introductions())
-            run(gossip._send_as_relay(has_loads=False))
+        reports = self.state.reports
+        if reports.early_event.is_set():
+            reports.early_event = SimpleEvent()
+            run(reports._send_introductions())
+            run(reports._send_as_relay(has_loads=False))
 
     def close_gaps(self):
         """Request the facts that are missing."""
-        for name, (ip, log, gap) in list(self.state.gossip.gaps.items()):
+        for name, (ip, log, gap) in list(self.state.reports.gaps.items()):
             run(self.client._close_gap(name, ip, log, gap))
 
 
@@ -242,8 +242,8 @@
         mbps = FAST_MBPS if number // domains % 10 == 0 else SLOW_MBPS
         domain = f"domain-{number % domains}"
         entry = FleetEntry(self, number, domain, mbps, f"inc-{number}-{self.now}")
-        entry.state.gossip.early_event = SimpleEvent()
-        entry.state.gossip.gap_event = SimpleEvent()
+        entry.state.reports.early_event = SimpleEvent()
+        entry.state.reports.gap_event = SimpleEvent()
         seeds = [other.ip for other in itertools.islice(self.entries.values(), 3)]
         entry.state.view.seed_ips = seeds
         self.entries[entry.ip] = entry
@@ -286,19 +286,21 @@
             self.now = max(self.now, at)
             receiver.received += 1
             receiver.carried_bytes += len(data)
-            envelope = ENVELOPE_DECODER.decode(data)
-            is_own = envelope.echoed == receiver.state.incarnation
-            echo = envelope.echo if is_own else None
-            receiver.state.gossip.handle_report(envelope.report, echo, self.now)
+            message = DATAGRAM_DECODER.decode(data)
+            is_own = message.echoed == receiver.state.incarnation
+            echo = message.echo if is_own else None
+            receiver.state.reports.handle_report(message.report, echo, self.now)
 
     def play(self, seconds, check=None):
         """Let time pass."""
         end = self.now + seconds
         while self.now < end:
-            step_end = self.now + GOSSIP_INTERVAL_SECONDS
+            step_end = self.now + PEER_REPORT_INTERVAL_SECONDS
             entries = list(self.entries.values())
             for number, entry in enumerate(entries):
-                at = step_end - GOSSIP_INTERVAL_SECONDS * (1 - number / len(entries))
+                at = step_end - PEER_REPORT_INTERVAL_SECONDS * (
+                    1 - number / len(entries)
+                )
                 self._deliver(at)
                 self.now = max(self.now, at)
                 if entry.ip in self.entries:
--- a/wasabistage/edge/tests/test_directory.py
+++ b/wasabistage/edge/tests/test_directory.py
@@ -3,12 +3,12 @@
 from types import SimpleNamespace
 
 from wasabistage.edge._callers import MAX_ADDRESSES, DirectoryHandler
-from wasabistage.topology import Member
+from wasabistage.topology import FleetMember
 
 
 def build_members(domains, each, ready=True):
     return {
-        f"{domain}-{number}": Member(
+        f"{domain}-{number}": FleetMember(
             name=f"{domain}-{number}",
             failure_domain=domain,
             callers=f"{domain}-{number}:80",
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -125,12 +125,14 @@
                 fleet.play(2.0, self.check_ages)
                 self.assertEqual(fleet.get_versions(), {2})
 
-    def test_single_relay_is_passed_over_within_two_seconds(self):
+    def test_single_relay_is_passed_over_within_a_second(self):
         fleet = Fleet(65, 3)
         fleet.play(START_SECONDS)
         relay = sorted(fleet.get_relays())[0]
         fleet.kill({relay})
-        fleet.play(2.0)
+        fleet.play(1.0)
+        for entry in fleet.entries.values():
+            self.assertNotEqual(entry.state.view.followed, relay)
         fleet.write(Topic.CONFIGURATION, "config", b"2")
         fleet.play(2.0)
         self.assertEqual(fleet.get_versions(), {2})
@@ -276,7 +278,7 @@
             ages={topic: (0.0, watch.newest_fact + 1)},
         )
         confirmed_at = watch.confirmed_at
-        entry.state.gossip.handle_report(report, fleet.now, fleet.now)
+        entry.state.reports.handle_report(report, fleet.now, fleet.now)
         self.assertEqual(watch.confirmed_at, confirmed_at)
         self.assertTrue(entry.state.facts.is_missing(topic))
         # The other entry has no such record, so that its claim blocks nothing.
@@ -400,7 +402,7 @@
         for _ in range(3000):
             relay.state.facts.fleet_log.append(b"\xc4\x20" + bytes(32))
         fleet.send = send
-        run(relay.state.gossip.send_report())
+        run(relay.state.reports.send_report())
         self.assertGreater(largest, 20000)
         self.assertLess(largest, MAX_DATAGRAM_BYTES)
 
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -216,9 +216,9 @@
             self.platform.store.put("version/m", {"model": "m", "version": 2})
             await self.until(lambda: self.events("order_lease_failed"))
             failed_at = trio.current_time()
-            await self.until(lambda: not self.edge.state.gossip.ordering)
+            await self.until(lambda: not self.edge.state.reports.ordering)
             while trio.current_time() < failed_at + 0.75 * APPEND_FAILURE_PAUSE_SECONDS:
-                self.assertFalse(self.edge.state.gossip.ordering)
+                self.assertFalse(self.edge.state.reports.ordering)
                 await trio.sleep(0.01)
             self.platform.store.refuses_appends = False
             await self.until(lambda: all(s.version == 2 for s in self.platform.engines))
@@ -230,7 +230,7 @@
             self.platform.store.append_delay = 0.7
             self.platform.store.put("version/m", {"model": "m", "version": 2})
             await self.until(lambda: self.events("order_released"))
-            self.assertFalse(self.edge.state.gossip.ordering)
+            self.assertFalse(self.edge.state.reports.ordering)
             self.assertFalse(self.events("order_sent"))
             # The answer comes within the lease: the order leaves all the same.
             await self.until(lambda: self.events("order_sent"))
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -83,9 +83,9 @@
             "RouteDecision",
             "RouteQuery",
         ),
-        "_near": (
-            "NearQuery",
-            "NearSelection",
+        "_candidates": (
+            "CandidateQuery",
+            "CandidateSelector",
         ),
         "_pace": (
             "PaceEstimator",
@@ -115,15 +115,15 @@
         ),
         "_silence": (
             "BytesReceived",
-            "ServerHeard",
+            "PeerBytesReceived",
             "SilenceDetector",
             "SilenceQuery",
             "RequestEnded",
             "RequestSent",
         ),
-        "_turns": (
-            "TurnLottery",
-            "TurnQuery",
+        "_probabilistic_admission": (
+            "ProbabilisticAdmission",
+            "RoomQuery",
         ),
     },
 )
--- a/wasabistage/routing/_near.py
+++ b/wasabistage/routing/_candidates.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class NearQuery:
+class CandidateQuery:
     """Question which engines are scored for a prompt.
 
     :param servers: list of objects with ``server``, ``address`` and
@@ -28,7 +28,7 @@
     draw: float = 0.0
 
 
-class NearSelection(Policy):
+class CandidateSelector(Policy):
     """Selects the engines to score: near ones, holders, and a few of the others.
 
     The others are consecutive in a rotation that starts at a random place, so that the
@@ -63,9 +63,9 @@
         return self.near + self.holders + self.others
 
     def decide(self, query, now):
-        """Answer a :class:`NearQuery`.
+        """Answer a :class:`CandidateQuery`.
 
-        :param query: a :class:`NearQuery`.
+        :param query: a :class:`CandidateQuery`.
         :param now: monotonic time, in seconds; not used.
         :return: list of the selected ``servers``.
         """
--- a/wasabistage/routing/_turns.py
+++ b/wasabistage/routing/_probabilistic_admission.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class TurnQuery:
+class RoomQuery:
     """Question whether a prompt is sent now, or waits for a later turn.
 
     :param room: free slots of the engines that were scored, as last reported.
@@ -30,7 +30,7 @@
     draw: float
 
 
-class TurnLottery(Policy):
+class ProbabilisticAdmission(Policy):
     """Sends a prompt with the probability that the room suffices for all that wait.
 
     :param overbooking: prompts that are sent per free slot; engines queue a few.
@@ -52,9 +52,9 @@
         """Ignore an event: the lottery learns nothing."""
 
     def decide(self, query, now):
-        """Answer a :class:`TurnQuery`.
+        """Answer a :class:`RoomQuery`.
 
-        :param query: a :class:`TurnQuery`.
+        :param query: a :class:`RoomQuery`.
         :param now: monotonic time, in seconds; not used.
         :return: whether the prompt is sent now.
         """
--- a/wasabistage/routing/_silence.py
+++ b/wasabistage/routing/_silence.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class ServerHeard:
+class PeerBytesReceived:
     """Another entry received bytes from a server; observed with the time of that.
 
     :param server: id of the server.
@@ -129,10 +129,10 @@
         """Record an event.
 
         :param event: a :class:`RequestSent`, :class:`BytesReceived`,
-            :class:`ServerHeard` or :class:`RequestEnded`.
+            :class:`PeerBytesReceived` or :class:`RequestEnded`.
         :param now: monotonic time, in seconds.
         """
-        if isinstance(event, ServerHeard):
+        if isinstance(event, PeerBytesReceived):
             self._record_heard(event, now)
             return
         activity = self.servers_.setdefault(event.server, _ServerActivity())
--- a/wasabistage/routing/tests/test_near.py
+++ b/wasabistage/routing/tests/test_candidates.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from wasabistage.exceptions import SettingError
-from wasabistage.routing import NearQuery, NearSelection
+from wasabistage.routing import CandidateQuery, CandidateSelector
 
 ENTRIES = 195
 DOMAINS = 6
@@ -24,10 +24,10 @@
 
 class NearSelectionTest(unittest.TestCase):
     def setUp(self):
-        self.selection = NearSelection().reset()
+        self.selection = CandidateSelector().reset()
 
     def decide(self, engines, domain="domain-0", holders=(), draw=0.0):
-        query = NearQuery(
+        query = CandidateQuery(
             servers=engines,
             failure_domain=domain,
             holders=frozenset(holders),
@@ -58,20 +58,20 @@
 
     def test_arguments_are_checked(self):
         with self.assertRaises(SettingError):
-            NearSelection(near=0).reset()
+            CandidateSelector(near=0).reset()
 
 
 class LostDomainTest(unittest.TestCase):
     """Pattern: the engines of one failure domain are lost; its load spreads."""
 
     def test_load_spreads_over_all_other_engines(self):
-        selection, rng = NearSelection().reset(), random.Random(1)
+        selection, rng = CandidateSelector().reset(), random.Random(1)
         engines = [
             item for item in build_engines(50) if item.failure_domain != "domain-0"
         ]
         counts = dict.fromkeys((item.server for item in engines), 0)
         for _ in range(20000):
-            query = NearQuery(
+            query = CandidateQuery(
                 servers=engines, failure_domain="domain-0", draw=rng.random()
             )
             counts[selection.decide(query, 0.0)[rng.randrange(10)].server] += 1
--- a/wasabistage/routing/tests/test_turns.py
+++ b/wasabistage/routing/tests/test_probabilistic_admission.py
@@ -2,7 +2,7 @@
 import unittest
 
 from wasabistage.exceptions import SettingError
-from wasabistage.routing import TurnLottery, TurnQuery
+from wasabistage.routing import ProbabilisticAdmission, RoomQuery
 
 ENTRIES = 32  # of one failure domain
 SLOTS = 16
@@ -18,12 +18,12 @@
         "draw": 0.5,
         **fields,
     }
-    return TurnQuery(**values)
+    return RoomQuery(**values)
 
 
 class TurnLotteryTest(unittest.TestCase):
     def setUp(self):
-        self.lottery = TurnLottery().reset()
+        self.lottery = ProbabilisticAdmission().reset()
 
     def test_prompt_is_sent_while_there_is_room_for_all(self):
         for draw in (0.0, 0.5, 0.999):
@@ -48,7 +48,7 @@
 
     def test_arguments_are_checked(self):
         with self.assertRaises(SettingError):
-            TurnLottery(overbooking=0).reset()
+            ProbabilisticAdmission(overbooking=0).reset()
 
 
 class ReturningEngineTest(unittest.TestCase):
@@ -82,7 +82,7 @@
         return rejected
 
     def test_engine_is_filled_and_not_overrun(self):
-        lottery = TurnLottery().reset()
+        lottery = ProbabilisticAdmission().reset()
         without = sum(self.play(seed, None) for seed in range(20))
         with_turns = sum(self.play(seed, lottery) for seed in range(20))
         self.assertGreater(without, 20 * ENTRIES)
--- a/wasabistage/routing/tests/test_silence.py
+++ b/wasabistage/routing/tests/test_silence.py
@@ -4,9 +4,9 @@
 from wasabistage.exceptions import SettingError
 from wasabistage.routing import (
     BytesReceived,
+    PeerBytesReceived,
     RequestEnded,
     RequestSent,
-    ServerHeard,
     SilenceDetector,
     SilenceQuery,
 )
@@ -81,20 +81,20 @@
         self.send("s", "1")
         for _ in range(4):
             self.run_for(1.0)
-            self.detector.observe(ServerHeard(server="s"), self.now - 0.3)
+            self.detector.observe(PeerBytesReceived(server="s"), self.now - 0.3)
             self.assertFalse(self.is_silent("s"))
         self.run_for(1.7)
         self.assertTrue(self.is_silent("s"))
-        self.detector.observe(ServerHeard(server="s"), self.now)
+        self.detector.observe(PeerBytesReceived(server="s"), self.now)
         self.assertFalse(self.is_silent("s"))
-        self.detector.observe(ServerHeard(server="other"), self.now)
+        self.detector.observe(PeerBytesReceived(server="other"), self.now)
         self.assertNotIn("other", self.detector.servers_)
 
     def test_server_that_other_domains_hear_has_a_longer_limit(self):
         self.send("s", "1")
         for _ in range(5):
             self.run_for(0.5)
-            event = ServerHeard(server="s", is_near=False)
+            event = PeerBytesReceived(server="s", is_near=False)
             self.detector.observe(event, self.now - 0.2)
             self.assertFalse(self.is_silent("s"))
         self.run_for(0.8)
--- a/wasabistage/topology/__init__.py
+++ b/wasabistage/topology/__init__.py
@@ -16,18 +16,19 @@
     __name__,
     {
         "_echoes": ("SentReports",),
-        "_fact_log": ("FactCursor", "FactLog", "Gap", "GAP"),
+        "_fact_log": ("FactCursor", "FactLog", "MissingFacts", "FACTS_GONE"),
         "_loads": (
             "LoadRow",
             "LoadTable",
-            "NOT_HEARD",
+            "NO_BYTES",
             "get_age",
             "select_busiest",
             "subtract_loads",
         ),
-        "_members": ("Member", "MemberTable"),
+        "_members": ("FleetMember", "FleetMemberTable"),
         "_ranking": ("rank_members",),
         "_readers": ("ReadQuery", "ReaderPolicy"),
+        "_relay_choice": ("RelayChoice", "RelayQuery", "RelayReported"),
         "_roles": ("RoleQuery", "Roles", "RolePlan"),
     },
 )
--- a/wasabistage/topology/_fact_log.py
+++ b/wasabistage/topology/_fact_log.py
@@ -4,11 +4,11 @@
 
 from wasabistage.utils import Sentinel
 
-GAP = Sentinel("GAP", "facts before these are missing")
+FACTS_GONE = Sentinel("FACTS_GONE", "facts before these are missing")
 
 
 @dataclass(frozen=True, kw_only=True)
-class Gap:
+class MissingFacts:
     """Facts that a receiver has to request.
 
     :param log: id of the log.
@@ -59,11 +59,11 @@
 
         :param position: position of the first one.
         :param max_bytes: largest sum of their sizes; at least one is returned.
-        :return: list of bytes, empty at the end; :data:`GAP` if the first one isn't
-            kept any more, or the position lies beyond the end.
+        :return: list of bytes, empty at the end; :data:`FACTS_GONE` if the first
+            one isn't kept any more, or the position lies beyond the end.
         """
         if not self.first <= position <= self.end:
-            return GAP.with_reason(
+            return FACTS_GONE.with_reason(
                 f"position {position} is outside of {self.first} to {self.end}"
             )
         found, size = [], 0
@@ -102,16 +102,16 @@
         :param log: id of the log.
         :param first: position of the first fact.
         :param facts: list of facts.
-        :return: the facts that are new, or a :class:`Gap` if others must be requested
-            before.
+        :return: the facts that are new, or :class:`MissingFacts` if others must be
+            requested before.
         """
         if log != self.log:
             if first > 0:
-                return Gap(log=log, position=None)
+                return MissingFacts(log=log, position=None)
             # A log that is read from its start needs no state before it.
             self.set(log, 0)
         if first > self.position:
-            return Gap(log=log, position=self.position)
+            return MissingFacts(log=log, position=self.position)
         new = facts[self.position - first :]
         self.position = max(self.position, first + len(facts))
         return new
--- a/wasabistage/topology/_loads.py
+++ b/wasabistage/topology/_loads.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-NOT_HEARD = -1.0
+NO_BYTES = -1.0
 
 
 class LoadRow(NamedTuple):
@@ -13,9 +13,9 @@
     :param runs: open requests.
     :param ok: calls that succeeded since the last report.
     :param failed: calls since the last report that failed for the server's fault.
-    :param heard: time since the last byte of a response to an entry of the same
-        failure domain, in seconds; ``NOT_HEARD`` if there was none.
-    :param far_heard: the same for an entry of any failure domain.
+    :param byte_age: time since the last byte of a response to an entry of the same
+        failure domain, in seconds; ``NO_BYTES`` if there was none.
+    :param any_byte_age: the same for an entry of any failure domain.
     """
 
     sent: int = 0
@@ -23,8 +23,8 @@
     runs: int = 0
     ok: int = 0
     failed: int = 0
-    heard: float = NOT_HEARD
-    far_heard: float = NOT_HEARD
+    byte_age: float = NO_BYTES
+    any_byte_age: float = NO_BYTES
 
 
 EMPTY_ROW = LoadRow()
@@ -40,8 +40,8 @@
     def __init__(self):
         self._rows = {}
         self._counts = {}
-        self._heard_at = {}
-        self._far_heard_at = {}
+        self._near_byte_at = {}
+        self._any_byte_at = {}
 
     def observe(self, source, rows, now, *, is_near=True):
         """Record the rows that a source reports.
@@ -58,9 +58,9 @@
             sent += row.sent
             if is_near:
                 ok, failed = ok + row.ok, failed + row.failed
-                record_age(self._heard_at, server, row.heard, now)
-            record_age(self._far_heard_at, server, row.heard, now)
-            record_age(self._far_heard_at, server, row.far_heard, now)
+                record_age(self._near_byte_at, server, row.byte_age, now)
+            record_age(self._any_byte_at, server, row.byte_age, now)
+            record_age(self._any_byte_at, server, row.any_byte_age, now)
             if sent or ok or failed:
                 self._counts[server] = (sent, ok, failed)
 
@@ -89,17 +89,17 @@
                     reserved, runs = held.get(server, (0, 0))
                     held[server] = (reserved + row.reserved, runs + row.runs)
         counts, self._counts = self._counts, {}
-        heard_at, self._heard_at = self._heard_at, {}
-        far_heard_at, self._far_heard_at = self._far_heard_at, {}
+        last_byte_at, self._near_byte_at = self._near_byte_at, {}
+        any_byte_at, self._any_byte_at = self._any_byte_at, {}
         return {
             server: LoadRow(
                 counts.get(server, (0,))[0],
                 *held.get(server, (0, 0)),
                 *counts.get(server, (0, 0, 0))[1:],
-                get_age(heard_at, server, now),
-                get_age(far_heard_at, server, now),
+                get_age(last_byte_at, server, now),
+                get_age(any_byte_at, server, now),
             )
-            for server in {**held, **counts, **far_heard_at}
+            for server in {**held, **counts, **any_byte_at}
         }
 
 
@@ -108,7 +108,7 @@
 
     :param times: dict of name to time.
     :param name: name of the server.
-    :param age: time since the event, in seconds, or ``NOT_HEARD``.
+    :param age: time since the event, in seconds, or ``NO_BYTES``.
     :param now: monotonic time, in seconds.
     """
     if age >= 0:
@@ -116,13 +116,13 @@
 
 
 def get_age(times, name, now):
-    """Return the age of an event in milliseconds' precision, or ``NOT_HEARD``.
+    """Return the age of an event in milliseconds' precision, or ``NO_BYTES``.
 
     :param times: dict of name to time.
     :param name: name of the server.
     :param now: monotonic time, in seconds.
     """
-    return round(now - times[name], 3) if name in times else NOT_HEARD
+    return round(now - times[name], 3) if name in times else NO_BYTES
 
 
 def select_busiest(rows, limit):
@@ -152,7 +152,7 @@
             max(0, row.runs - mine.runs),
             max(0, row.ok - mine.ok),
             max(0, row.failed - mine.failed),
-            row.heard,
-            row.far_heard,
+            row.byte_age,
+            row.any_byte_age,
         )
     return others
--- a/wasabistage/topology/_members.py
+++ b/wasabistage/topology/_members.py
@@ -4,7 +4,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Member:
+class FleetMember:
     """An entry of the fleet.
 
     :param name: name of the entry.
@@ -23,7 +23,7 @@
     is_ready: bool = False
 
 
-class MemberTable:
+class FleetMemberTable:
     """The live entries of a fleet.
 
     Each entry is reported by itself or by the relay that it follows. The table keeps
@@ -43,7 +43,7 @@
         """Replace the entries that a source reports.
 
         :param source: name of the entry that reports them.
-        :param members: list of :class:`Member`.
+        :param members: list of :class:`FleetMember`.
         :param now: monotonic time, in seconds.
         :param timeout: time after which they are removed without another report, in
             seconds; ``None`` for the table's.
@@ -97,7 +97,7 @@
 
         An entry that several sources report counts with what the last of them says.
 
-        :return: dict of name to :class:`Member`.
+        :return: dict of name to :class:`FleetMember`.
         """
         if self._merged is None:
             ordered = sorted(self._sources.values(), key=lambda item: item[1])
--- a/wasabistage/topology/_ranking.py
+++ b/wasabistage/topology/_ranking.py
@@ -13,7 +13,7 @@
     Each entry is first with a probability in proportion to its weight. If an entry is
     removed, the order of the others does not change.
 
-    :param members: iterable of :class:`Member`.
+    :param members: iterable of :class:`FleetMember`.
     :param role: name of the role.
     :return: list of the entries, the best first.
     """
--- a/wasabistage/topology/_roles.py
+++ b/wasabistage/topology/_roles.py
@@ -12,8 +12,8 @@
     """Question for the roles in a fleet.
 
     :param name: name of the entry that asks.
-    :param members: dict of name to :class:`Member` of the live entries, with the one
-        that asks.
+    :param members: dict of name to :class:`FleetMember` of the live entries, with the
+        one that asks.
     :param followed_relays: names of entries that count as relays regardless of their
         rank, since others follow them.
     :param fleet_size: number of live entries that others know; ``members`` may be a
@@ -30,7 +30,7 @@
 class Roles:
     """Roles as one entry sees them.
 
-    :param relays: dict of name to :class:`Member` of the relays.
+    :param relays: dict of name to :class:`FleetMember` of the relays.
     :param is_relay: whether the entry that asked is one of them.
     :param candidates: names of the relays to follow, in order of preference: first
         those of the own failure domain.
--- a/wasabistage/topology/tests/test_fact_log.py
+++ b/wasabistage/topology/tests/test_fact_log.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from wasabistage.topology import GAP, FactCursor, FactLog, Gap
+from wasabistage.topology import FACTS_GONE, FactCursor, FactLog, MissingFacts
 
 
 class FactLogTest(unittest.TestCase):
@@ -19,7 +19,7 @@
             log.append(b"%d" % number)
         self.assertEqual((log.first, log.end), (2, 5))
         for position in (0, 1, 6):
-            self.assertTrue(GAP.has_same_name(log.read(position, 100)))
+            self.assertTrue(FACTS_GONE.has_same_name(log.read(position, 100)))
 
     def test_size_is_bounded(self):
         log = FactLog("a", max_bytes=100)
@@ -46,13 +46,15 @@
 
     def test_missing_facts_are_a_gap(self):
         self.cursor.accept("a", 0, [b"0"])
-        self.assertEqual(self.cursor.accept("a", 2, [b"2"]), Gap(log="a", position=1))
+        self.assertEqual(
+            self.cursor.accept("a", 2, [b"2"]), MissingFacts(log="a", position=1)
+        )
         self.assertEqual(self.cursor.position, 1)
 
     def test_new_log_needs_a_state(self):
         self.cursor.accept("a", 0, [b"0"])
         gap = self.cursor.accept("b", 7, [b"7"])
-        self.assertEqual(gap, Gap(log="b", position=None))
+        self.assertEqual(gap, MissingFacts(log="b", position=None))
         self.cursor.set("b", 8)
         self.assertEqual(self.cursor.accept("b", 7, [b"7", b"8"]), [b"8"])
 
@@ -71,14 +73,14 @@
                 for _ in range(rng.choice((1, 1, 2))):
                     batch = log.read(first, 1000)
                     new = cursor.accept("a", first, batch) if batch else []
-                    if isinstance(new, Gap) and new.position is not None:
+                    if isinstance(new, MissingFacts) and new.position is not None:
                         missing = log.read(new.position, 1000)
                         if not missing:  # trimmed: the state is requested
                             applied = [b"%d" % item for item in range(log.end)]
                             cursor.set("a", log.end)
                             continue
                         new = cursor.accept("a", new.position, missing)
-                    elif isinstance(new, Gap):
+                    elif isinstance(new, MissingFacts):
                         applied = [b"%d" % item for item in range(log.end)]
                         cursor.set("a", log.end)
                         continue
--- a/wasabistage/topology/tests/test_roles.py
+++ b/wasabistage/topology/tests/test_roles.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 
 from wasabistage.exceptions import SettingError
-from wasabistage.topology import Member, RolePlan, RoleQuery, rank_members
+from wasabistage.topology import FleetMember, RolePlan, RoleQuery, rank_members
 
 SIZES = (7, 65, 195, 401)
 DOMAINS = {7: 4, 65: 3, 195: 6, 401: 16}
@@ -15,7 +15,7 @@
     members = {}
     for number in range(size):
         name = f"entry-{number}"
-        members[name] = Member(
+        members[name] = FleetMember(
             name=name,
             failure_domain=f"domain-{number % domains}",
             ip=f"10.0.{number // 250}.{number % 250}",
@@ -37,8 +37,8 @@
         self.assertEqual(without, ranked[1:])
 
     def test_weight_is_the_share_of_first_places(self):
-        light = Member(name="light", weight=1.0)
-        heavy = Member(name="heavy", weight=3.0)
+        light = FleetMember(name="light", weight=1.0)
+        heavy = FleetMember(name="heavy", weight=3.0)
         first = sum(
             rank_members([light, heavy], f"role-{number}")[0] == heavy
             for number in range(2000)
--- a/wasabistage/topology/tests/test_tables.py
+++ b/wasabistage/topology/tests/test_tables.py
@@ -1,10 +1,10 @@
 import unittest
 
 from wasabistage.topology import (
+    FleetMember,
+    FleetMemberTable,
     LoadRow,
     LoadTable,
-    Member,
-    MemberTable,
     SentReports,
     subtract_loads,
 )
@@ -12,10 +12,10 @@
 
 class MemberTableTest(unittest.TestCase):
     def setUp(self):
-        self.table = MemberTable(timeout=1.0)
+        self.table = FleetMemberTable(timeout=1.0)
 
     def test_members_are_those_of_all_live_sources(self):
-        a, b, c = (Member(name=name) for name in "abc")
+        a, b, c = (FleetMember(name=name) for name in "abc")
         self.table.observe("a", [a, b], 0.0)
         self.table.observe("c", [c], 0.5)
         self.assertEqual(set(self.table.get_members()), {"a", "b", "c"})
@@ -23,19 +23,19 @@
         self.assertEqual(set(self.table.get_members()), {"c"})
 
     def test_member_that_a_source_no_longer_reports_is_gone(self):
-        a, b = Member(name="a"), Member(name="b")
+        a, b = FleetMember(name="a"), FleetMember(name="b")
         self.table.observe("a", [a, b], 0.0)
         self.table.observe("a", [a], 0.1)
         self.assertEqual(set(self.table.get_members()), {"a"})
 
     def test_changed_member_replaces_the_earlier_one(self):
-        self.table.observe("a", [Member(name="a")], 0.0)
+        self.table.observe("a", [FleetMember(name="a")], 0.0)
         self.table.get_members()
-        self.table.observe("a", [Member(name="a", is_ready=True)], 0.1)
+        self.table.observe("a", [FleetMember(name="a", is_ready=True)], 0.1)
         self.assertTrue(self.table.get_members()["a"].is_ready)
 
     def test_source_may_have_its_own_timeout(self):
-        self.table.observe("fleet", [Member(name="a")], 0.0, 5.0)
+        self.table.observe("fleet", [FleetMember(name="a")], 0.0, 5.0)
         self.assertEqual(self.table.tick(4.0), [])
         self.assertEqual(self.table.tick(5.1), ["fleet"])
 
@@ -59,15 +59,15 @@
 
     def test_outcomes_of_other_domains_do_not_count(self):
         table = LoadTable()
-        row = LoadRow(sent=7, ok=1, failed=2, heard=0.1)
+        row = LoadRow(sent=7, ok=1, failed=2, byte_age=0.1)
         table.observe("a", {"e": row}, 1.0, is_near=False)
-        self.assertEqual(table.take(1.0), {"e": LoadRow(sent=7, far_heard=0.1)})
+        self.assertEqual(table.take(1.0), {"e": LoadRow(sent=7, any_byte_age=0.1)})
 
     def test_last_byte_of_all_entries_counts(self):
         table = LoadTable()
-        table.observe("a", {"e": LoadRow(heard=0.9)}, 1.0)
-        table.observe("b", {"e": LoadRow(heard=0.2)}, 1.0)
-        self.assertEqual(table.take(1.5)["e"].heard, 0.7)
+        table.observe("a", {"e": LoadRow(byte_age=0.9)}, 1.0)
+        table.observe("b", {"e": LoadRow(byte_age=0.2)}, 1.0)
+        self.assertEqual(table.take(1.5)["e"].byte_age, 0.7)
         self.assertEqual(table.take(1.6), {})
 
     def test_own_load_is_subtracted_once(self):
