--- a/wasabistage/routing/tests/test_candidates.py
+++ b/wasabistage/routing/tests/test_candidates.py
@@ -22,9 +22,9 @@
     ]
 
 
-class NearSelectionTest(unittest.TestCase):
+class CandidateSelectorTest(unittest.TestCase):
     def setUp(self):
-        self.selection = CandidateSelector().reset()
+        self.selector = CandidateSelector().reset()
 
     def decide(self, engines, domain="domain-0", holders=(), draw=0.0):
         query = CandidateQuery(
@@ -33,7 +33,7 @@
             holders=frozenset(holders),
             draw=draw,
         )
-        return self.selection.decide(query, 0.0)
+        return self.selector.decide(query, 0.0)
 
     def test_few_engines_are_all_scored(self):
         engines = build_engines(6)
@@ -43,7 +43,7 @@
         for count in (50, 200, 1100):
             for draw in (0.0, 0.37, 0.99):
                 chosen = self.decide(build_engines(count), draw=draw)
-                self.assertEqual(len(chosen), self.selection.limit)
+                self.assertEqual(len(chosen), self.selector.limit)
                 self.assertEqual(len(set(chosen)), len(chosen))
 
     def test_near_engines_and_holders_are_among_them(self):
--- a/wasabistage/routing/tests/test_probabilistic_admission.py
+++ b/wasabistage/routing/tests/test_probabilistic_admission.py
@@ -21,20 +21,20 @@
     return RoomQuery(**values)
 
 
-class TurnLotteryTest(unittest.TestCase):
+class ProbabilisticAdmissionTest(unittest.TestCase):
     def setUp(self):
-        self.lottery = ProbabilisticAdmission().reset()
+        self.admission = ProbabilisticAdmission().reset()
 
     def test_prompt_is_sent_while_there_is_room_for_all(self):
         for draw in (0.0, 0.5, 0.999):
-            self.assertTrue(self.lottery.decide(make_query(draw=draw), 0.0))
+            self.assertTrue(self.admission.decide(make_query(draw=draw), 0.0))
             query = make_query(draw=draw, waiting=4, has_waited=True)
-            self.assertTrue(self.lottery.decide(query, 0.0))
+            self.assertTrue(self.admission.decide(query, 0.0))
 
     def test_share_that_is_sent_follows_the_room(self):
         rng = random.Random(1)
         sent = sum(
-            self.lottery.decide(
+            self.admission.decide(
                 make_query(room=4, waiting=100, has_waited=True, draw=rng.random()),
                 0.0,
             )
@@ -44,7 +44,7 @@
 
     def test_nothing_is_sent_without_room(self):
         query = make_query(room=0, waiting=9, has_waited=True, draw=0.0)
-        self.assertFalse(self.lottery.decide(query, 0.0))
+        self.assertFalse(self.admission.decide(query, 0.0))
 
     def test_arguments_are_checked(self):
         with self.assertRaises(SettingError):
@@ -54,7 +54,7 @@
 class ReturningEngineTest(unittest.TestCase):
     """Pattern: an empty engine returns; 6 prompts wait at each of 32 entries."""
 
-    def play(self, seed, lottery):
+    def play(self, seed, admission):
         """Return the prompts rejected by the full engine in its first second."""
         rng, rejected, running, waiting = random.Random(seed), 0, 0, 6 * ENTRIES
         reported_room, reported_waiting = SLOTS, waiting
@@ -72,7 +72,7 @@
                     draw=rng.random(),
                 )
                 sent += reported_room > 0 and (
-                    lottery is None or lottery.decide(query, 0.0)
+                    admission is None or admission.decide(query, 0.0)
                 )
             accepted = min(sent, SLOTS + QUEUE - running)
             rejected += sent - accepted
@@ -82,9 +82,9 @@
         return rejected
 
     def test_engine_is_filled_and_not_overrun(self):
-        lottery = ProbabilisticAdmission().reset()
+        admission = ProbabilisticAdmission().reset()
         without = sum(self.play(seed, None) for seed in range(20))
-        with_turns = sum(self.play(seed, lottery) for seed in range(20))
+        with_turns = sum(self.play(seed, admission) for seed in range(20))
         self.assertGreater(without, 20 * ENTRIES)
         self.assertLess(with_turns, 0.1 * without)
 
