Give sending and receiving of reports one task per function

Cause, found by reading: reports were built and sent, and peers, members and facts recorded, in the same functions; positions in logs were set by attribute names.

Change: FactOutbox holds what is still to be sent of a log; a function builds each kind of report; the view records what a report shows of the fleet.

--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -1,5 +1,6 @@
 """What an entry knows of the fleet: live entries, roles, and the relay it follows."""
 
+from wasabistage.edge._facts import to_member
 from wasabistage.fleet import Topic
 from wasabistage.topology import (
     FleetMember,
@@ -8,6 +9,7 @@
     ReadQuery,
     RelayChoice,
     RelayQuery,
+    RelayReported,
     RolePlan,
     RoleQuery,
 )
@@ -132,6 +134,20 @@
         """Return the :class:`wasabistage.topology.Roles` of the last interval."""
         return self.roles or self.update_roles()
 
+    def record_report(self, report, now):
+        """Record the entries that a report shows to be live.
+
+        :param report: a :class:`PeerReport`.
+        :param now: monotonic time, in seconds.
+        """
+        self.relay_choice.observe(RelayReported(relay=report.name), now)
+        members = [to_member(row) for row in report.members]
+        if members:
+            self.table.observe(report.name, members, now)
+        elif report.name != self.followed:
+            # The followed relay tells its own entry among the facts.
+            self.table.observe(report.name, [build_member(report)], now)
+
     def update_roles(self):
         """Compute the roles from the entries that are live now, and return them."""
         now = self.state.timer.now()
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from wasabistage.edge._facts import to_member, to_row
+from wasabistage.edge._facts import to_row
 from wasabistage.edge._fleet_view import (
     FLEET_TIMEOUT_SECONDS,
     FOLLOWER_TIMEOUT_SECONDS,
@@ -23,8 +23,8 @@
 )
 from wasabistage.topology import (
     FactCursor,
+    FactOutbox,
     MissingFacts,
-    RelayReported,
     select_busiest,
 )
 
@@ -85,8 +85,9 @@
         self.open_gaps = set()
         self.gap_event = trio.Event()
         self.ticks = 0
-        self.own_position = 0
-        self.fleet_position = 0
+        #: Facts to be sent to other relays, and to followers.
+        self.own_outbox = FactOutbox(state.facts.own_log)
+        self.fleet_outbox = FactOutbox(state.facts.fleet_log)
 
     def record_version(self, server, incarnation, model, version):
         """Record the version that a server runs, for the next report."""
@@ -150,101 +151,102 @@
             loads.group.observe(own, rows, now)
             loads.fleet.observe(own, rows, now)
             await self._send_as_relay(has_loads=True)
-            return
-        loads.group.remove(own)
-        loads.sent_reports.record(now, rows)
+        else:
+            loads.group.remove(own)
+            loads.sent_reports.record(now, rows)
+            await self._send_as_follower(rows, now)
+
+    async def _send_as_follower(self, rows, now):
+        """Send a report to the followed relay, or to the seeds if there is none."""
+        view = self.state.view
         versions, self.group_versions = self.group_versions, []
         self.fleet_versions = []
         report = self._build_report(
             now, rows, follows=view.followed, versions=versions[-MAX_VERSIONS:]
         )
-        if view.followed:
-            relay = view.get_roles().relays[view.followed]
+        relay = view.get_roles().relays.get(view.followed)
+        if relay is not None:
             await self._send(report, [(relay.name, relay.ip)])
         else:
             await self._send(report, [("", ip) for ip in view.seed_ips])
 
     async def _send_as_relay(self, *, has_loads):
         """Send a report to the other relays, and one to the followers."""
-        view, exchange = self.state.view, self.state.facts
-        roles, followers = view.get_roles(), view.get_followers()
-        if not roles.is_relay and not followers:
+        view, now = self.state.view, self.state.timer.now()
+        followers = view.get_followers()
+        if not view.get_roles().is_relay and not followers:
             return
-        clock = self.state.timer.now()
+        own = self.state.settings.instance.name
+        targets = {
+            name: member.ip
+            for name, member in view.get_roles().relays.items()
+            if name != own
+        }
+        report = self._build_relay_report(now, followers, has_loads)
+        probes = view.select_probes(targets) if has_loads else []
+        await self._send(report, [*targets.items(), *probes])
+        if has_loads:
+            self._announce_members()
+        report = self._build_fleet_report(now, has_loads)
+        targets = [(name, peer.report.ip) for name, peer in followers.items()]
+        await self._send(report, targets)
+
+    def _build_relay_report(self, now, followers, has_loads):
+        """Build the report for other relays, on this entry and its followers."""
         members = [build_member(peer.report) for peer in followers.values()]
         if members:
-            members.append(view.build_own_member())
-        group = self.state.loads.group.take(clock) if has_loads else {}
-        first, facts = self._take_facts(exchange.own_log, "own_position")
-        report = self._build_report(
-            clock,
-            group,
+            members.append(self.state.view.build_own_member())
+        versions, self.group_versions = self.group_versions, []
+        return self._build_report(
+            now,
+            self.state.loads.group.take(now) if has_loads else {},
             is_relay=True,
             has_loads=has_loads,
-            log=exchange.own_log.log,
-            first=first,
-            facts=facts,
             waiting=self.state.view.count_waiting(is_group=True),
-            ages=self._get_ages(exchange.own_log, first + len(facts), only_own=True),
-            versions=self.group_versions[-MAX_VERSIONS:],
+            versions=versions[-MAX_VERSIONS:],
             members=[to_row(item) for item in members],
+            **self._take_facts(self.own_outbox, "read_at"),
         )
-        self.group_versions = []
-        own = self.state.settings.instance.name
-        relays = {
-            name: member.ip for name, member in roles.relays.items() if name != own
-        }
-        targets = list(relays.items())
-        if has_loads:
-            targets += view.select_probes(relays)
-        await self._send(report, targets)
-        if has_loads:
-            self._announce_members()
-        await self._send_to_followers(followers, clock, has_loads)
-
-    async def _send_to_followers(self, followers, clock, has_loads):
-        log = self.state.facts.fleet_log
-        first, facts = self._take_facts(log, "fleet_position")
-        fleet = self.state.loads.fleet.take(clock) if has_loads else {}
-        versions, self.fleet_versions = self.fleet_versions[-MAX_VERSIONS:], []
-        if not followers:
-            return
-        report = self._build_report(
-            clock,
-            fleet,
+
+    def _build_fleet_report(self, now, has_loads):
+        """Build the report for followers, on the whole fleet."""
+        view = self.state.view
+        versions, self.fleet_versions = self.fleet_versions, []
+        return self._build_report(
+            now,
+            self.state.loads.fleet.take(now) if has_loads else {},
             is_relay=True,
             has_loads=has_loads,
-            log=log.log,
-            first=first,
-            facts=facts,
-            ages=self._get_ages(log, first + len(facts)),
-            waiting=self.state.view.count_waiting(is_group=False),
-            versions=versions,
-            has_store=self.state.view.is_store_reached(),
+            waiting=view.count_waiting(is_group=False),
+            versions=versions[-MAX_VERSIONS:],
+            has_store=view.is_store_reached(),
             ordering=self._get_all_ordering(),
+            **self._take_facts(self.fleet_outbox, "confirmed_at"),
         )
-        targets = [(name, peer.report.ip) for name, peer in followers.items()]
-        await self._send(report, targets)
-
-    def _take_facts(self, log, attribute):
-        """Return position and data of the facts that were not sent yet."""
-        first = max(getattr(self, attribute), log.first)
-        facts = log.read(first, MAX_FACTS_BYTES) or []
-        setattr(self, attribute, first + len(facts))
-        if first + len(facts) < log.end:
-            self.early_event.set()
-        return first, [msgspec.Raw(fact) for fact in facts]
 
-    def _get_ages(self, log, end, *, only_own=False):
-        """Return the ages of the topics, by own reads alone or by facts as well.
+    def _take_facts(self, outbox, confirmation):
+        """Return the fields of a report with the next facts and the ages of topics.
 
-        They hold for receivers with all facts; a report with a part of them has none.
+        :param outbox: a :class:`wasabistage.topology.FactOutbox`.
+        :param confirmation: attribute of a :class:`RecordWatch`: the time at which the
+            topic was confirmed.
         """
+        first, facts = outbox.take(MAX_FACTS_BYTES)
+        fields = {
+            "log": outbox.log.log,
+            "first": first,
+            "facts": [msgspec.Raw(fact) for fact in facts],
+        }
+        if outbox.is_empty:
+            return {**fields, "ages": self._get_ages(confirmation)}
+        # The ages hold only for receivers with all facts.
+        self.early_event.set()
+        return fields
+
+    def _get_ages(self, confirmation):
         now, ages = self.state.timer.now(), {}
-        if end < log.end:
-            return ages
         for topic, watch in self.state.facts.watches.items():
-            age = now - (watch.read_at if only_own else watch.confirmed_at)
+            age = now - getattr(watch, confirmation)
             if age < FLEET_TIMEOUT_SECONDS:
                 ages[topic] = (age, watch.newest_fact)
         return ages
@@ -341,29 +343,23 @@
         :param now: monotonic time, in seconds.
         """
         state, own = self.state, self.state.settings.instance.name
-        if report.name == own:
-            return
         known = state.peers.get(report.name)
+        if report.name == own or is_outdated(report, known):
+            return
         if known is None:
             state.log.write("peer_found", peer=report.name, ip=report.ip)
-        elif known.report.incarnation == report.incarnation:
-            if report.clock < known.report.clock:
-                return
         state.peers[report.name] = Peer(report, now)
-        state.view.relay_choice.observe(RelayReported(relay=report.name), now)
-        self._introduce(report, now)
         self.clocks[report.name] = (report.clock, report.incarnation)
+        state.view.record_report(report, now)
+        self._introduce(report, now)
         is_followed = report.name == state.view.followed
-        members = [to_member(row) for row in report.members]
-        if not is_followed or members:
-            members = members or [build_member(report)]
-            state.view.table.observe(report.name, members, now)
         if report.is_relay and report.log:
             self._handle_facts(report, echo, now, is_followed)
         if report.has_loads:
             state.loads.observe(report, echo, now, is_followed)
         self._handle_rollout(report, known, now)
         if report.follows == own and (known is None or known.report.follows != own):
+            # A new follower gets its first report at once.
             self.early_event.set()
 
     def _introduce(self, report, now):
@@ -461,6 +457,19 @@
             state.servers.start_outage()
 
 
+def is_outdated(report, known):
+    """Return whether a report was sent before the last one of the same process.
+
+    :param report: a :class:`PeerReport`.
+    :param known: the :class:`Peer` as known before, or ``None``.
+    """
+    return (
+        known is not None
+        and known.report.incarnation == report.incarnation
+        and report.clock < known.report.clock
+    )
+
+
 def has_fleet_facts(report):
     """Return whether a report has facts for the followers of its sender."""
     return report.log.endswith("/fleet")
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -140,8 +140,8 @@
         self.state.routes = Routes()
         self.state.view = FleetView(self.state)
         self.state.loads = LoadExchange(self.state, PEER_REPORT_INTERVAL_SECONDS)
-        self.state.reports = ReportTask(self.state)
         self.state.facts = FactExchange(self.state)
+        self.state.reports = ReportTask(self.state)
         self.client = DirectSnapshotClient(self.state)
         self.client.fleet, self.client.entry = fleet, self
         self.state.snapshots = self.client
--- a/wasabistage/topology/__init__.py
+++ b/wasabistage/topology/__init__.py
@@ -16,7 +16,13 @@
     __name__,
     {
         "_echoes": ("SentReports",),
-        "_fact_log": ("FactCursor", "FactLog", "MissingFacts", "FACTS_GONE"),
+        "_fact_log": (
+            "FACTS_GONE",
+            "FactCursor",
+            "FactLog",
+            "FactOutbox",
+            "MissingFacts",
+        ),
         "_loads": (
             "LoadRow",
             "LoadTable",
--- a/wasabistage/topology/_fact_log.py
+++ b/wasabistage/topology/_fact_log.py
@@ -76,6 +76,33 @@
         return found
 
 
+class FactOutbox:
+    """The facts of a log that are still to be sent, to all receivers at once.
+
+    :param log: a :class:`FactLog`.
+    """
+
+    def __init__(self, log):
+        self.log = log
+        self.position = 0
+
+    def take(self, max_bytes):
+        """Return the next facts and move on behind them.
+
+        :param max_bytes: largest sum of their sizes; at least one is returned.
+        :return: a tuple of the position of the first fact and a list of bytes.
+        """
+        first = max(self.position, self.log.first)
+        facts = self.log.read(first, max_bytes) or []
+        self.position = first + len(facts)
+        return first, facts
+
+    @property
+    def is_empty(self):
+        """Whether all facts of the log were taken."""
+        return self.position >= self.log.end
+
+
 class FactCursor:
     """Position of a receiver in the log of one sender.
 
--- a/wasabistage/topology/tests/test_fact_log.py
+++ b/wasabistage/topology/tests/test_fact_log.py
@@ -1,7 +1,13 @@
 import random
 import unittest
 
-from wasabistage.topology import FACTS_GONE, FactCursor, FactLog, MissingFacts
+from wasabistage.topology import (
+    FACTS_GONE,
+    FactCursor,
+    FactLog,
+    FactOutbox,
+    MissingFacts,
+)
 
 
 class FactLogTest(unittest.TestCase):
@@ -30,6 +36,27 @@
         self.assertEqual(log.read(log.end - 1, 1), [b"x" * 1000])
 
 
+class FactOutboxTest(unittest.TestCase):
+    def test_each_fact_is_taken_once(self):
+        log = FactLog("a")
+        outbox = FactOutbox(log)
+        self.assertTrue(outbox.is_empty)
+        for number in range(5):
+            log.append(b"%d" % number * 10)
+        self.assertEqual(outbox.take(25), (0, [b"0" * 10, b"1" * 10]))
+        self.assertFalse(outbox.is_empty)
+        self.assertEqual(outbox.take(100)[0], 2)
+        self.assertTrue(outbox.is_empty)
+        self.assertEqual(outbox.take(100), (5, []))
+
+    def test_facts_that_the_log_dropped_are_passed_over(self):
+        log = FactLog("a", max_facts=2)
+        outbox = FactOutbox(log)
+        for number in range(5):
+            log.append(b"%d" % number)
+        self.assertEqual(outbox.take(100), (3, [b"3", b"4"]))
+
+
 class FactCursorTest(unittest.TestCase):
     def setUp(self):
         self.cursor = FactCursor()
