--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -3,11 +3,12 @@
 import trio
 
 from wasabistage.edge._choice import build_gate_query, select_server
+from wasabistage.edge._peers import PEER_REPORT_INTERVAL_SECONDS
 from wasabistage.routing import TOO_LATE, RoomQuery, WaitEnded
 
 GATE_INTERVAL_SECONDS = 0.015  # pause between two queries to a gate without room
-#: The same in a fleet with followers: about the interval between two reports.
-FLEET_GATE_INTERVAL_SECONDS = 0.15
+#: The same in a fleet with followers, where room is known from reports.
+FLEET_GATE_INTERVAL_SECONDS = 0.05
 
 
 class EngineWait:
@@ -66,6 +67,7 @@
             waiting=state.view.domain_waiting,
             own_waiting=len(state.gate.waiting_),
             has_waited=exchange.gate_waits > 0,
+            rounds=PEER_REPORT_INTERVAL_SECONDS / FLEET_GATE_INTERVAL_SECONDS,
             draw=state.random.random(),
         )
         return state.admission.decide(query, now)
--- a/wasabistage/routing/_probabilistic_admission.py
+++ b/wasabistage/routing/_probabilistic_admission.py
@@ -20,6 +20,7 @@
         reported.
     :param own_waiting: prompts that wait at this entry now.
     :param has_waited: whether the prompt has waited for the gate.
+    :param rounds: queries per waiting prompt between two reports of the room.
     :param draw: random number from 0 to below 1.
     """
 
@@ -28,6 +29,7 @@
     own_waiting: int
     has_waited: bool
     draw: float
+    rounds: float = 1.0
 
 
 class ProbabilisticAdmission(Policy):
@@ -59,6 +61,5 @@
         :return: whether the prompt is sent now.
         """
         waiting = max(query.waiting, query.own_waiting)
-        if not query.has_waited:
-            waiting += 1
-        return query.draw * waiting < self.overbooking * query.room
+        tries = query.rounds * waiting if query.has_waited else waiting + 1
+        return query.draw * tries < self.overbooking * query.room
--- a/wasabistage/routing/tests/test_probabilistic_admission.py
+++ b/wasabistage/routing/tests/test_probabilistic_admission.py
@@ -42,6 +42,26 @@
         )
         self.assertAlmostEqual(sent / 20000, 0.05, delta=0.01)
 
+    def test_more_rounds_send_no_more_prompts(self):
+        rng = random.Random(1)
+        sent = 0
+        for _ in range(5000):
+            rounds = [
+                self.admission.decide(
+                    make_query(
+                        room=4,
+                        waiting=100,
+                        has_waited=True,
+                        rounds=4.0,
+                        draw=rng.random(),
+                    ),
+                    0.0,
+                )
+                for _ in range(4)
+            ]
+            sent += any(rounds)
+        self.assertAlmostEqual(sent / 5000, 0.05, delta=0.01)
+
     def test_nothing_is_sent_without_room(self):
         query = make_query(room=0, waiting=9, has_waited=True, draw=0.0)
         self.assertFalse(self.admission.decide(query, 0.0))
