Log the shared parts of a prompt and the time to a response's head

Callers saw prompts of one route end one engine after the other. The attempt lines name route and account, so that they can't tell a part of the prompts from all prompts of the route, nor a response that has begun from one that hasn't.

--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -20,6 +20,7 @@
         above), or ``None``.
     :param retry_after: time after which the server permits a retry, in seconds, or
         ``None``.
+    :param head_seconds: time to the head of the response, or ``None``.
     :param first_event_seconds: time to the first stream event, or ``None``.
     :param is_version_mismatch: whether the server runs another weight version than
         was expected.
@@ -33,6 +34,7 @@
     reason: str = ""
     error_response: tuple | None = None
     retry_after: float | None = None
+    head_seconds: float | None = None
     first_event_seconds: float | None = None
     is_version_mismatch: bool = False
     is_server_replaced: bool = False
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -238,6 +238,7 @@
             request = exchange.request
             await self._send(exchange, channel, headers)
             head, metadata = await self._read_head(channel, request.request_id)
+            attempt.head_seconds = state.timer.now() - attempt.begun_at
             self._record_response(attempt, metadata)
             fields = await self._forward_response(
                 exchange, attempt, channel, head, metadata
@@ -483,7 +484,9 @@
         if plan is not None:
             fields.update(
                 weight_version=plan.candidate.version,
+                parts=[part.part for part in request.prompt.parts[:-1]],
                 predicted=round(plan.seconds, 4),
+                head=attempt.head_seconds and round(attempt.head_seconds, 4),
                 first=attempt.first_event_seconds
                 and round(attempt.first_event_seconds, 4),
                 computed=plan.tokens,
