Add a failing test of prompts whose part crashes engines

The stand-in engine crashes as soon as it begins an answer on a named part, and starts again. Callers send such prompts one after the other, and sound ones with the same first part between them.

Memory and load didn't end engines: none crashed without such a request.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -174,6 +174,9 @@
     :param status: status of a plain answer.
     :param is_full: whether it turns requests away.
     :param late_extra: whether a second answer follows each answer.
+    :param crash_part: id of the part of a prompt under which the server crashes as soon
+        as it begins to write an answer, or ``""``.
+    :param down_seconds: time for which it is down after a crash.
     :param endless: bytes to begin a response with, and bytes to repeat after them until
         the caller closes, or ``None``.
     """
@@ -185,6 +188,8 @@
     is_full: bool = False
     late_extra: bool = False
     endless: tuple[bytes, bytes] | None = None
+    crash_part: str = ""
+    down_seconds: float = 0.3
 
 
 class StandinServer(Standin):
@@ -207,6 +212,8 @@
         self.runs = []
         self.behaviour = Behaviour()
         self.parts = {}
+        self.born = 1
+        self.life_scope = None
         #: Fields of its answers on what it caches, where they differ from the usual.
         self.cache = {}
 
@@ -219,13 +226,27 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
-            "born": 1,
+            "born": self.born,
             "models": [],
         }
         if self.model:
             record["models"] = [{"name": self.model, "version": self.version}]
         return {**record, **changes}
 
+    @property
+    def crashes(self):
+        """Number of crashes so far."""
+        return self.born - 1
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled; start again some time after a crash."""
+        while True:
+            with trio.CancelScope() as self.life_scope:
+                await super().run(task_status)
+            self.born += 1
+            task_status = trio.TASK_STATUS_IGNORED
+            await trio.sleep(self.behaviour.down_seconds)
+
     def note_gone(self, request):
         """See :meth:`Standin.note_gone`."""
         fields = {name.lower(): value for name, value in request.headers}
@@ -252,7 +273,9 @@
     async def _report(self, channel):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         state = {"models": models, "busy": False, "seq": self.orders, "queued": 0}
-        await respond_json(channel, 200, {**state, "clock_ms": 5000.0, "born": 1})
+        await respond_json(
+            channel, 200, {**state, "clock_ms": 5000.0, "born": self.born}
+        )
 
     async def _order(self, channel, order):
         if order["fence"] < self.fencing:
@@ -303,6 +326,11 @@
         version = (b"Wasabistage-Weight-Versions", b"%d" % self.version)
         framing = (b"Transfer-Encoding", b"chunked")
         await channel.start_response(200, [echo, (SEAL, b"s"), version, framing])
+        parts = run.fields.get(b"wasabistage-prompt-prefix", b"").split(b",")
+        names = {part.partition(b":")[0].decode() for part in parts}
+        if self.behaviour.crash_part in names:
+            self.life_scope.cancel()
+            await trio.sleep_forever()
         first = int(run.fields.get(b"last-event-id", b"0")) + 1
         for number in range(first, self.behaviour.events + 1):
             await trio.sleep(self.behaviour.pause)
--- /dev/null
+++ b/wasabistage/platform/tests/test_crashing_part.py
@@ -0,0 +1,63 @@
+import itertools
+import unittest
+
+import trio
+
+from standins.users_platform import Behaviour
+from wasabistage.http1 import ChannelError
+from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
+
+CRASHES = 5  # after which requests with the part must no longer reach servers
+MAX_LATER_RUNS = 3
+SHARED = b"aa:500"
+CRASHING = b"dead:60"
+
+
+class CrashingPartTest(EdgeCase):
+    """Pattern: a part of some prompts crashes each engine that answers them."""
+
+    def setUp(self):
+        self.numbers = itertools.count()
+
+    async def ask(self, path, *parts):
+        """Send a prompt whose last part is new; return the status, or ``None``."""
+        number = next(self.numbers)
+        prefix = b",".join([*parts, b"b%x:40" % number])
+        headers = [*PROMPT[:-1], (b"Wasabistage-Prompt-Prefix", prefix)]
+        headers.append((b"Wasabistage-Request-Id", b"id-%d" % number))
+        try:
+            reply = await self.call(path, *headers, method=b"POST")
+        except ChannelError:
+            return None
+        return reply.status
+
+    def count_runs(self):
+        """Return the number of requests with the crashing part that ran."""
+        return sum(
+            CRASHING.partition(b":")[0] in run.fields[b"wasabistage-prompt-prefix"]
+            for engine in self.platform.engines
+            for run in engine.runs
+        )
+
+    # Guards against requests that crash one engine after the other, since each entry
+    # sends them on, new ones and repeats, whatever they did before.
+    def test_prompts_with_a_part_that_crashes_engines_stop_reaching_them(self):
+        async def test():
+            for engine in self.platform.engines:
+                engine.behaviour = Behaviour(crash_part="dead")
+            for path in itertools.islice(itertools.cycle((b"/chat/", b"/hint/")), 12):
+                await self.ask(path, SHARED, CRASHING)
+                while await self.ask(b"/chat/", SHARED) != 200:
+                    await trio.sleep(0.05)  # the engines start again
+            self.assertLessEqual(self.count_runs(), CRASHES + MAX_LATER_RUNS)
+            runs = self.count_runs()
+            for path in (b"/chat/", b"/hint/"):
+                self.assertEqual(await self.ask(path, SHARED, CRASHING), 503)
+                self.assertEqual(await self.ask(path, SHARED), 200)
+            self.assertEqual(self.count_runs(), runs)
+
+        self.play(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
