Withhold prompts with a part that crashes the engines that answer them

Cause: nothing remembered which prompts an engine had crashed under. A prompt with the part was repeated at the next engine, and no entry knew what another had seen, so that the next prompt was sent on, too. A class of fault known as query of death: a retry assumes that the server failed, not the request.

Change: entries share which parts of prompts were under answers that had just begun when an engine closed its channels, find the smallest set of parts that explains the crashes, and withhold prompts with it, new ones and repeats; those that wait in an engine are withdrawn. Answers clear parts, bytes of the engine refute its crash.

--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -29,6 +29,9 @@
         try:
             while True:
                 now = self.state.timer.now()
+                admitted = self.state.crash_watch.check(request)
+                if not admitted:
+                    return admitted
                 choice = select_server(
                     self.state,
                     request,
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -128,6 +128,9 @@
 
     def _get_retry_after(self, exchange, last):
         """Return the seconds after which to retry a request that was not run."""
+        quarantine_seconds = self.state.crash_watch.get_retry_seconds(exchange.request)
+        if quarantine_seconds > 0.0:
+            return quarantine_seconds
         if last is not None and last.retry_after is not None:
             return last.retry_after
         if exchange.gate_waits:
@@ -150,19 +153,26 @@
         server = choice.record.server
         state.health.observe(CallStarted(server=server), now)
         self._record_start(exchange, attempt, now)
+        channel_error = None
         try:
             with self._cancel_on_silence(exchange, server) as scope:
+                if choice.plan is not None:
+                    state.crash_watch.record_start(exchange, attempt, scope)
                 await self._send_and_forward(exchange, attempt)
+            if attempt.is_withdrawn:
+                raise ChannelError("the prompt was withdrawn from the server")
             if scope.cancelled_caught:
                 raise ChannelError("the server sent no bytes for too long")
         except NotSentError as error:
             attempt.failure, attempt.reason = Failure.NOT_SENT, str(error)
         except ChannelError as error:
+            channel_error = error
             attempt.failure, attempt.reason = Failure.LOST, str(error)
             exchange.may_have_run = True
             exchange.splitter.discard_incomplete()
         finally:
             self._record_end(exchange, attempt, now)
+            state.crash_watch.record_end(exchange, attempt, channel_error)
         return attempt
 
     @contextmanager
@@ -221,6 +231,7 @@
             state.part_router.observe(ended, now)
             state.part_router.observe(MemoryReleased(request=attempt.attempt_id), now)
         is_server_failure = attempt.failure in (Failure.NOT_SENT, Failure.LOST)
+        is_server_failure = is_server_failure and not attempt.is_withdrawn
         event = CallEnded(
             server=server, ok=not is_server_failure, seconds=now - begun_at
         )
@@ -340,6 +351,7 @@
             self._record_not_run(attempt, head, metadata)
             return head.fields
         exchange.may_have_run = True
+        self.state.crash_watch.record_head(attempt)
         if 200 <= head.status < 300 and not metadata.is_verified_success:
             raise ChannelError("success response without the server's seal")
         if exchange.route.kind is RouteKind.STREAM and head.status == 200:
@@ -429,6 +441,7 @@
         if remainder := splitter.flush():
             await caller.send_piece(remainder)
         await caller.finish()
+        attempt.is_stream_whole = True
         self._record_answered(exchange, attempt)
         return head.fields
 
@@ -440,6 +453,7 @@
         )
         self.state.silence.observe(event, now)
         self.state.loads.record_bytes(server, now)
+        self.state.crash_watch.record_bytes(attempt)
 
     def _record_first_event(self, exchange, attempt):
         state, now = self.state, self.state.timer.now()
--- a/wasabistage/edge/_load_exchange.py
+++ b/wasabistage/edge/_load_exchange.py
@@ -1,5 +1,6 @@
 """Load on backend servers, as this entry and others put it on them."""
 
+from wasabistage.quarantine import ServerHeard
 from wasabistage.routing import (
     PeerBytesReceived,
     PeerCallsEnded,
@@ -155,6 +156,8 @@
         if any_byte_age >= 0:
             event = PeerBytesReceived(server=server, is_near=False)
             self.state.silence.observe(event, now - any_byte_age)
+            event = ServerHeard(server=server)
+            self.state.quarantine.observe(event, now - any_byte_age)
 
     def remove(self, name, now):
         """Remove the load that a silent peer has reported.
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -29,6 +29,22 @@
     is_ready: bool
 
 
+class EvidenceRow(msgspec.Struct, array_like=True):
+    """What an entry knows of a suspected part of prompts.
+
+    See :class:`wasabistage.quarantine.PartEvidence`.
+
+    :param part: id of the part.
+    :param crashes: rows of server, seconds since its crash, number of the prompt.
+    :param answered: seconds since a prompt with the part was answered; ``None`` if
+        none is known.
+    """
+
+    part: str
+    crashes: list[tuple[str, float, int]]
+    answered: float | None = None
+
+
 class PeerReport(msgspec.Struct, array_like=True):
     """The report of an entry.
 
@@ -67,6 +83,8 @@
         read.
     :param fleet_size: number of live entries that the sender knows.
     :param members: the sender's followers and itself, if it is a relay.
+    :param suspects: suspected parts of prompts; those of a relay are all with crashes,
+        as far as they fit.
     """
 
     name: str
@@ -93,6 +111,7 @@
     unreadable: list[str] = []
     fleet_size: int = 0
     members: list[MemberRow] = []
+    suspects: list[EvidenceRow] = []
 
 
 class ReportDatagram(msgspec.Struct, array_like=True):
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -120,7 +120,8 @@
         view.update_roles()
         has_new_relay = view.select_relay()
         self.ticks += 1
-        is_idle = self.state.loads.is_idle() and not self.ordering
+        suspects = self.state.crash_watch.build_rows(is_relay=False)
+        is_idle = self.state.loads.is_idle() and not (self.ordering or suspects)
         # Followers leave a relay that is silent for a few intervals.
         may_skip = is_idle and not has_new_relay and not view.get_followers()
         if may_skip and self.ticks % TICKS_PER_REPORT:
@@ -267,6 +268,9 @@
             "unreadable": sorted(self.state.view.unreadable),
             "fleet_size": len(self.state.view.get_members()),
             "waiting": len(self.state.gate.waiting_),
+            "suspects": self.state.crash_watch.build_rows(
+                is_relay=fields.get("is_relay", False)
+            ),
         }
         return PeerReport(
             name=own.name,
@@ -358,6 +362,7 @@
         if report.has_loads:
             state.loads.observe(report, echo, now, is_followed)
         self._handle_rollout(report, known, now)
+        state.crash_watch.merge(report.suspects, now)
         if report.follows == own and (known is None or known.report.follows != own):
             # A new follower gets its first report at once.
             self.early_event.set()
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -12,6 +12,7 @@
 
 from wasabistage.edge._caches import CacheWatcher
 from wasabistage.edge._callers import CallerHandler, DirectoryHandler
+from wasabistage.edge._crash_watch import CrashWatch
 from wasabistage.edge._facts import SHARED_TOPICS, FactExchange
 from wasabistage.edge._fleet_view import FleetView
 from wasabistage.edge._forward import Forwarder
@@ -92,6 +93,7 @@
         self.state.facts = FactExchange(self.state)
         self.state.reports = ReportTask(self.state)
         self.state.snapshots = SnapshotClient(self.state)
+        self.state.crash_watch = CrashWatch(self.state)
         self.callers = CallerHandler(self.state, Forwarder(self.state))
         self.directory = DirectoryHandler(self.state)
         #: Cancelled to stop accepting channels of callers.
@@ -147,6 +149,7 @@
         subscriptions = (
             (PEER_REPORT_INTERVAL_SECONDS, state.reports.send_periodically),
             (HEALTH_INTERVAL_SECONDS, self._update_health),
+            (HEALTH_INTERVAL_SECONDS, state.crash_watch.tick),
             (SILENCE_INTERVAL_SECONDS, self._cancel_silent_attempts),
             (IDLE_CHANNELS_INTERVAL_SECONDS, self._close_idle_channels),
             (FREE_INTERVAL_SECONDS, OldPartCleaner(state).free_old_parts),
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -8,6 +8,7 @@
 
 from wasabistage.cache import PartMap
 from wasabistage.fleet import KeyFreshness, RouteTable, ServerTable
+from wasabistage.quarantine import CrashQuarantine
 from wasabistage.retries import WindowRetryPolicy
 from wasabistage.rollout import OrderLease, VersionRollout
 from wasabistage.routing import (
@@ -85,6 +86,7 @@
         ).reset()
         self.pace = PaceEstimator().reset()
         self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
+        self.quarantine = CrashQuarantine().reset()
         #: Cancel scopes of running attempts that may be retried elsewhere, by server.
         self.repeatable_scopes = {}
         self.swap = VersionRollout(
@@ -97,13 +99,14 @@
             turn_time=bounds.order_turn_ms / 1000.0,
         ).reset()
         #: The :class:`FleetView`, :class:`LoadExchange`, :class:`ReportTask`,
-        #: :class:`FactExchange` and :class:`SnapshotClient`, which need this state; set
-        #: by :class:`EdgeProcess`.
+        #: :class:`FactExchange`, :class:`SnapshotClient` and :class:`CrashWatch`, which
+        #: need this state; set by :class:`EdgeProcess`.
         self.view = None
         self.loads = None
         self.reports = None
         self.facts = None
         self.snapshots = None
+        self.crash_watch = None
         self.retries = WindowRetryPolicy(
             ratio=bounds.retry_ratio,
             extra=bounds.retry_extra,
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wasabistage.edge._crash_watch import CrashWatch
 from wasabistage.edge._facts import FactExchange
 from wasabistage.edge._fleet_view import FleetView
 from wasabistage.edge._load_exchange import LoadExchange
@@ -145,6 +146,7 @@
         self.client = DirectSnapshotClient(self.state)
         self.client.fleet, self.client.entry = fleet, self
         self.state.snapshots = self.client
+        self.state.crash_watch = CrashWatch(self.state)
         self.state.reports.sock = Socket(fleet, self)
         watches = (ConfigurationWatch, ServerWatch, EntryWatch)
         self.watches = {str(watch.topic): watch(self.state, None) for watch in watches}
--- a/wasabistage/http1/__init__.py
+++ b/wasabistage/http1/__init__.py
@@ -8,6 +8,7 @@
 from wasabistage.http1._budget import ByteBudget
 from wasabistage.http1._channel import (
     Channel,
+    ChannelClosedError,
     ChannelError,
     NotSentError,
     ResponseHead,
@@ -31,6 +32,7 @@
     "CallerChannel",
     "CallerGoneError",
     "Channel",
+    "ChannelClosedError",
     "ChannelError",
     "ChannelPool",
     "HttpClient",
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -23,6 +23,10 @@
     """The channel failed or sent what is no response; the request may have run."""
 
 
+class ChannelClosedError(ChannelError):
+    """The server closed or reset the channel before its response was complete."""
+
+
 class NotSentError(ChannelError):
     """The channel could not be opened; no byte of the request left."""
 
@@ -104,6 +108,8 @@
         self.request = None
         self.sent_all = True
         self.closed = False
+        #: Whether the server has closed its end.
+        self.ended = False
         self.used = 0
         self.idle_until = 0.0
         self.heard_at = 0.0
@@ -162,6 +168,7 @@
     async def next_event(self):
         """Return the next h11 event of the response.
 
+        :raises ChannelClosedError: if the server closed or reset the channel.
         :raises ChannelError: if the channel broke or sent no HTTP.
         """
         try:
@@ -170,13 +177,17 @@
                 if event is h11.NEED_DATA:
                     data = await self.sock.recv(READ_BYTES)
                     self.received_bytes += len(data)
+                    self.ended = not data
                     self.connection.receive_data(data)
                     continue
                 return event
+        except ConnectionResetError as error:
+            raise ChannelClosedError(f"receive failed: {error}") from error
         except OSError as error:
             raise ChannelError(f"receive failed: {error}") from error
         except h11.RemoteProtocolError as error:
-            raise ChannelError(f"not a response: {error}") from error
+            failure = ChannelClosedError if self.ended else ChannelError
+            raise failure(f"not a response: {error}") from error
 
     async def read_head(self):
         """Return the :class:`ResponseHead` of the final response.
@@ -194,7 +205,7 @@
                     )
                 continue
             if not isinstance(event, h11.Response):
-                raise ChannelError("the channel ended before a response")
+                raise ChannelClosedError("the channel ended before a response")
             headers = event.headers.raw_items()
             return ResponseHead(
                 status=event.status_code,
@@ -216,7 +227,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 return b""
             else:
-                raise ChannelError("the body broke off")
+                raise ChannelClosedError("the body broke off")
 
     async def read_body(self, limit, hold=None):
         """Return the whole body.
