Don't trust a response without an id on a channel that had other requests

Callers were told 503 for purchases and streams that a server was running: a faulty server wrote an earlier refusal once more on a kept channel, and a response without an id was taken for that of the request sent last (REFUSED; a stream that may repeat would have run twice).

Evidence: the stand-in refuses the first request of each channel, then writes that refusal again before it runs the next one.

Change: such a response fails the attempt as one that may have run, and its channel is closed. On a channel's first request it is still trusted, since nothing precedes it. Servers of the platform echo the id in each response.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -9,6 +9,7 @@
 import struct
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
+from weakref import WeakKeyDictionary
 
 import trio
 
@@ -174,6 +175,13 @@
     :param status: status of a plain answer.
     :param is_full: whether it turns requests away.
     :param late_extra: whether a second answer follows each answer.
+    :param raw: bytes that a server sends in place of its response, before it closes the
+        channel, or ``None``.
+    :param is_unframed: whether a response has neither a length nor chunks and ends with
+        its channel.
+    :param stale_refusal: refusal that a server sends for the first request on each
+        channel, and once more before it runs and answers the next one, or ``None``.
+    :param replaced_stream: head fields and body that replace a stream, or ``None``.
     :param crash_part: id of the part of a prompt under which the server crashes as soon
         as it begins to write an answer, or ``""``.
     :param down_seconds: time for which it is down after a crash.
@@ -188,6 +196,10 @@
     is_full: bool = False
     late_extra: bool = False
     endless: tuple[bytes, bytes] | None = None
+    raw: bytes | None = None
+    is_unframed: bool = False
+    stale_refusal: bytes | None = None
+    replaced_stream: tuple[int, tuple, bytes] | None = None
     crash_part: str = ""
     down_seconds: float = 1.2
 
@@ -214,6 +226,12 @@
         self.parts = {}
         self.born = 1
         self.life_scope = None
+        #: Channels on which a request was refused, with the bytes of the refusal.
+        self.refusals = WeakKeyDictionary()
+        #: Whether a refusal for another server or version is sent once more before the
+        #: next response on its channel; and the channels that had one.
+        self.repeats_mismatch = False
+        self.mismatches = WeakKeyDictionary()
         #: Fields of its answers on what it caches, where they differ from the usual.
         self.cache = {}
 
@@ -295,15 +313,31 @@
         not_run = (b"Wasabistage-Not-Executed", b"1")
         expected = fields.get(b"wasabistage-expect-instance", self.server.encode())
         version = fields.get(b"wasabistage-expect-version", b"%d" % self.version)
+        named = (b"Wasabistage-Instance-Id", self.server.encode())
         if expected != self.server.encode() or int(version) != self.version:
-            named = (b"Wasabistage-Instance-Id", self.server.encode())
+            self.mismatches[channel] = request_id
             await channel.respond(421, [echo, named, not_run], b"")
             return
+        if self.repeats_mismatch and channel in self.mismatches:
+            fields_sent = [b": ".join(echo), b": ".join(named), b": ".join(not_run)]
+            stale = [b"HTTP/1.1 421 Other", b"Content-Length: 0", *fields_sent]
+            await channel.write(b"\r\n".join([*stale, b"", b""]))
         if self.behaviour.is_full:
             await channel.respond(503, [echo, not_run], b"")
             return
+        if self.behaviour.stale_refusal is not None:
+            if channel not in self.refusals:
+                refusal = self.behaviour.stale_refusal.replace(b"ID", request_id)
+                self.refusals[channel] = refusal
+                await channel.respond(503, [echo, not_run], b"")
+                return
+            await channel.write(self.refusals[channel])
         run = Run(request_id.decode(), fields, request.target, request.body)
         self.runs.append(run)
+        if self.behaviour.raw is not None:
+            await channel.write(self.behaviour.raw.replace(b"ID", request_id))
+            channel.close()
+            return
         if self.behaviour.endless is not None:
             first, repeated = self.behaviour.endless
             await channel.write(first.replace(b"ID", request_id))
@@ -315,6 +349,9 @@
             return
         await trio.sleep(self.behaviour.pause)
         body = self.server.encode() + b" " + request_id
+        if self.behaviour.is_unframed:
+            await self._write_unframed(channel, echo, [body])
+            return
         await channel.respond(self.behaviour.status, [echo, (SEAL, b"s")], body)
         if self.behaviour.late_extra:
             extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
@@ -322,7 +359,27 @@
             await trio.sleep(0.05)
             await channel.write(extra)
 
+    async def _write_unframed(self, channel, echo, pieces):
+        head = [b"HTTP/1.1 200 OK", b": ".join(echo), SEAL + b": s", b"", b""]
+        await channel.write(b"\r\n".join(head))
+        for piece in pieces:
+            await trio.sleep(self.behaviour.pause)
+            await channel.write(piece)
+        channel.close()
+
     async def _stream(self, channel, run, echo):
+        if self.behaviour.replaced_stream is not None:
+            status, headers, body = self.behaviour.replaced_stream
+            await channel.respond(status, [echo, (SEAL, b"s"), *headers], body)
+            return
+        if self.behaviour.is_unframed:
+            first = int(run.fields.get(b"last-event-id", b"0")) + 1
+            numbers = range(first, self.behaviour.events + 1)
+            pieces = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers]
+            if self.behaviour.break_after is not None:
+                pieces = [*pieces[: self.behaviour.break_after], b"id: 9\ndata: cu"]
+            await self._write_unframed(channel, echo, pieces)
+            return
         version = (b"Wasabistage-Weight-Versions", b"%d" % self.version)
         framing = (b"Transfer-Encoding", b"chunked")
         await channel.start_response(200, [echo, (SEAL, b"s"), version, framing])
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -307,11 +307,19 @@
         """Return the head and metadata of the response to this request.
 
         Responses to other requests are skipped.
+
+        :raises ChannelError: if a response names no request, and the channel has had
+            others.
         """
         while True:
             head = await channel.read_head()
             metadata = self.state.platform.decode_response(head)
-            if not metadata.request_id or metadata.request_id == request_id:
+            if metadata.request_id == request_id:
+                return head, metadata
+            if not metadata.request_id:
+                if channel.used > 1:
+                    # It may be one for an earlier request, sent once more.
+                    raise ChannelError("the response on a used channel has no id")
                 return head, metadata
             self.state.metrics.count("answer.mismatch")
             await channel.skip_response()
--- /dev/null
+++ b/wasabistage/platform/tests/test_faulty_answers.py
@@ -0,0 +1,74 @@
+import itertools
+import unittest
+
+from standins.users_platform import Behaviour
+from wasabistage.http1 import ChannelError
+from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
+
+STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
+REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nWasabistage-Not-Executed: 1\r\n"
+NAMED_REFUSAL = REFUSAL + b"Wasabistage-Request-Id: ID\r\n\r\n"
+ANONYMOUS_REFUSAL = REFUSAL + b"\r\n"
+SEALED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nWasabistage-Request-Id: ID\r\nWasabistage-Response-Seal: s\r\n"
+)
+ERROR_TEXT = b"no such session"
+
+
+class FaultyAnswerCase(EdgeCase):
+    def setUp(self):
+        self.numbers = itertools.count()
+
+    async def ask(self, path, request_id=None, method=b"POST"):
+        """Send a request with an id of its own; return the reply, or ``None``."""
+        number = next(self.numbers)
+        name = request_id or b"id-%d" % number
+        headers = [(b"Wasabistage-Request-Id", name)]
+        if path in (b"/chat/", b"/hint/"):
+            # New parts each time: kept ones lead to the engine that has them.
+            parts = b"a%x:500,b%x:400" % (number, number)
+            headers += [*PROMPT[:-1], (b"Wasabistage-Prompt-Prefix", parts)]
+        try:
+            return await self.call(path, *headers, method=method)
+        except ChannelError:
+            return None
+
+    def count_runs(self, servers, request_id):
+        return sum(
+            run.request_id == request_id.decode()
+            for server in servers
+            for run in server.runs
+        )
+
+
+class StaleRefusalTest(FaultyAnswerCase):
+    """Pattern: a server sends an earlier refusal once more on a kept channel."""
+
+    def check(self, path, servers, stale_refusal):
+        async def test():
+            for server in servers():
+                server.behaviour = Behaviour(stale_refusal=stale_refusal)
+            for number in range(12):
+                name = b"request-%d" % number
+                reply = await self.ask(path, name)
+                runs = self.count_runs(servers(), name)
+                self.assertLessEqual(runs, 1)
+                if reply is not None and reply.status == 503:
+                    self.assertEqual(runs, 0, number)
+
+        self.play(test)
+
+    # Guards against requests that a server runs while an earlier refusal is taken for
+    # its response, so that callers are told that they have not run.
+    def test_refusal_without_an_id_does_not_say_that_a_purchase_has_not_run(self):
+        self.check(b"/buy/", lambda: self.platform.plain, ANONYMOUS_REFUSAL)
+
+    def test_refusal_of_another_request_is_skipped(self):
+        self.check(b"/buy/", lambda: self.platform.plain, NAMED_REFUSAL)
+
+    def test_refusal_without_an_id_does_not_say_that_a_stream_has_not_run(self):
+        self.check(b"/hint/", lambda: self.platform.engines, ANONYMOUS_REFUSAL)
+
+
+if __name__ == "__main__":
+    unittest.main()
