Don't send a request again on the channel on which it was refused

A non-idempotent stream ran twice: an engine that had loaded a version declined a prompt for the older one (421), the entry sent it again for the new version on the same kept channel, and the faulty engine wrote its refusal once more before it ran the prompt.

Change: a channel remembers the ids that were refused on it, and is not taken for them again. Closing each channel after a refusal was ruled out: a full server refuses many requests, each of which would then cost a new channel.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -241,14 +241,16 @@
     async def _send_and_forward(self, exchange, attempt):
         state, record = self.state, attempt.choice.record
         pool = self._get_pool(record.address)
-        channel = await pool.take(state.timer.now())
+        request_id = exchange.request.request_id
+        channel = await pool.take(state.timer.now(), request_id)
         kept = False
         try:
             dispatch = self._build_dispatch(exchange, attempt)
             headers = state.platform.encode_request_headers(exchange.request, dispatch)
-            request = exchange.request
             await self._send(exchange, channel, headers)
-            head, metadata = await self._read_head(channel, request.request_id)
+            head, metadata = await self._read_head(channel, request_id)
+            if metadata.is_not_run:
+                channel.refused_ids.add(request_id)
             attempt.head_seconds = state.timer.now() - attempt.begun_at
             self._record_response(attempt, metadata)
             fields = await self._forward_response(
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -116,6 +116,9 @@
         #: Bytes received since the last request was sent.
         self.received_bytes = 0
         self.skipped_bytes = 0
+        #: Ids of requests that the server refused on this channel. A refusal may come
+        #: once more, so that none of them is sent here again.
+        self.refused_ids = set()
 
     def close(self):
         """Close at once; a server stops the work of a closed channel."""
--- a/wasabistage/http1/_pool.py
+++ b/wasabistage/http1/_pool.py
@@ -4,6 +4,7 @@
 
 UNKNOWN_IDLE = 4.0  # seconds an idle channel is kept if the server names no time
 IDLE_SHARE = 0.6  # share of the server's stated idle time that is used
+MAX_REFUSED_IDS = 64  # requests refused on a channel before it is closed
 MAX_IDLE = 64  # channels kept idle, a server's common batch size
 KEEP_ALIVE_TIMEOUT = b"timeout="
 
@@ -37,19 +38,27 @@
         self.idle = []
         self.opened = 0
 
-    async def take(self, now, fresh=False):
+    async def take(self, now, request_id=""):
         """Return a channel, an idle one if there is one that still stands.
 
         :param now: monotonic time, in seconds.
-        :param fresh: whether to open a new one in any case.
+        :param request_id: id of the request; a channel on which it was refused is not
+            used for it.
         :return: a :class:`wasabistage.http1.Channel`.
         :raises NotSentError: if none can be opened.
         """
-        while self.idle and not fresh:
-            channel = self.idle.pop()
-            if now < channel.idle_until and channel.is_quiet():
-                return channel
-            channel.close()
+        passed_over = []
+        try:
+            while self.idle:
+                channel = self.idle.pop()
+                if request_id and request_id in channel.refused_ids:
+                    passed_over.append(channel)
+                elif now < channel.idle_until and channel.is_quiet():
+                    return channel
+                else:
+                    channel.close()
+        finally:
+            self.idle += reversed(passed_over)
         self.opened += 1
         return await open_channel(self.address, self.connect_timeout)
 
@@ -60,7 +69,11 @@
         :param fields: headers of its last response, dict of bytes.
         :param now: monotonic time, in seconds.
         """
-        if not channel.start_next() or len(self.idle) >= MAX_IDLE:
+        is_full = len(self.idle) >= MAX_IDLE
+        if is_full or len(channel.refused_ids) >= MAX_REFUSED_IDS:
+            channel.close()
+            return
+        if not channel.start_next():
             channel.close()
             return
         stated = stated_idle_time(fields)
--- a/wasabistage/platform/tests/test_faulty_answers.py
+++ b/wasabistage/platform/tests/test_faulty_answers.py
@@ -69,6 +69,30 @@
     def test_refusal_without_an_id_does_not_say_that_a_stream_has_not_run(self):
         self.check(b"/hint/", lambda: self.platform.engines, ANONYMOUS_REFUSAL)
 
+    # Guards against a request that is sent again on the channel on which it was refused
+    # before: a refusal that comes twice can't be told from one of the second attempt.
+    def test_request_is_not_sent_again_on_the_channel_that_refused_it(self):
+        async def test():
+            engines = self.platform.engines
+            for _ in range(4):  # the edge keeps channels to the engines
+                await self.ask(b"/hint/")
+            for engine in engines:
+                # Each has loaded a version that it has not reported yet.
+                engine.version = 2
+                engine.repeats_mismatch = True
+            swap = self.edge.state.swap
+            self.platform.store.put("version/m", {"model": "m", "version": 2})
+            await self.until(lambda: swap.named_versions_.get("m") == 2)
+            for number in range(6):
+                name = b"moved-%d" % number
+                reply = await self.ask(b"/hint/", name)
+                runs = self.count_runs(engines, name)
+                self.assertLessEqual(runs, 1)
+                if reply is not None and reply.status == 503:
+                    self.assertEqual(runs, 0, number)
+
+        self.play(test)
+
 
 if __name__ == "__main__":
     unittest.main()
