Don't pass on a status that promises 'not run' unless the server states it

Callers repeat a request after 408, 421, 429 and 503, which promise that it has not run. A server's own response with such a status but without its statement was passed on as it came, though only the statement tells that the request has not run (REFUSED). The test failed on the first status: 408 where 502 is due.

Change: the attempt counts as one that may have run; requests that may be repeated go to another server, others end with 502. Ruled out: taking the status for the statement, since a request that ran would then be sent to a second server.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -368,6 +368,11 @@
             return await self._forward_stream(exchange, attempt, channel, head)
         with self.body_budget.hold() as hold:
             body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
+            if metadata.promises_not_run:
+                # The server doesn't state that it has not run the request.
+                attempt.failure = Failure.ERROR
+                attempt.reason = f"the request may have run, status {head.status}"
+                return head.fields
             return await self._forward_body(exchange, attempt, head, body)
 
     async def _forward_body(self, exchange, attempt, head, body):
--- a/wasabistage/edge/_messages.py
+++ b/wasabistage/edge/_messages.py
@@ -133,6 +133,8 @@
 
     :param request_id: id of the request that the response belongs to, or ``""``.
     :param is_not_run: whether the server states that it did not run the request.
+    :param promises_not_run: whether callers take the status for a statement that the
+        request was not run.
     :param is_verified_success: whether a success status may be forwarded to the caller:
         the headers prove that the server itself made the response.
     :param is_leaving: whether the server closes the channel after this response.
@@ -144,6 +146,7 @@
 
     request_id: str = ""
     is_not_run: bool = False
+    promises_not_run: bool = False
     is_verified_success: bool = False
     is_leaving: bool = False
     weight_version: int | None = None
--- a/wasabistage/platform/_requests.py
+++ b/wasabistage/platform/_requests.py
@@ -18,6 +18,8 @@
 MAX_LOAD_NUMBERS = 4  # further numbers in the header of a server's load are ignored
 MAX_COUNT_DIGITS = 9  # of a number in that header
 USUAL_PACE_PERCENT = 100.0
+#: Statuses that tell callers that a request was not run and never will be.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 def decode_request(request):
@@ -200,6 +202,7 @@
     return ResponseMetadata(
         request_id=fields.get(names.REQUEST_ID, b"").decode("latin-1"),
         is_not_run=names.NOT_RUN in fields or head.status == 421,
+        promises_not_run=head.status in NOT_RUN_STATUSES,
         is_verified_success=names.SEAL in fields and b"content-encoding" not in fields,
         is_leaving=b"close" in connection_names(fields),
         weight_version=int(version) if version.isdigit() else None,
--- a/wasabistage/platform/tests/test_faulty_answers.py
+++ b/wasabistage/platform/tests/test_faulty_answers.py
@@ -94,5 +94,19 @@
         self.play(test)
 
 
+class StatusTest(FaultyAnswerCase):
+    # Guards against passing on a status that promises callers "not run" from a server
+    # that has not said so.
+    def test_status_that_promises_not_run_is_not_passed_on_from_a_run(self):
+        async def test():
+            for status in (408, 429, 503):
+                for server in self.platform.plain:
+                    server.behaviour = Behaviour(status=status)
+                reply = await self.ask(b"/buy/")
+                self.assertEqual(reply.status, 502, status)
+
+        self.play(test)
+
+
 if __name__ == "__main__":
     unittest.main()
