Don't pass on another body in the middle of a stream

Error statuses in that place (204, 400, 404, 500, 503) already broke the stream off; they are tested as well.

Change: a response that names another type than a stream of events is a plain one, which can't continue a stream. Ruled out: requiring the type, since a server may leave it out.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -364,7 +364,8 @@
         self.state.crash_watch.record_head(attempt)
         if 200 <= head.status < 300 and not metadata.is_verified_success:
             raise ChannelError("success response without the server's seal")
-        if exchange.route.kind is RouteKind.STREAM and head.status == 200:
+        is_stream = metadata.is_event_stream is not False and head.status == 200
+        if is_stream and exchange.route.kind is RouteKind.STREAM:
             return await self._forward_stream(exchange, attempt, channel, head)
         with self.body_budget.hold() as hold:
             body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
--- a/wasabistage/edge/_messages.py
+++ b/wasabistage/edge/_messages.py
@@ -137,6 +137,8 @@
         request was not run.
     :param is_verified_success: whether a success status may be forwarded to the caller:
         the headers prove that the server itself made the response.
+    :param is_event_stream: whether the body is a stream of events; ``None`` if the
+        response doesn't name its type.
     :param is_leaving: whether the server closes the channel after this response.
     :param weight_version: weight version that made the response, or ``None``.
     :param load: a :class:`ServerLoad`, or ``None``.
@@ -148,6 +150,7 @@
     is_not_run: bool = False
     promises_not_run: bool = False
     is_verified_success: bool = False
+    is_event_stream: bool | None = None
     is_leaving: bool = False
     weight_version: int | None = None
     load: ServerLoad | None = None
--- a/wasabistage/platform/_requests.py
+++ b/wasabistage/platform/_requests.py
@@ -14,6 +14,7 @@
 BEARER = b"bearer "
 MILLISECONDS_PER_SECOND = 1000.0
 NO_ADDRESS = b"-"
+EVENT_STREAM = b"text/event-stream"
 
 MAX_LOAD_NUMBERS = 4  # further numbers in the header of a server's load are ignored
 MAX_COUNT_DIGITS = 9  # of a number in that header
@@ -204,6 +205,7 @@
         is_not_run=names.NOT_RUN in fields or head.status == 421,
         promises_not_run=head.status in NOT_RUN_STATUSES,
         is_verified_success=names.SEAL in fields and b"content-encoding" not in fields,
+        is_event_stream=decode_is_event_stream(fields.get(b"content-type")),
         is_leaving=b"close" in connection_names(fields),
         weight_version=int(version) if version.isdigit() else None,
         load=decode_load(fields.get(names.LOAD, b"")),
@@ -212,6 +214,13 @@
     )
 
 
+def decode_is_event_stream(value):
+    """Return whether a content type is that of a stream, ``None`` without a type."""
+    if value is None:
+        return None
+    return value.partition(b";")[0].strip().lower() == EVENT_STREAM
+
+
 def decode_load(value):
     """Return a :class:`wasabistage.edge.ServerLoad`, or ``None``.
 
--- a/wasabistage/platform/tests/test_faulty_answers.py
+++ b/wasabistage/platform/tests/test_faulty_answers.py
@@ -108,5 +108,31 @@
         self.play(test)
 
 
+class BrokenStreamTest(FaultyAnswerCase):
+    """Pattern: a stream breaks off, and the next server answers with an error."""
+
+    # Guards against error texts in the middle of a stream, and against a stream that
+    # ends as if it were complete.
+    def test_error_after_a_broken_stream_reaches_no_caller(self):
+        text = (b"Content-Type", b"text/plain")
+        answers = [
+            (status, (text,), ERROR_TEXT) for status in (200, 400, 404, 500, 503)
+        ]
+        answers += [(204, (), b""), (200, (text,), b"")]
+
+        async def test():
+            first, second = self.platform.engines
+            for answer in answers:
+                first.behaviour = Behaviour(break_after=2)
+                second.behaviour = Behaviour(replaced_stream=answer)
+                for _ in range(4):
+                    before = len(first.runs)
+                    reply = await self.ask(b"/chat/")
+                    if len(first.runs) > before:
+                        self.assertIsNone(reply, answer)
+
+        self.play(test)
+
+
 if __name__ == "__main__":
     unittest.main()
