Take a stream that ends inside an event for broken off

An engine that closes such a stream before its first event, as one that crashes does, left an empty 200.

Both tests failed before: '...id: 9 data: cu' with a complete end, and 200 without events. Whole streams and plain responses without framing were and are passed whole. An answer's head that breaks off, in nine forms, was never taken for an answer (two more tests, which passed before).

Change: a stream with an incomplete event at its end, or an unframed new one without bytes, was broken off: it is resumed where its route allows it, and looks broken otherwise. Blank lines at the end are no event.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -9,7 +9,13 @@
 from wasabistage.edge._exchange import Attempt
 from wasabistage.edge._messages import Dispatch
 from wasabistage.fleet import RouteKind
-from wasabistage.http1 import ByteBudget, ChannelError, ChannelPool, NotSentError
+from wasabistage.http1 import (
+    ByteBudget,
+    ChannelClosedError,
+    ChannelError,
+    ChannelPool,
+    NotSentError,
+)
 from wasabistage.retries import Failure, FirstAttemptSent, RetryQuery
 from wasabistage.rollout import ServerOrdered, ServerVersionReported
 from wasabistage.routing import (
@@ -454,6 +460,13 @@
         except ChannelError:
             splitter.discard_incomplete()
             raise
+        if splitter.has_incomplete:
+            splitter.discard_incomplete()
+            raise ChannelClosedError("the stream ended inside an event")
+        is_resumed = splitter.event_count or exchange.request.last_event
+        if is_first and not head.is_framed and not is_resumed:
+            # A server that crashes may look the same.
+            raise ChannelClosedError("the stream ended before its first event")
         if remainder := splitter.flush():
             await caller.send_piece(remainder)
         await caller.finish()
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -46,6 +46,11 @@
     headers: list
     fields: dict = field(default_factory=dict)
 
+    @property
+    def is_framed(self):
+        """Whether the end of the body is marked otherwise than by the channel's end."""
+        return b"content-length" in self.fields or b"transfer-encoding" in self.fields
+
 
 def set_liveness_options(sock):
     """Let the system notice a peer that fell silent.
--- a/wasabistage/platform/tests/test_faulty_answers.py
+++ b/wasabistage/platform/tests/test_faulty_answers.py
@@ -133,6 +133,92 @@
 
         self.play(test)
 
+    def test_stream_without_framing_is_passed_whole(self):
+        async def test():
+            for engine in self.platform.engines:
+                engine.behaviour = Behaviour(is_unframed=True, pause=0.01)
+            for path in (b"/chat/", b"/hint/"):
+                reply = await self.ask(path)
+                self.assertEqual((reply.status, reply.body), (200, STREAM))
+
+        self.play(test)
+
+    # Guards against a part of an event at the end of a stream whose end is that of its
+    # channel: such a stream has been broken off.
+    def test_stream_that_ends_inside_an_event_is_broken_off(self):
+        async def test():
+            engines = self.platform.engines
+            for engine in engines:
+                engine.behaviour = Behaviour(is_unframed=True, break_after=1)
+            self.assertIsNone(await self.ask(b"/hint/"))
+            engines[1].behaviour = Behaviour()
+            for _ in range(6):
+                reply = await self.ask(b"/chat/")
+                self.assertEqual((reply.status, reply.body), (200, STREAM))
+            self.assertGreater(len(engines[0].runs), 0)
+
+        self.play(test)
+
+    def test_stream_without_framing_or_events_is_broken_off(self):
+        async def test():
+            self.platform.engines[0].behaviour = Behaviour(is_unframed=True, events=0)
+            for _ in range(6):
+                reply = await self.ask(b"/chat/")
+                self.assertEqual((reply.status, reply.body), (200, STREAM))
+            self.assertGreater(len(self.platform.engines[0].runs), 0)
+
+        self.play(test)
+
+
+class BrokenHeadTest(FaultyAnswerCase):
+    """Pattern: a server stops in the middle of its answer's head and closes."""
+
+    RAW = (
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 200 OK\r\n",
+        SEALED_HEAD,
+        SEALED_HEAD[:-1],
+        SEALED_HEAD + b"Content-Length: 1",
+        SEALED_HEAD + b"Content-Length: 10\r\n\r\nshort",
+        SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nsh",
+        SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"HTTP/1.1 200 OK\r\nWasabistage-Request-Id: ID\r\n\r\n",
+    )
+
+    # Guards against a 200 with an empty or short body, framed as if it were whole.
+    def test_part_of_a_head_is_no_answer(self):
+        async def test():
+            for raw in self.RAW:
+                for server in self.platform.servers:
+                    server.behaviour = Behaviour(raw=raw)
+                reply = await self.ask(b"/buy/")
+                self.assertEqual(reply.status, 502, raw)
+                for path in (b"/chat/", b"/hint/"):
+                    reply = await self.ask(path)
+                    self.assertTrue(reply is None or reply.status == 502, raw)
+
+        self.play(test)
+
+    def test_reads_go_on_at_another_server(self):
+        async def test():
+            for raw in self.RAW:
+                self.platform.plain[0].behaviour = Behaviour(raw=raw)
+                for _ in range(3):
+                    reply = await self.ask(b"/read/", method=b"GET")
+                    self.assertEqual(reply.status, 200, raw)
+
+        self.play(test)
+
+    def test_plain_answer_without_framing_is_passed_whole(self):
+        async def test():
+            for server in self.platform.plain:
+                server.behaviour = Behaviour(is_unframed=True)
+            reply = await self.ask(b"/buy/", b"unframed")
+            self.assertEqual(reply.status, 200)
+            self.assertTrue(reply.body.endswith(b" unframed"))
+
+        self.play(test)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wasabistage/sessions/_event_stream.py
+++ b/wasabistage/sessions/_event_stream.py
@@ -59,3 +59,8 @@
         """Return and discard the bytes held back, at the end of a complete stream."""
         pending, self.pending = self.pending, b""
         return pending
+
+    @property
+    def has_incomplete(self):
+        """Whether an event is incomplete; blank lines between events are none."""
+        return bool(self.pending.strip())
--- a/wasabistage/sessions/tests/test_event_stream.py
+++ b/wasabistage/sessions/tests/test_event_stream.py
@@ -29,8 +29,17 @@
     def test_incomplete_event_at_the_end_of_a_stream_is_returned_once(self):
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(b"data: no end"), b"")
+        self.assertTrue(splitter.has_incomplete)
         self.assertEqual(splitter.flush(), b"data: no end")
         self.assertEqual(splitter.flush(), b"")
+        self.assertFalse(splitter.has_incomplete)
+
+    def test_blank_lines_at_the_end_of_a_stream_are_no_event(self):
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"data: a\n\n"), b"data: a\n\n")
+        self.assertEqual(splitter.feed(b"\n"), b"")
+        self.assertFalse(splitter.has_incomplete)
+        self.assertEqual(splitter.flush(), b"\n")
 
 
 if __name__ == "__main__":
