Have both engines of a test fault the same way

Both engines now break off new streams and answer resumed ones as the test says, and the runs are counted, so that each request tests the case. The tests fail on the code before the fixes.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -181,7 +181,8 @@
         its channel.
     :param stale_refusal: refusal that a server sends for the first request on each
         channel, and once more before it runs and answers the next one, or ``None``.
-    :param replaced_stream: head fields and body that replace a stream, or ``None``.
+    :param resumed: status, headers and body of the response to a stream that is
+        resumed, or ``None``.
     :param crash_part: id of the part of a prompt under which the server crashes as soon
         as it begins to write an answer, or ``""``.
     :param down_seconds: time for which it is down after a crash.
@@ -199,7 +200,7 @@
     raw: bytes | None = None
     is_unframed: bool = False
     stale_refusal: bytes | None = None
-    replaced_stream: tuple[int, tuple, bytes] | None = None
+    resumed: tuple[int, tuple, bytes] | None = None
     crash_part: str = ""
     down_seconds: float = 1.2
 
@@ -368,15 +369,15 @@
         channel.close()
 
     async def _stream(self, channel, run, echo):
-        if self.behaviour.replaced_stream is not None:
-            status, headers, body = self.behaviour.replaced_stream
+        last = int(run.fields.get(b"last-event-id", b"0"))
+        if last and self.behaviour.resumed is not None:
+            status, headers, body = self.behaviour.resumed
             await channel.respond(status, [echo, (SEAL, b"s"), *headers], body)
             return
         if self.behaviour.is_unframed:
-            first = int(run.fields.get(b"last-event-id", b"0")) + 1
-            numbers = range(first, self.behaviour.events + 1)
+            numbers = range(last + 1, self.behaviour.events + 1)
             pieces = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers]
-            if self.behaviour.break_after is not None:
+            if not last and self.behaviour.break_after is not None:
                 pieces = [*pieces[: self.behaviour.break_after], b"id: 9\ndata: cu"]
             await self._write_unframed(channel, echo, pieces)
             return
@@ -388,8 +389,7 @@
         if self.behaviour.crash_part in names:
             self.life_scope.cancel()
             await trio.sleep_forever()
-        first = int(run.fields.get(b"last-event-id", b"0")) + 1
-        for number in range(first, self.behaviour.events + 1):
+        for number in range(last + 1, self.behaviour.events + 1):
             await trio.sleep(self.behaviour.pause)
             if number - 1 == self.behaviour.break_after:
                 await channel.send_piece(b"id: %d\ndata: cu" % number)
--- a/wasabistage/platform/tests/test_faulty_answers.py
+++ b/wasabistage/platform/tests/test_faulty_answers.py
@@ -121,17 +121,15 @@
         answers += [(204, (), b""), (200, (text,), b"")]
 
         async def test():
-            first, second = self.platform.engines
-            for answer in answers:
-                first.behaviour = Behaviour(break_after=2)
-                second.behaviour = Behaviour(replaced_stream=answer)
-                for _ in range(4):
-                    before = len(first.runs)
-                    reply = await self.ask(b"/chat/")
-                    if len(first.runs) > before:
-                        self.assertIsNone(reply, answer)
+            for engine in self.platform.engines:
+                engine.behaviour = Behaviour(break_after=2, resumed=answer)
+            self.assertIsNone(await self.ask(b"/chat/"))
+            runs = [len(engine.runs) for engine in self.platform.engines]
+            self.assertEqual(runs, [1, 1])
 
-        self.play(test)
+        for answer in answers:
+            with self.subTest(answer):
+                self.play(test)
 
     def test_stream_without_framing_is_passed_whole(self):
         async def test():
@@ -151,21 +149,18 @@
             for engine in engines:
                 engine.behaviour = Behaviour(is_unframed=True, break_after=1)
             self.assertIsNone(await self.ask(b"/hint/"))
-            engines[1].behaviour = Behaviour()
-            for _ in range(6):
-                reply = await self.ask(b"/chat/")
-                self.assertEqual((reply.status, reply.body), (200, STREAM))
-            self.assertGreater(len(engines[0].runs), 0)
+            reply = await self.ask(b"/chat/")
+            self.assertEqual((reply.status, reply.body), (200, STREAM))
+            self.assertEqual(sum(len(engine.runs) for engine in engines), 3)
 
         self.play(test)
 
     def test_stream_without_framing_or_events_is_broken_off(self):
         async def test():
-            self.platform.engines[0].behaviour = Behaviour(is_unframed=True, events=0)
-            for _ in range(6):
-                reply = await self.ask(b"/chat/")
-                self.assertEqual((reply.status, reply.body), (200, STREAM))
-            self.assertGreater(len(self.platform.engines[0].runs), 0)
+            for engine in self.platform.engines:
+                engine.behaviour = Behaviour(is_unframed=True, events=0)
+            for path in (b"/chat/", b"/hint/"):
+                self.assertIsNone(await self.ask(path))
 
         self.play(test)
 
