Compute the causes of crashes only when they are needed, and check ages in reports

In a storm of crashes each of up to 32 rows of a report had the causes computed anew, 2 ms each at the bound of the suspected parts by estimate, not measured. They are computed once per change that is looked at, from parts with enough crashes alone. Ages that are no times (NaN, infinite, negative) in a foreign report are ignored; the new test passes foreign rows and then real crashes. Crashes outside a quarantine are forgotten after 60 s instead of 120 s, and trials are forgotten as well, so that each table has a bound.

--- a/wasabistage/edge/_crash_watch.py
+++ b/wasabistage/edge/_crash_watch.py
@@ -19,6 +19,7 @@
 from wasabistage.topology import rank_members
 
 NEVER = float("-inf")
+MAX_AGE_SECONDS = 3600.0  # of crashes in reports, far above the longest quarantine
 MAX_EVIDENCE_ROWS = 32  # some 7 KB of a report
 
 
@@ -105,10 +106,9 @@
         server = attempt.choice.record.server
         self.quarantine.observe(ServerHeard(server=server), now)
 
-    def record_end(self, exchange, attempt, error):
+    def record_end(self, attempt, error):
         """Record how an attempt ended.
 
-        :param exchange: the :class:`Exchange`.
         :param attempt: the :class:`Attempt`.
         :param error: the error of its channel, or ``None``.
         """
@@ -129,14 +129,18 @@
         :param rows: list of :class:`EvidenceRow`.
         :param now: monotonic time, in seconds.
         """
-        for row in rows:
+        for row in rows[:MAX_EVIDENCE_ROWS]:
+            answered = row.answered
+            if answered is not None and not answered >= 0.0:
+                answered = None
             evidence = PartEvidence(
                 part=row.part,
                 crashes=tuple(
                     Crash(server=server, at=now - age, prompt=prompt)
                     for server, age, prompt in row.crashes
+                    if 0.0 <= age < MAX_AGE_SECONDS
                 ),
-                answered_at=NEVER if row.answered is None else now - row.answered,
+                answered_at=NEVER if answered is None else now - answered,
             )
             self.quarantine.observe(evidence, now)
         if rows:
@@ -163,8 +167,8 @@
 
     def _handle_changes(self, now):
         """Log new and ended quarantines, and withdraw prompts that wait in servers."""
-        causes = frozenset(cause.parts for cause in self.quarantine.causes_)
-        for cause in self.quarantine.causes_:
+        causes = frozenset(cause.parts for cause in self.quarantine.get_causes())
+        for cause in self.quarantine.get_causes():
             if cause.parts not in self.logged_causes:
                 self.state.log.write(
                     "parts_quarantined",
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -159,26 +159,26 @@
         server = choice.record.server
         state.health.observe(CallStarted(server=server), now)
         self._record_start(exchange, attempt, now)
-        channel_error = None
+        error = None
         try:
             with self._cancel_on_silence(exchange, server) as scope:
                 if choice.plan is not None:
                     state.crash_watch.record_start(exchange, attempt, scope)
                 await self._send_and_forward(exchange, attempt)
-            if attempt.is_withdrawn:
+            if scope.cancelled_caught and attempt.is_withdrawn:
                 raise ChannelError("the prompt was withdrawn from the server")
             if scope.cancelled_caught:
                 raise ChannelError("the server sent no bytes for too long")
-        except NotSentError as error:
-            attempt.failure, attempt.reason = Failure.NOT_SENT, str(error)
-        except ChannelError as error:
-            channel_error = error
-            attempt.failure, attempt.reason = Failure.LOST, str(error)
+        except NotSentError as caught:
+            attempt.failure, attempt.reason = Failure.NOT_SENT, str(caught)
+        except ChannelError as caught:
+            error = caught
+            attempt.failure, attempt.reason = Failure.LOST, str(caught)
             exchange.may_have_run = True
             exchange.splitter.discard_incomplete()
         finally:
             self._record_end(exchange, attempt, now)
-            state.crash_watch.record_end(exchange, attempt, channel_error)
+            state.crash_watch.record_end(attempt, error)
         return attempt
 
     @contextmanager
--- a/wasabistage/edge/tests/test_crash_evidence.py
+++ b/wasabistage/edge/tests/test_crash_evidence.py
@@ -1,5 +1,6 @@
 import unittest
 
+from wasabistage.edge._peer_messages import EvidenceRow
 from wasabistage.edge._peers import MAX_DATAGRAM_BYTES
 from wasabistage.edge.tests.fleet_case import Fleet
 from wasabistage.edge.tests.test_fleet import FLEETS, START_SECONDS
@@ -85,6 +86,18 @@
         fleet.play(MAX_SPREAD_SECONDS)
         self.assertEqual(self.find_open_entries(fleet), [])
 
+    def test_ages_that_are_no_times_harm_nothing(self):
+        fleet = Fleet(7, 4)
+        fleet.play(START_SECONDS)
+        entry = next(iter(fleet.entries.values()))
+        for age in (float("nan"), float("inf"), -5.0):
+            crashes = [(f"s{number}", age, number) for number in range(4)]
+            row = EvidenceRow(part="x", crashes=crashes, answered=age)
+            entry.state.crash_watch.merge([row], fleet.now)
+        self.assertEqual(len(self.find_open_entries(fleet)), 7)
+        self.play_crashes(fleet)
+        self.assertEqual(self.find_open_entries(fleet), [])
+
     def test_many_suspected_parts_fit_into_datagrams(self):
         fleet = Fleet(65, 3)
         fleet.play(START_SECONDS)
--- a/wasabistage/quarantine/_policy.py
+++ b/wasabistage/quarantine/_policy.py
@@ -105,7 +105,7 @@
         ambiguous_hold=2.0,
         trial_seconds=2.0,
         spread_seconds=1.0,
-        forget_seconds=120.0,
+        forget_seconds=60.0,
     ):
         self.begin_seconds = begin_seconds
         self.min_outages = min_outages
@@ -155,6 +155,7 @@
         self.crashed_at_ = {}
         self.heard_at_ = {}
         self.trials_ = {}
+        #: List of :class:`CrashCause`; ``None`` after the evidence has changed.
         self.causes_ = []
         #: Recent prompts that were answered and that were lost at the begin of their
         #: answer, both with exponentially decaying weights.
@@ -244,7 +245,7 @@
         if is_first or len(left) < len(suspect.crashes):
             suspect.crashes = left
             suspect.changed_at = now
-            self._find_causes()
+            self.causes_ = None
 
     def _record_crash(self, parts, crash, now):
         if self._was_heard_after(crash):
@@ -254,7 +255,7 @@
             if self._add_crash(suspect, crash):
                 suspect.changed_at = now
         self.crashed_at_[crash.server] = crash.at
-        self._find_causes()
+        self.causes_ = None
 
     def _get_suspect(self, part):
         if part not in self.suspects_:
@@ -292,7 +293,7 @@
                     for crash in suspect.crashes
                     if crash.server != server or not self._was_heard_after(crash)
                 ]
-            self._find_causes()
+            self.causes_ = None
 
     def _merge(self, evidence, now):
         """Merge what another entry knows of a part into the own evidence."""
@@ -310,25 +311,27 @@
             self.crashed_at_[crash.server] = at
         if added:
             suspect.changed_at = now
-            self._find_causes()
-
-    def _find_causes(self):
-        crashes_by_part = {
-            part: suspect.crashes
-            for part, suspect in self.suspects_.items()
-            if suspect.crashes
-        }
-        needed = self.get_needed_outages()
-        needed_by_part = {
-            part: needed if suspect.answered_at == NEVER else self.max_outages
-            for part, suspect in self.suspects_.items()
-        }
-        self.causes_ = find_crash_causes(
-            crashes_by_part,
-            needed_by_part,
-            outage_seconds=self.outage_seconds,
-            same_crash_seconds=self.same_crash_seconds,
-        )
+            self.causes_ = None
+
+    def get_causes(self):
+        """Return the :class:`CrashCause` of the parts in quarantine, as list."""
+        if self.causes_ is None:
+            suspects = {
+                part: suspect
+                for part, suspect in self.suspects_.items()
+                if len(suspect.crashes) >= self.min_outages
+            }
+            needed = self.get_needed_outages()
+            self.causes_ = find_crash_causes(
+                {part: suspect.crashes for part, suspect in suspects.items()},
+                {
+                    part: needed if suspect.answered_at == NEVER else self.max_outages
+                    for part, suspect in suspects.items()
+                },
+                outage_seconds=self.outage_seconds,
+                same_crash_seconds=self.same_crash_seconds,
+            )
+        return self.causes_
 
     def get_hold_end(self, cause):
         """Return the time at which a quarantine ends, monotonic seconds.
@@ -345,10 +348,11 @@
 
         :param parts: ids of its parts.
         """
-        if not self.causes_:
+        causes = self.get_causes()
+        if not causes:
             return None
         present = frozenset(parts)
-        affecting = [cause for cause in self.causes_ if cause.parts <= present]
+        affecting = [cause for cause in causes if cause.parts <= present]
         return max(affecting, key=self.get_hold_end, default=None)
 
     def decide(self, query, now):
@@ -375,12 +379,12 @@
         )
 
     def find_withheld_attempts(self, now):
-        """Return the ids of attempts that quarantined parts will harm servers by.
+        """Return the ids of attempts with quarantined parts that wait in servers.
 
         :param now: monotonic time, in seconds.
         :return: list of those whose answer has not begun.
         """
-        if not self.causes_:
+        if not self.get_causes():
             return []
         return [
             name
@@ -421,7 +425,7 @@
         """
         kept = {
             part
-            for cause in self.causes_
+            for cause in self.get_causes()
             if now < self.get_hold_end(cause) + self.forget_seconds
             for part in cause.parts
         }
@@ -438,7 +442,10 @@
             if not suspect.crashes and now - suspect.changed_at > self.spread_seconds:
                 del self.suspects_[part]
         if has_forgotten:
-            self._find_causes()
+            self.causes_ = None
+        for parts, (_, started_at) in list(self.trials_.items()):
+            if now - started_at > self.forget_seconds:
+                del self.trials_[parts]
         for times in (self.crashed_at_, self.heard_at_):
             for server, at in list(times.items()):
                 if now - at > self.start_seconds + self.same_crash_seconds:
--- a/wasabistage/quarantine/tests/test_policy.py
+++ b/wasabistage/quarantine/tests/test_policy.py
@@ -229,11 +229,14 @@
         self.end(begun, AnswerEnd.CLOSED)
 
     def test_evidence_is_forgotten_some_time_after_the_hold(self):
+        event = TrialStarted(request="first", parts=("x",))
+        self.quarantine.observe(event, self.now)
         later = self.quarantine.hold + self.quarantine.forget_seconds + 1.0
         self.now += later
         self.quarantine.tick(self.now)
         self.assertIsInstance(self.ask(["x"]), Admitted)
         self.assertFalse(self.quarantine.suspects_)
+        self.assertFalse(self.quarantine.trials_)
 
 
 class SharingTest(QuarantineCase):
