Allow a request its whole time in the test of endless responses

Its log has request_timed_out for three of 40 requests: their time of 3 s was over while the responses were still below their bounds. That status is right then, and promises nothing. It is accepted only of a request that has lasted its time; the bound of memory, which the test is about, is as before.

--- a/wasabistage/platform/tests/test_endless.py
+++ b/wasabistage/platform/tests/test_endless.py
@@ -14,6 +14,7 @@
 )
 CHUNKED = SEALED + b"Transfer-Encoding: chunked\r\n\r\n"
 CALLERS = 40
+PATIENCE_SECONDS = 2.9  # callers wait for 3 s, as they say when they send the request
 #: Memory by which a process may grow under endless responses to all callers at a time:
 #: the budget of held bodies, each of which is copied once, and for each channel four
 #: buffers of a read (socket, receive buffer of the parser, event, piece).
@@ -68,8 +69,14 @@
 
             async def call(number):
                 request_id = (b"Wasabistage-Request-Id", b"id-%d" % number)
+                begun_at = trio.current_time()
                 reply = await self.call(b"/buy/x", request_id, method=b"POST")
-                self.assertIn(reply.status, (502, 503))
+                if reply.status == 504:
+                    # On a busy machine, its time may be over before a bound is reached.
+                    elapsed = trio.current_time() - begun_at
+                    self.assertGreaterEqual(elapsed, PATIENCE_SECONDS)
+                else:
+                    self.assertIn(reply.status, (502, 503))
 
             async def sample():
                 nonlocal highest
