Remember that a crash was refuted for as long as others may tell of it

Found by reading: an entry that had heard from a server after its supposed crash forgot so after 1.5 s, and then took the crash from the report of a relay that had not heard it. Such a crash counts against sound parts for a minute.

The test failed before: a part with one refuted crash, told again after 30 s, was in quarantine after one more. Change: the time at which a server was heard is kept for as long as evidence is remembered.

--- a/wasabistage/quarantine/_policy.py
+++ b/wasabistage/quarantine/_policy.py
@@ -459,8 +459,9 @@
         for parts, (_, started_at) in list(self.trials_.items()):
             if now - started_at > self.forget_seconds:
                 del self.trials_[parts]
+        # Other entries may tell of a refuted crash for as long as they remember it.
         for times in (self.crashed_at_, self.heard_at_):
             for server, at in list(times.items()):
-                if now - at > self.start_seconds + self.same_crash_seconds:
+                if now - at > self.start_seconds + self.forget_seconds:
                     del times[server]
         return []
--- a/wasabistage/quarantine/tests/test_policy.py
+++ b/wasabistage/quarantine/tests/test_policy.py
@@ -169,6 +169,18 @@
             self.quarantine.observe(ServerHeard(server=f"s{number}"), self.now)
         self.assertTrue(self.ask(["a", "b"]))
 
+    def test_refuted_crash_is_not_believed_when_another_entry_tells_it_later(self):
+        other = CrashQuarantine().reset()
+        self.crash(["a"], "s1")
+        self.share(self.quarantine, other)
+        self.now += 0.3
+        self.quarantine.observe(ServerHeard(server="s1"), self.now)
+        self.now += 30.0
+        self.quarantine.tick(self.now)
+        self.share(other, self.quarantine)
+        self.crash(["a"], "s2")
+        self.assertTrue(self.ask(["a"]))
+
     def test_timeouts_and_errors_are_no_crashes(self):
         for number in range(5):
             attempt = self.begin(["a"], f"s{number}")
