Give one task to each function of the crash watch, the pool and the forwarder

No change of behaviour but for two points: trials are left to entries that are ready, and withheld prompts are counted (prompt.withheld). Evidence is encoded and decoded by functions of their own, the pool looks for a channel in one loop, and a test names the platform's bound in words. The test of endless responses takes 504 only after the whole 3 s that its callers wait.

--- a/wasabistage/edge/_crash_watch.py
+++ b/wasabistage/edge/_crash_watch.py
@@ -19,7 +19,7 @@
 from wasabistage.topology import rank_members
 
 NEVER = float("-inf")
-MAX_AGE_SECONDS = 3600.0  # of crashes in reports, far above the longest quarantine
+MAX_AGE_SECONDS = 3600.0  # of crashes in reports
 MAX_EVIDENCE_ROWS = 32  # some 7 KB of a report
 
 
@@ -31,14 +31,11 @@
 
     def __init__(self, state):
         self.state = state
+        self.quarantine = state.quarantine
         #: Each open :class:`Attempt` with a prompt and its cancel scope, by its id.
         self.open_attempts = {}
-        self.logged_causes = frozenset()
-
-    @property
-    def quarantine(self):
-        """The :class:`wasabistage.quarantine.CrashQuarantine` of this process."""
-        return self.state.quarantine
+        #: The parts of each quarantine that the log has named last.
+        self.logged_parts = frozenset()
 
     def check(self, request):
         """Return a falsy sentinel if a prompt must not be sent to a server.
@@ -46,25 +43,32 @@
         :param request: a :class:`CallerRequest`.
         :return: a decision, or ``PARTS_QUARANTINED`` with the reason.
         """
-        now = self.state.timer.now()
         query = QuarantineQuery(
             request=request.request_id, parts=get_shared_parts(request)
         )
-        decision = self.quarantine.decide(query, now)
-        if not isinstance(decision, TrialDue):
-            return decision
-        members = self.state.view.get_members().values()
-        role = f"trial/{decision.turn}/{','.join(decision.parts)}"
-        if rank_members(members, role)[0].name != self.state.settings.instance.name:
+        decision = self.quarantine.decide(query, self.state.timer.now())
+        if isinstance(decision, TrialDue):
+            decision = self._decide_trial(request, decision)
+        if not decision:
+            self.state.metrics.count("prompt.withheld")
+        return decision
+
+    def _decide_trial(self, request, trial):
+        """Start a trial if it is this entry's turn; otherwise return a sentinel."""
+        ready = [
+            item for item in self.state.view.get_members().values() if item.is_ready
+        ]
+        ranking = rank_members(ready, f"trial/{trial.turn}/{','.join(trial.parts)}")
+        if not ranking or ranking[0].name != self.state.settings.instance.name:
             return PARTS_QUARANTINED.with_reason(
-                f"another entry tries a prompt with {', '.join(decision.parts)}"
+                f"another entry tries a prompt with {', '.join(trial.parts)}"
             )
         self.state.log.write(
-            "trial_started", request=request.request_id, parts=decision.parts
+            "trial_started", request=request.request_id, parts=trial.parts
         )
-        event = TrialStarted(request=request.request_id, parts=decision.parts)
-        self.quarantine.observe(event, now)
-        return decision
+        event = TrialStarted(request=request.request_id, parts=trial.parts)
+        self.quarantine.observe(event, self.state.timer.now())
+        return trial
 
     def get_retry_seconds(self, request):
         """Return the seconds until a rejected prompt may be tried.
@@ -130,19 +134,7 @@
         :param now: monotonic time, in seconds.
         """
         for row in rows[:MAX_EVIDENCE_ROWS]:
-            answered = row.answered
-            if answered is not None and not answered >= 0.0:
-                answered = None
-            evidence = PartEvidence(
-                part=row.part,
-                crashes=tuple(
-                    Crash(server=server, at=now - age, prompt=prompt)
-                    for server, age, prompt in row.crashes
-                    if 0.0 <= age < MAX_AGE_SECONDS
-                ),
-                answered_at=NEVER if answered is None else now - answered,
-            )
-            self.quarantine.observe(evidence, now)
+            self.quarantine.observe(decode_evidence(row, now), now)
         if rows:
             self._handle_changes(now)
 
@@ -153,36 +145,29 @@
         """
         now = self.state.timer.now()
         evidence = self.quarantine.get_evidence(now, is_full=is_relay)
-        return [
-            EvidenceRow(
-                part=item.part,
-                crashes=[
-                    (crash.server, now - crash.at, crash.prompt)
-                    for crash in item.crashes
-                ],
-                answered=None if item.answered_at == NEVER else now - item.answered_at,
-            )
-            for item in evidence[:MAX_EVIDENCE_ROWS]
-        ]
+        return [encode_evidence(item, now) for item in evidence[:MAX_EVIDENCE_ROWS]]
 
     def _handle_changes(self, now):
-        """Log new and ended quarantines, and withdraw prompts that wait in servers."""
-        causes = frozenset(cause.parts for cause in self.quarantine.get_causes())
-        for cause in self.quarantine.get_causes():
-            if cause.parts not in self.logged_causes:
+        self._log_causes(now)
+        for name in self.quarantine.find_withheld_attempts(now):
+            attempt, scope = self.open_attempts[name]
+            attempt.is_withdrawn = True
+            scope.cancel()
+
+    def _log_causes(self, now):
+        """Log the quarantines that have begun or ended since the last call."""
+        causes = {cause.parts: cause for cause in self.quarantine.get_causes()}
+        for parts, cause in causes.items():
+            if parts not in self.logged_parts:
                 self.state.log.write(
                     "parts_quarantined",
-                    parts=sorted(cause.parts),
+                    parts=sorted(parts),
                     outages=cause.outages,
                     hold=round(self.quarantine.get_hold_end(cause) - now, 3),
                 )
-        for parts in self.logged_causes - causes:
+        for parts in self.logged_parts - set(causes):
             self.state.log.write("parts_released", parts=sorted(parts))
-        self.logged_causes = causes
-        for name in self.quarantine.find_withheld_attempts(now):
-            attempt, scope = self.open_attempts[name]
-            attempt.is_withdrawn = True
-            scope.cancel()
+        self.logged_parts = frozenset(causes)
 
     async def tick(self, tick):
         """Forget old evidence; called by the timer service.
@@ -194,6 +179,42 @@
         self._handle_changes(now)
 
 
+def encode_evidence(evidence, now):
+    """Return the :class:`EvidenceRow` of a part.
+
+    :param evidence: a :class:`wasabistage.quarantine.PartEvidence`.
+    :param now: monotonic time, in seconds.
+    """
+    answered_at = evidence.answered_at
+    return EvidenceRow(
+        part=evidence.part,
+        crashes=[
+            (crash.server, now - crash.at, crash.prompt) for crash in evidence.crashes
+        ],
+        answered=None if answered_at == NEVER else now - answered_at,
+    )
+
+
+def decode_evidence(row, now):
+    """Return the :class:`wasabistage.quarantine.PartEvidence` of a row.
+
+    Ages that can't be right are left out.
+
+    :param row: an :class:`EvidenceRow`.
+    :param now: monotonic time, in seconds.
+    """
+    is_answered = row.answered is not None and row.answered >= 0.0
+    return PartEvidence(
+        part=row.part,
+        crashes=tuple(
+            Crash(server=server, at=now - age, prompt=prompt)
+            for server, age, prompt in row.crashes
+            if 0.0 <= age < MAX_AGE_SECONDS
+        ),
+        answered_at=now - row.answered if is_answered else NEVER,
+    )
+
+
 def get_shared_parts(request):
     """Return the ids of a prompt's parts that other prompts may share.
 
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -376,12 +376,15 @@
         with self.body_budget.hold() as hold:
             body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
             if metadata.promises_not_run:
-                # The server doesn't state that it has not run the request.
-                attempt.failure = Failure.ERROR
-                attempt.reason = f"the request may have run, status {head.status}"
+                self._record_false_promise(attempt, head)
                 return head.fields
             return await self._forward_body(exchange, attempt, head, body)
 
+    def _record_false_promise(self, attempt, head):
+        """Record a response whose status says more than the server states."""
+        attempt.failure = Failure.ERROR
+        attempt.reason = f"the request may have run, status {head.status}"
+
     async def _forward_body(self, exchange, attempt, head, body):
         """Forward a whole response, unless the request may be repeated elsewhere."""
         if head.status >= 500:
--- a/wasabistage/edge/tests/test_crash_evidence.py
+++ b/wasabistage/edge/tests/test_crash_evidence.py
@@ -14,8 +14,8 @@
     QuarantineQuery,
 )
 
-#: Within this time after the last crash each entry must withhold prompts with the part:
-#: the shortest ``settleWindowMs``.
+#: Time after the last crash within which every entry must withhold prompts with the
+#: part; the users' platform allows 3 to 5 s.
 MAX_SPREAD_SECONDS = 3.0
 
 
--- a/wasabistage/http1/_pool.py
+++ b/wasabistage/http1/_pool.py
@@ -47,18 +47,13 @@
         :return: a :class:`wasabistage.http1.Channel`.
         :raises NotSentError: if none can be opened.
         """
-        passed_over = []
-        try:
-            while self.idle:
-                channel = self.idle.pop()
-                if request_id and request_id in channel.refused_ids:
-                    passed_over.append(channel)
-                elif now < channel.idle_until and channel.is_quiet():
-                    return channel
-                else:
-                    channel.close()
-        finally:
-            self.idle += reversed(passed_over)
+        for channel in reversed(list(self.idle)):
+            if request_id in channel.refused_ids:
+                continue
+            self.idle.remove(channel)
+            if now < channel.idle_until and channel.is_quiet():
+                return channel
+            channel.close()
         self.opened += 1
         return await open_channel(self.address, self.connect_timeout)
 
@@ -69,11 +64,10 @@
         :param fields: headers of its last response, dict of bytes.
         :param now: monotonic time, in seconds.
         """
-        is_full = len(self.idle) >= MAX_IDLE
-        if is_full or len(channel.refused_ids) >= MAX_REFUSED_IDS:
-            channel.close()
-            return
-        if not channel.start_next():
+        has_room = (
+            len(self.idle) < MAX_IDLE and len(channel.refused_ids) < MAX_REFUSED_IDS
+        )
+        if not channel.start_next() or not has_room:
             channel.close()
             return
         stated = stated_idle_time(fields)
--- a/wasabistage/platform/tests/test_endless.py
+++ b/wasabistage/platform/tests/test_endless.py
@@ -14,7 +14,7 @@
 )
 CHUNKED = SEALED + b"Transfer-Encoding: chunked\r\n\r\n"
 CALLERS = 40
-PATIENCE_SECONDS = 2.9  # callers wait for 3 s, as they say when they send the request
+PATIENCE_SECONDS = 3.0  # for which the callers wait, as HEADERS say
 #: Memory by which a process may grow under endless responses to all callers at a time:
 #: the budget of held bodies, each of which is copied once, and for each channel four
 #: buffers of a read (socket, receive buffer of the parser, event, piece).
