Don't tell callers of the reference path that a failed prompt has not run

Same cause as a status that promises 'not run' on the users' platform: an engine's error status, 500 as well, was reported to the caller as ran: no, and counted as an attempt that was not sent, so that a prompt that must not be repeated went to a second engine. An earlier refusal that comes once more would have done the same.

The test failed before for 408, 429, 500 and 503. Change: the outcome is unknown, since the engines' protocol has no statement that a prompt was not run; prompts that may be repeated go to another engine as before. Ruled out: comparing ids, since engines don't name the request in an error.

--- a/wasabistage/reference/_engine.py
+++ b/wasabistage/reference/_engine.py
@@ -323,6 +323,8 @@
         raise UnavailableError(
             f"the model engine answered {status}",
             remedy="another backend server is tried",
+            # The protocol of engines has no statement that a prompt was not run.
+            ran=Ran.UNKNOWN,
         )
 
 
