Declare the counter of withheld prompts

Only the reference page and the statsd metrics of the reference path read METRICS; the entries on the platform counted it all the same, so that callers saw nothing. The test failed before and passes now; no behaviour changes.

--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -35,6 +35,7 @@
     "channel.ended": ("counter", "callers' channels that broke off (edge)"),
     "prompt.fetched": ("counter", "prompt tokens fetched from a store (edge)"),
     "prompt.kept": ("counter", "prompt tokens that an engine had kept (edge)"),
+    "prompt.withheld": ("counter", "prompts withheld for a part that crashes engines"),
     "request.abandoned": ("counter", "requests whose caller left (edge)"),
     "request.late": ("counter", "requests ended at their deadline (edge)"),
     "servers.unreadable": ("counter", "server records that can't be read (edge)"),
