Suspect prompts with events only if a crash has no others

Cause: a sound prompt whose answer had begun less than 0.5 s before was suspected like the one that crashed the engine, though events of it had arrived. Entries that had just started knew no earlier answers, so that the parts of the session explained more prompts of the same crashes than the harmful part did, and nothing could clear them.

Evidence: the log has, at each crash, the harmful prompt with a head and no event, and the session's other prompts with 1 to 11 events.

Ruled out: evidence that gets lost (all entries had it within 20 ms); a longer list of crashes.

Change: prompts whose answers had events are left out of outages in which others had none; parts that were lost after an event need the largest number of outages, since an entry hears of the others' prompts a moment later. In return a prompt without any event is suspected however old its head is, and only such losses raise the number needed.

test_prompts_whose_events_came_beside_the_cause_stay_in_use and test_part_that_crashes_servers_long_after_the_head_is_found fail without the change.

--- a/wasabistage/edge/_crash_watch.py
+++ b/wasabistage/edge/_crash_watch.py
@@ -101,11 +101,15 @@
             event = AnswerBegun(attempt=attempt.attempt_id)
             self.quarantine.observe(event, self.state.timer.now())
 
-    def record_bytes(self, attempt):
-        """Record that bytes of an answer arrived."""
+    def record_bytes(self, attempt, *, has_events):
+        """Record that bytes of an answer arrived.
+
+        :param attempt: the :class:`Attempt`.
+        :param has_events: whether a whole event arrived with them.
+        """
         now = self.state.timer.now()
         if attempt.attempt_id in self.open_attempts:
-            event = AnswerContinued(attempt=attempt.attempt_id)
+            event = AnswerContinued(attempt=attempt.attempt_id, has_events=has_events)
             self.quarantine.observe(event, now)
         server = attempt.choice.record.server
         self.quarantine.observe(ServerHeard(server=server), now)
@@ -189,7 +193,8 @@
     return EvidenceRow(
         part=evidence.part,
         crashes=[
-            (crash.server, now - crash.at, crash.prompt) for crash in evidence.crashes
+            (crash.server, now - crash.at, crash.prompt, crash.has_events)
+            for crash in evidence.crashes
         ],
         answered=None if answered_at == NEVER else now - answered_at,
     )
@@ -207,8 +212,8 @@
     return PartEvidence(
         part=row.part,
         crashes=tuple(
-            Crash(server=server, at=now - age, prompt=prompt)
-            for server, age, prompt in row.crashes
+            Crash(server=server, at=now - age, prompt=prompt, has_events=has_events)
+            for server, age, prompt, has_events in row.crashes
             if 0.0 <= age < MAX_AGE_SECONDS
         ),
         answered_at=now - row.answered if is_answered else NEVER,
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -455,6 +455,7 @@
                 if is_first:
                     self._record_first_event(exchange, attempt)
                     is_first = False
+                self.state.crash_watch.record_bytes(attempt, has_events=bool(events))
                 if events:
                     await caller.send_piece(events)
         except EventTooLongError as error:
@@ -485,7 +486,6 @@
         )
         self.state.silence.observe(event, now)
         self.state.loads.record_bytes(server, now)
-        self.state.crash_watch.record_bytes(attempt)
 
     def _record_first_event(self, exchange, attempt):
         state, now = self.state, self.state.timer.now()
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -35,13 +35,14 @@
     See :class:`wasabistage.quarantine.PartEvidence`.
 
     :param part: id of the part.
-    :param crashes: rows of server, seconds since its crash, number of the prompt.
+    :param crashes: rows of server, seconds since its crash, number of the prompt,
+        whether a whole event of its answer had arrived.
     :param answered: seconds since a prompt with the part was answered; ``None`` if
         none is known.
     """
 
     part: str
-    crashes: list[tuple[str, float, int]]
+    crashes: list[tuple[str, float, int, bool]]
     answered: float | None = None
 
 
--- a/wasabistage/edge/tests/test_crash_evidence.py
+++ b/wasabistage/edge/tests/test_crash_evidence.py
@@ -91,7 +91,7 @@
         fleet.play(START_SECONDS)
         entry = next(iter(fleet.entries.values()))
         for age in (float("nan"), float("inf"), -5.0):
-            crashes = [(f"s{number}", age, number) for number in range(4)]
+            crashes = [(f"s{number}", age, number, False) for number in range(4)]
             row = EvidenceRow(part="x", crashes=crashes, answered=age)
             entry.state.crash_watch.merge([row], fleet.now)
         self.assertEqual(len(self.find_open_entries(fleet)), 7)
--- a/wasabistage/quarantine/_attribution.py
+++ b/wasabistage/quarantine/_attribution.py
@@ -29,7 +29,8 @@
     crashes may only accompany the cause of them. The part that explains most crashes is
     taken first, and the others are judged by the crashes that are left. Parts of the
     same prompts can't be told apart, and are one cause together. Parts of different
-    prompts that explain the same crashes are a cause each.
+    prompts that explain the same crashes are a cause each. Prompts whose answers had
+    events are left out of outages in which others had none yet.
 
     :param crashes_by_part: dict of part to an iterable of :class:`Crash`.
     :param needed_by_part: dict of part to the number of outages from which on it is a
@@ -42,6 +43,15 @@
     """
     crashes = {crash for row in crashes_by_part.values() for crash in row}
     numbers = number_outages(crashes, outage_seconds, same_crash_seconds)
+    without_events = {numbers[crash] for crash in crashes if not crash.has_events}
+    crashes_by_part = {
+        part: [
+            crash
+            for crash in row
+            if not crash.has_events or numbers[crash] not in without_events
+        ]
+        for part, row in crashes_by_part.items()
+    }
     outages_by_part = {
         part: frozenset(numbers[crash] for crash in row)
         for part, row in crashes_by_part.items()
--- a/wasabistage/quarantine/_messages.py
+++ b/wasabistage/quarantine/_messages.py
@@ -51,9 +51,11 @@
     """Bytes of the answer to an attempt arrived.
 
     :param attempt: id of the attempt.
+    :param has_events: whether a whole event arrived with them.
     """
 
     attempt: str
+    has_events: bool
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -85,11 +87,13 @@
     :param server: id of the server.
     :param at: monotonic time, in seconds.
     :param prompt: number that the parts of the same prompt have in common.
+    :param has_events: whether a whole event of the answer had arrived.
     """
 
     server: str
     at: float
     prompt: int
+    has_events: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/quarantine/_policy.py
+++ b/wasabistage/quarantine/_policy.py
@@ -35,6 +35,7 @@
     server: str
     parts: tuple
     begun_at: float | None = None
+    has_events: bool = False
     is_credited: bool = False
 
 
@@ -49,20 +50,22 @@
     """Quarantine of the parts of prompts under which servers crash.
 
     A prompt is suspected if its server closes the connection when the answer has just
-    begun; others on that server were computed or answered without harm before. A part
-    is sound as of the moment at which a prompt with it is answered. Parts that are
+    begun; others on that server were computed or answered without harm before. One of
+    which a whole event has arrived is suspected only if no other one is. A part is
+    sound as of the moment at which a prompt with it is answered. Parts that are
     left with enough outages, by all entries' evidence, are in quarantine: for ``hold``
     after the last crash, twice as long with each further outage. Then one prompt is
     tried. Parts of different prompts that explain the same crashes are told apart by
     trials after ``ambiguous_hold``.
 
-    If a share ``p`` of all prompts is lost in this way, a sound part is lost ``k``
-    times in a row with a probability of ``p ** k``. The number of outages that is
-    enough makes this less than ``false_share``; for a part that was answered before, it
-    is ``max_outages``.
+    If a share ``p`` of all prompts is lost before the first event, a sound part is lost
+    ``k`` times in a row with a probability of ``p ** k``. The number of outages that is
+    enough makes this less than ``false_share``. It is ``max_outages`` for a part that
+    was answered before, or lost after an event: an entry may not know yet that another
+    prompt was lost before its first event.
 
     :param begin_seconds: time from the head of an answer after which its prompt has
-        done no harm, in seconds.
+        done no harm if events have arrived, in seconds.
     :param min_outages: least number of outages before a quarantine, 2 or more.
     :param max_outages: number of outages that is always enough.
     :param false_share: see above, between 0 and 1.
@@ -158,8 +161,8 @@
         self.causes_ = []
         #: Parts that were in quarantine when the causes were last computed.
         self.quarantined_ = set()
-        #: Recent prompts that were answered and that were lost at the begin of their
-        #: answer, both with exponentially decaying weights.
+        #: Recent prompts that were answered and that were lost before the first event
+        #: of their answer, both with exponentially decaying weights.
         self.answered_weight_ = 0.0
         self.lost_weight_ = 0.0
         self.weighed_at_ = 0.0
@@ -173,7 +176,7 @@
         :param now: monotonic time, in seconds.
         """
         if isinstance(event, AnswerContinued):
-            self._continue_answer(event.attempt, now)
+            self._continue_answer(event, now)
         elif isinstance(event, ServerHeard):
             self._hear(event.server, now)
         elif isinstance(event, AttemptSent):
@@ -188,11 +191,12 @@
         elif isinstance(event, TrialStarted):
             self.trials_[event.parts] = (event.request, now)
 
-    def _continue_answer(self, name, now):
-        attempt = self.attempts_[name]
+    def _continue_answer(self, event, now):
+        attempt = self.attempts_[event.attempt]
         if attempt.is_credited or attempt.begun_at is None:
             return
-        if now - attempt.begun_at >= self.begin_seconds:
+        attempt.has_events = attempt.has_events or event.has_events
+        if attempt.has_events and now - attempt.begun_at >= self.begin_seconds:
             attempt.is_credited = True
             self._record_answered(attempt.parts, now)
 
@@ -218,12 +222,18 @@
         if event.end is AnswerEnd.WHOLE:
             self._record_answered(attempt.parts, now)
         elif event.end is AnswerEnd.CLOSED and attempt.begun_at is not None:
-            if now - attempt.begun_at < self.begin_seconds:
+            if attempt.has_events and now - attempt.begun_at >= self.begin_seconds:
+                return
+            if not attempt.has_events:
                 self._decay_weights(now)
                 self.lost_weight_ += 1.0
-                prompt = zlib.crc32(event.attempt.encode())
-                crash = Crash(server=attempt.server, at=now, prompt=prompt)
-                self._record_crash(attempt.parts, crash, now)
+            crash = Crash(
+                server=attempt.server,
+                at=now,
+                prompt=zlib.crc32(event.attempt.encode()),
+                has_events=attempt.has_events,
+            )
+            self._record_crash(attempt.parts, crash, now)
 
     def _record_answered(self, parts, now):
         self._decay_weights(now)
@@ -345,7 +355,9 @@
         if part in self.quarantined_:
             # Later crashes under other prompts don't refute the earlier evidence.
             return self.min_outages
-        if self.suspects_[part].answered_at == NEVER:
+        suspect = self.suspects_[part]
+        had_events = any(crash.has_events for crash in suspect.crashes)
+        if suspect.answered_at == NEVER and not had_events:
             return self.get_needed_outages()
         return self.max_outages
 
--- a/wasabistage/quarantine/tests/test_policy.py
+++ b/wasabistage/quarantine/tests/test_policy.py
@@ -46,6 +46,11 @@
         event = AttemptEnded(attempt=attempt, end=end)
         (quarantine or self.quarantine).observe(event, self.now)
 
+    def go_on(self, attempt, *, has_events=True):
+        """Have bytes of an answer arrive."""
+        event = AnswerContinued(attempt=attempt, has_events=has_events)
+        self.quarantine.observe(event, self.now)
+
     def crash(self, parts, server="s", quarantine=None):
         """Have a server close the connection when its answer has just begun."""
         attempt = self.begin(parts, server, quarantine)
@@ -121,6 +126,51 @@
         self.now += self.quarantine.ambiguous_hold
         self.assertFalse(self.ask(["x"]))
 
+    # Guards against a sound session that is withheld, since its answers had begun on
+    # servers that crashed under other prompts of it, and no earlier answer is known.
+    def test_prompts_whose_events_came_beside_the_cause_stay_in_use(self):
+        """Pattern: the entries have just started; the prompts share a session."""
+        for server in ("s1", "s2"):
+            sound = self.begin(["system", "session"], server)
+            self.go_on(sound)
+            harmful = self.begin(["system", "session", "x"], server)
+            self.now += 0.1
+            for attempt in (harmful, sound):
+                self.end(attempt, AnswerEnd.CLOSED)
+            self.now += 1.0
+        self.assertIsInstance(self.ask(["system", "session"]), Admitted)
+        self.assertFalse(self.ask(["system", "session", "x"]))
+
+    def test_part_that_crashes_servers_after_the_first_event_is_found(self):
+        for number in range(self.quarantine.max_outages):
+            attempt = self.begin(["a", "x"], f"s{number}")
+            self.go_on(attempt)
+            self.now += 0.1
+            self.end(attempt, AnswerEnd.CLOSED)
+            self.now += 1.0
+        self.assertFalse(self.ask(["a", "x"]))
+
+    # Guards against sound prompts that are withheld for a moment after a crash, until
+    # the entry hears of the harmful prompt that another one has sent.
+    def test_prompts_with_events_are_not_withheld_before_others_tell_of_the_cause(self):
+        for server in ("s1", "s2"):
+            attempt = self.begin(["system", "session"], server)
+            self.go_on(attempt)
+            self.now += 0.1
+            self.end(attempt, AnswerEnd.CLOSED)
+            self.now += 1.0
+        self.assertIsInstance(self.ask(["system", "session"]), Admitted)
+
+    # Guards against a cause that isn't found at servers that send the head of an answer
+    # long before its first event.
+    def test_part_that_crashes_servers_long_after_the_head_is_found(self):
+        for server in ("s1", "s2"):
+            attempt = self.begin(["x"], server)
+            self.now += 1.5
+            self.go_on(attempt, has_events=False)
+            self.end(attempt, AnswerEnd.CLOSED)
+        self.assertFalse(self.ask(["x"]))
+
     def test_part_that_turns_harmful_is_found(self):
         """Pattern: new weights crash under a part that was answered before."""
         self.answer(["x"])
@@ -141,7 +191,7 @@
         self.crash(["a"], "s1")
         attempt = self.begin(["a"], "s2")
         self.now += 0.6
-        self.quarantine.observe(AnswerContinued(attempt=attempt), self.now)
+        self.go_on(attempt)
         self.crash(["a"], "s3")
         self.assertTrue(self.ask(["a"]))
 
@@ -157,7 +207,7 @@
         for number in range(5):
             attempt = self.begin(["a"], f"s{number}")
             self.now += 0.7
-            self.quarantine.observe(AnswerContinued(attempt=attempt), self.now)
+            self.go_on(attempt)
             self.end(attempt, AnswerEnd.CLOSED)
         self.assertEqual(self.quarantine.get_evidence(self.now, is_full=True), [])
 
