Count whole answers without a stream as answers of their prompts' parts

Callers could see: after two crashes of engines at random, prompts of a route that isn't a stream withheld for 30 s, since none of their parts ever counts as answered.

Cause: only a stream that was forwarded to its end counted as a whole answer.

Change: a whole body with a success status counts as well.

test_whole_answer_without_a_stream_clears_the_parts_of_its_prompt fails without it.

--- a/wasabistage/edge/_crash_watch.py
+++ b/wasabistage/edge/_crash_watch.py
@@ -125,7 +125,7 @@
         end = AnswerEnd.OTHER
         if isinstance(error, ChannelClosedError):
             end = AnswerEnd.CLOSED
-        elif attempt.is_stream_whole and attempt.first_event_seconds is not None:
+        elif attempt.is_answer_whole:
             end = AnswerEnd.WHOLE
         now = self.state.timer.now()
         self.quarantine.observe(AttemptEnded(attempt=attempt.attempt_id, end=end), now)
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -22,7 +22,8 @@
         ``None``.
     :param head_seconds: time to the head of the response, or ``None``.
     :param first_event_seconds: time to the first stream event, or ``None``.
-    :param is_stream_whole: whether a stream has been forwarded to its end.
+    :param is_answer_whole: whether an answer with a success status and content has been
+        forwarded to its end.
     :param is_withdrawn: whether it was cancelled since its prompt would have crashed
         the server.
     :param is_version_mismatch: whether the server runs another weight version than
@@ -39,7 +40,7 @@
     retry_after: float | None = None
     head_seconds: float | None = None
     first_event_seconds: float | None = None
-    is_stream_whole: bool = False
+    is_answer_whole: bool = False
     is_withdrawn: bool = False
     is_version_mismatch: bool = False
     is_server_replaced: bool = False
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -398,6 +398,7 @@
             )
         headers = self.state.platform.encode_response_headers(head)
         await exchange.channel.respond(head.status, headers, body, head.reason)
+        attempt.is_answer_whole = 200 <= head.status < 300 and bool(body)
         self._record_answered(exchange, attempt)
         return head.fields
 
@@ -474,7 +475,7 @@
         if remainder := splitter.flush():
             await caller.send_piece(remainder)
         await caller.finish()
-        attempt.is_stream_whole = True
+        attempt.is_answer_whole = not is_first
         self._record_answered(exchange, attempt)
         return head.fields
 
--- a/wasabistage/platform/tests/test_crashing_part.py
+++ b/wasabistage/platform/tests/test_crashing_part.py
@@ -57,6 +57,23 @@
 
         self.play(test)
 
+    # Guards against prompts of routes without streams that are suspected like those
+    # that were never answered, since their answers don't count.
+    def test_whole_answer_without_a_stream_clears_the_parts_of_its_prompt(self):
+        async def test():
+            route = {"host": "h.example", "timeoutMs": 3000, "goalMs": 500}
+            route |= {"name": "ask", "pathPrefix": "/ask/", "kind": "idempotent"}
+            route |= {"service": "llm", "attempts": 2, "priority": 1, "sticky": True}
+            self.platform.publish(2, routes=[route])
+            await self.until(lambda: self.edge.state.routes.configuration.version == 2)
+            self.assertEqual(await self.ask(b"/ask/", SHARED), 200)
+            quarantine = self.edge.state.quarantine
+            with trio.move_on_after(1.0):
+                await self.until(lambda: "aa" in quarantine.answered_at_)
+            self.assertIn("aa", quarantine.answered_at_)
+
+        self.play(test)
+
 
 if __name__ == "__main__":
     unittest.main()
