Take an answer of a plain service for its own request only

Seen by callers of the reference path: if a plain service writes an answer twice, the next call on that channel gets it, also a call of another client account. An answer without end is kept in memory until the call's deadline.

Cause: calls of plain services went through a pooled HTTP client that doesn't look whether bytes are left over behind an answer, compares no request ids, and has no bound for a body. The platform's path has had its own channels since such services were met there; the reference path had not been changed with it.

Evidence: test_plain_service.py on the code before: '/b' is answered with '/a', both when the answer is written twice in one piece and when it is repeated after the next call has come; 256 MiB of a body without end are read. An answer that breaks off in its head or body was no answer before either (passes before and after).

Change: plain services are called over wasabistage.http1 channels. One with bytes left over isn't used again, an answer that names another request id makes the outcome unknown, and a body has at most 16 MiB. Answers of engines are not affected: each of their events names its stream, which is checked.

Ruled out: requiring an id in each answer, since the services of operators need not send one.

--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -3,26 +3,25 @@
 from dataclasses import dataclass, field
 from urllib.parse import quote
 
-import httpx
 import trio
 
 from wasabistage.admission import RequestArrived
 from wasabistage.base import Ran
 from wasabistage.entry._attempts import run_attempts
 from wasabistage.entry._routing_messages import AttemptEnded, ChooseServer
+from wasabistage.entry._services import REQUEST_ID_HEADER, ServiceClients
 from wasabistage.exceptions import (
     DeadlineError,
     OutcomeUnknownError,
     UnavailableError,
     WasabistageError,
 )
-from wasabistage.reference import NOT_SENT
+from wasabistage.http1 import ChannelError, NotSentError
 
 LEAST_COST = 1
 FIRST_SERVER_ERROR = 500
 #: Statuses after which an idempotent call is tried elsewhere.
 RETRIED_STATUSES = (500, 502, 503, 504)
-CONNECT_TIMEOUT_SECONDS = 1.0
 #: Headers of a caller that reach the backend server.
 PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language")
 #: Headers of a backend server that reach the caller.
@@ -83,6 +82,11 @@
         self.context = context
         self.admission = admission
         self.routing = routing
+        self.services = ServiceClients(context.timers)
+
+    def close(self):
+        """Close the idle channels to plain services."""
+        self.services.close()
 
     async def admit(self, call, deadline_at):
         """Wait for a slot.
@@ -196,44 +200,39 @@
 
     async def _send(self, call, server, patience, inner):
         headers = {**call.headers, **self.context.tracer.inject(inner)}
-        headers["X-Request-Id"] = call.request_id
+        headers[REQUEST_ID_HEADER] = call.request_id
         headers["X-Client-Account"] = call.account.name
         if call.key:
             headers["Idempotency-Key"] = call.key
-        url = httpx.URL(
-            scheme="http",
-            host=server.address.rpartition(":")[0],
-            port=int(server.address.rpartition(":")[2]),
-            path=safe_path(call.path),
-            query=call.query or None,
-        )
-        timeout = httpx.Timeout(
-            patience or call.resolved.call.deadline, connect=CONNECT_TIMEOUT_SECONDS
-        )
+        target = safe_path(call.path).encode()
+        if call.query:
+            target += b"?" + call.query
+        declared = call.resolved.call
         try:
-            answer = await self.context.http.request(
-                call.resolved.call.method,
-                url,
-                headers=headers,
-                content=call.body,
-                timeout=timeout,
+            answer = await self.services.call(
+                server.address,
+                declared.method,
+                target,
+                headers,
+                call.body,
+                patience or declared.deadline,
             )
-        except NOT_SENT as error:
+        except NotSentError as error:
             raise UnavailableError(
                 f"no connection to backend server {server.name}",
                 remedy="retry later",
                 retry_after=1.0,
             ) from error
-        except httpx.HTTPError as error:
+        except ChannelError as error:
             raise OutcomeUnknownError(
-                f"backend server {server.name} did not answer",
+                f"backend server {server.name} did not answer: {error}",
                 remedy="ask again with the same key",
                 ran=Ran.UNKNOWN,
             ) from error
         return PlainAnswer(
-            status=answer.status_code,
+            status=answer.status,
             headers=pick_headers(answer.headers, PASSED_ANSWER_HEADERS),
-            body=answer.content,
+            body=answer.body,
             server=server.name,
         )
 
--- a/wasabistage/entry/_process.py
+++ b/wasabistage/entry/_process.py
@@ -73,9 +73,11 @@
             loop.set_exception_handler(log_loop_error)
             async with make_http_client() as http:
                 context = self._make_context(http)
+                parts = EntryParts(context)
                 try:
-                    await EntryParts(context).run()
+                    await parts.run()
                 finally:
+                    parts.plain.close()
                     context.peers.close()
                     context.tracer.close()
 
