Tell the latency of a store's link from its rate

Seen by callers of the reference path: on a loaded machine a returning prompt is now and then computed anew, though its pieces are in a store.

Cause: the time of a chunk was taken as its size over the link's rate. If each chunk takes some time whatever its size, such as two calls of a busy engine, then a chunk that was sized for 5 ms shows a slower link, the next one is smaller, and so on down to 4 KiB chunks. In addition a chunk smaller than a piece carried a whole piece or none, so that the measured rates were too low or far too high.

Change: ChunkTimes fits a latency and a time per byte to the times of chunks. A chunk's bytes may take as long as the latency, up to 0.1 s, and chunks are whole pieces. A chunk that stalls can't lengthen later ones beyond that bound.

Ruled out: late commit records and late cache events (planted delays of 3 s pass).

--- a/wasabistage/cache/_transfer_messages.py
+++ b/wasabistage/cache/_transfer_messages.py
@@ -24,6 +24,7 @@
     :param size: bytes to transfer, above 0.
     :param rank: rank of the request that waits for the transfer.
     :param account: name of the client account; accounts share the link fairly.
+    :param piece_bytes: size of a piece that is carried as a whole, in bytes.
     """
 
     transfer: str
@@ -32,6 +33,7 @@
     size: int
     rank: Rank = Rank.INTERACTIVE
     account: str = ""
+    piece_bytes: int = 1
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/cache/_transfers.py
+++ b/wasabistage/cache/_transfers.py
@@ -1,9 +1,10 @@
 """Schedulers that select the next chunk to carry over a store's link."""
 
 from abc import abstractmethod
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wasabistage.base import Policy
+from wasabistage.cache._chunk_times import ChunkTimes
 from wasabistage.cache._transfer_messages import (
     Chunk,
     ChunkMoved,
@@ -18,8 +19,9 @@
 
 MAX_LINKS = 4096
 MAX_ACCOUNTS = 4096
-MIN_CHUNK_BYTES = 4096  # also the smallest chunk that updates the rate
-RATE_SMOOTHING_FACTOR = 0.2  # weight of the newest measurement in the moving average
+MIN_CHUNK_BYTES = 4096
+#: Maximum time of a chunk's bytes at the rate of a link with a long latency.
+MAX_CHUNK_SECONDS = 0.1
 
 QUEUE_FULL = Sentinel("QUEUE_FULL")
 LINK_IDLE = Sentinel("LINK_IDLE")
@@ -47,24 +49,27 @@
 class _Link:
     """State of one link.
 
-    :param rate: estimated rate, in bytes per second.
+    :param times: :class:`ChunkTimes` of its chunks.
     :param waiting: dict of id to queued transfer without a chunk in flight.
     :param in_flight: dict of id to transfer with a chunk in flight.
     :param served_bytes: dict of client account to its bytes for fair queueing.
     :param virtual_time_bytes: virtual time of fair queueing, in bytes.
     :param background_budget_bytes: level of the token bucket of staging and export.
     :param refilled_at: time of the last refill of the token bucket.
-    :param has_measured_rate: whether the rate rests on a measurement.
     """
 
-    rate: float
+    times: ChunkTimes
     waiting: dict = field(default_factory=dict)
     in_flight: dict = field(default_factory=dict)
     served_bytes: dict = field(default_factory=dict)
     virtual_time_bytes: float = 0.0
     background_budget_bytes: float = 0.0
     refilled_at: float = 0.0
-    has_measured_rate: bool = False
+
+    @property
+    def rate(self):
+        """Throughput of the link's chunks, in bytes per second."""
+        return self.times.throughput
 
 
 class BaseLinkScheduler(Policy):
@@ -119,14 +124,8 @@
         self.transfers_.pop(transfer_id, None)
 
     def _promote_to_fetch(self, transfer, event):
-        query = transfer.query
-        transfer.query = TransferQuery(
-            transfer=query.transfer,
-            link=query.link,
-            kind=TransferKind.FETCH,
-            size=query.size,
-            rank=event.rank,
-            account=query.account,
+        transfer.query = replace(
+            transfer.query, kind=TransferKind.FETCH, rank=event.rank
         )
 
     def _record_chunk(self, link, transfer, event):
@@ -136,12 +135,8 @@
             self._remove(link, transfer_id)
         else:
             link.waiting[transfer_id] = transfer
-        if event.size >= MIN_CHUNK_BYTES and event.seconds > 0:
-            sample = event.size / event.seconds
-            # The first measurement replaces the initial estimate, which may be far off.
-            smoothing_factor = RATE_SMOOTHING_FACTOR if link.has_measured_rate else 1.0
-            link.rate += smoothing_factor * (sample - link.rate)
-            link.has_measured_rate = True
+        if event.size > 0 and event.seconds > 0:
+            link.times.update(event.size, event.seconds)
 
     def decide(self, query, now):
         """Answer a :class:`TransferQuery` or a :class:`NextChunkQuery`.
@@ -166,7 +161,8 @@
                 return QUEUE_FULL.with_reason(
                     f"{query.link} would exceed the bound of {MAX_LINKS} links"
                 )
-            link = self.links_[query.link] = _Link(self.link_rate, refilled_at=now)
+            times = ChunkTimes(rate=self.link_rate)
+            link = self.links_[query.link] = _Link(times, refilled_at=now)
         queued = sum(
             item.query.kind is query.kind
             for group in (link.waiting, link.in_flight)
@@ -208,7 +204,7 @@
 
     def _start_chunk(self, link, transfer):
         """Build a transfer's next chunk and record it as in flight."""
-        size = min(transfer.unsent_bytes, self._get_max_chunk_bytes(link, transfer))
+        size = self._get_chunk_bytes(link, transfer)
         chunk = Chunk(
             transfer=transfer.query.transfer,
             kind=transfer.query.kind,
@@ -224,6 +220,12 @@
         link.served_bytes[account] = link.virtual_time_bytes + size
         return chunk
 
+    def _get_chunk_bytes(self, link, transfer):
+        """Return the size of a transfer's next chunk: whole pieces, or its rest."""
+        piece_bytes = transfer.query.piece_bytes
+        pieces = max(1, self._get_max_chunk_bytes(link, transfer) // piece_bytes)
+        return min(transfer.unsent_bytes, pieces * piece_bytes)
+
     def get_bytes_ahead(self, transfer):
         """Return the bytes that are carried before a transfer's next byte.
 
@@ -248,10 +250,11 @@
         """Return the rate measured on a link.
 
         :param link: name of the link.
-        :return: bytes per second; 0 before the first measurement.
+        :return: bytes per second, with the latency of each chunk; 0 before the first
+            measurement.
         """
         state = self.links_.get(link)
-        return state.rate if state is not None and state.has_measured_rate else 0.0
+        return state.rate if state is not None and state.times.is_measured else 0.0
 
     def backlog(self, link, kind):
         """Return the bytes that wait on a link.
@@ -315,7 +318,8 @@
 
     :param link_rate: see :class:`BaseLinkScheduler`.
     :param max_queue: see :class:`BaseLinkScheduler`.
-    :param chunk_seconds: time that one chunk may take at the link's rate, in seconds.
+    :param chunk_seconds: time that the bytes of one chunk may take at the link's rate,
+        in seconds; more on a link with a longer latency.
     :param background_share: fraction of the link's rate that staging and export may
         use, above 0, up to 1.
     :param burst_seconds: time over which an unused share accumulates, in seconds.
@@ -381,7 +385,7 @@
             link.background_budget_bytes, rate * self.burst_seconds
         )
         link.refilled_at = now
-        size = min(transfer.unsent_bytes, self._get_max_chunk_bytes(link, transfer))
+        size = self._get_chunk_bytes(link, transfer)
         if (
             link.background_budget_bytes < size
             and link.background_budget_bytes < rate * self.burst_seconds
@@ -401,4 +405,6 @@
         )
 
     def _get_max_chunk_bytes(self, link, transfer):
-        return max(MIN_CHUNK_BYTES, int(link.rate * self.chunk_seconds))
+        # Half of a chunk's time may be latency.
+        seconds = max(self.chunk_seconds, min(link.times.latency, MAX_CHUNK_SECONDS))
+        return max(MIN_CHUNK_BYTES, int(link.times.rate * seconds))
--- a/wasabistage/cache/tests/test_transfer_policies.py
+++ b/wasabistage/cache/tests/test_transfer_policies.py
@@ -44,27 +44,30 @@
     return TransferQuery(transfer=name, link="s", kind=kind, size=size, **fields)
 
 
-def run_until_idle(scheduler, now=0.0, steps=10_000):
-    """Carry all transfers over a serial link; return their ids as they end."""
-    ended = []
+def carry_until_idle(scheduler, now=0.0, latency=0.0, steps=10_000):
+    """Carry all transfers over a serial link; yield each chunk and its end."""
     for _ in range(steps):
         chunk = scheduler.decide(NextChunkQuery(link="s"), now)
         if not chunk:
             if not scheduler.transfers_:
-                return ended
+                return
             now += 0.001
             continue
-        seconds = chunk.size / RATE_BYTES_PER_SECOND
+        seconds = latency + chunk.size / RATE_BYTES_PER_SECOND
         now += seconds
         event = ChunkMoved(transfer=chunk.transfer, size=chunk.size, seconds=seconds)
         scheduler.observe(event, now)
-        if chunk.last:
-            ended.append(chunk.transfer)
+        yield chunk, now
     raise AssertionError(
         f"{len(scheduler.transfers_)} transfers have not ended after {steps} steps"
     )
 
 
+def run_until_idle(scheduler):
+    """Carry all transfers over a serial link; return their ids as they end."""
+    return [chunk.transfer for chunk, _ in carry_until_idle(scheduler) if chunk.last]
+
+
 class TestLinkScheduler(unittest.TestCase):
     def setUp(self):
         self.scheduler = LinkScheduler(link_rate=RATE_BYTES_PER_SECOND).reset()
@@ -135,6 +138,38 @@
         self.scheduler.observe(ChunkMoved(transfer="a", size=0, seconds=0.1), 0.1)
         self.assertEqual(run_until_idle(self.scheduler), [])
 
+    # Guards against chunks that shrink until a link carries nothing but latency.
+    def test_latency_of_each_chunk_at_most_doubles_the_time_of_a_fetch(self):
+        for latency in (0.0, 0.001, 0.02, 0.1):
+            scheduler = LinkScheduler(link_rate=RATE_BYTES_PER_SECOND).reset()
+            now = 0.0
+            for number in range(12):
+                started = now
+                scheduler.decide(make_transfer_query(f"f{number}", FETCH), now)
+                for _, end in carry_until_idle(scheduler, now, latency):
+                    now = end
+            with self.subTest(latency=latency):
+                carried = 100_000 / RATE_BYTES_PER_SECOND
+                self.assertLessEqual(now - started, 2 * (latency + carried))
+
+    # Guards against rates measured on chunks that are counted but carry no piece.
+    def test_chunks_are_whole_pieces(self):
+        scheduler = LinkScheduler(link_rate=RATE_BYTES_PER_SECOND).reset()
+        query = make_transfer_query("f", FETCH, size=70_000, piece_bytes=30_000)
+        scheduler.decide(query, 0.0)
+        sizes = [chunk.size for chunk, _ in carry_until_idle(scheduler)]
+        self.assertEqual(sizes, [30_000, 30_000, 10_000])
+
+    def test_stalled_chunk_does_not_lengthen_later_ones_without_bound(self):
+        self.enqueue("a", FETCH, size=10_000_000)
+        chunks = carry_until_idle(self.scheduler)
+        for _ in range(20):
+            chunk, _ = next(chunks)
+        stalled = ChunkMoved(transfer="a", size=chunk.size, seconds=30.0)
+        self.scheduler.observe(stalled, 31.0)
+        chunk = self.scheduler.decide(NextChunkQuery(link="s"), 31.0)
+        self.assertLessEqual(chunk.size, 0.1 * RATE_BYTES_PER_SECOND)
+
     @settings(max_examples=50, derandomize=True, deadline=None)
     @given(
         st.lists(
--- a/wasabistage/entry/_cache.py
+++ b/wasabistage/entry/_cache.py
@@ -224,6 +224,7 @@
             size=len(job.keys) * job.prompt.piece_bytes,
             rank=job.prompt.rank,
             account=job.prompt.account,
+            piece_bytes=job.prompt.piece_bytes,
         )
         if not self.links.decide(offer, now):
             return False
