Tell callers of the client why attempts failed

An Answer has the errors of its failed attempts now, test_engine_cuts_streams compares them in addition, and an engine's connection error names its kind.

--- a/wasabistage/client/_client.py
+++ b/wasabistage/client/_client.py
@@ -55,6 +55,8 @@
     :param cached_tokens: prompt tokens that were not recomputed.
     :param first_token: time to the first token, in seconds.
     :param attempts: attempts made.
+    :param errors: errors of the attempts that failed, tuple of
+        :class:`wasabistage.exceptions.WasabistageError`.
     """
 
     text: str
@@ -65,6 +67,7 @@
     cached_tokens: int
     first_token: float
     attempts: int
+    errors: tuple = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -96,6 +99,7 @@
     :ivar may_have_run: whether an attempt may have run.
     :ivar first_token: time to the first token, or ``None``.
     :ivar request_id: identifier of the newest attempt's request.
+    :ivar errors: errors of the attempts that failed.
     """
 
     started: float
@@ -105,6 +109,7 @@
     may_have_run: bool = False
     first_token: float | None = None
     request_id: str = ""
+    errors: list = field(default_factory=list)
 
 
 class Client:
@@ -311,6 +316,7 @@
         self, failed, progress, idempotent, has_key=False, ticket=False, stream=None
     ):
         """Return what to do next, or raise the error of the failed attempt."""
+        progress.errors.append(failed.error)
         query = ClientRetryQuery(
             failure=failed.failure,
             status=failed.status,
@@ -474,4 +480,5 @@
             cached_tokens=self.end.cached_tokens,
             first_token=self.progress.first_token,
             attempts=self.progress.attempts,
+            errors=tuple(self.progress.errors),
         )
--- a/wasabistage/entry/tests/test_process_answers.py
+++ b/wasabistage/entry/tests/test_process_answers.py
@@ -84,6 +84,7 @@
         self.addCleanup(self.fault_all, ServiceKind.MODEL, cut_after=0)
         answers = self.play()
         # The entries resumed at the engine; the callers saw nothing of it.
+        self.assertEqual([item.errors for item in answers], [()] * STREAMS)
         self.assertEqual({item.attempts for item in answers}, {1})
 
     def test_engine_killed(self):
--- a/wasabistage/reference/_engine.py
+++ b/wasabistage/reference/_engine.py
@@ -198,7 +198,7 @@
                 yield _frames(answer)
         except NOT_SENT as error:
             raise UnavailableError(
-                "no connection to the model engine",
+                f"no connection to the model engine: {type(error).__name__}",
                 remedy="another backend server is tried",
             ) from error
         except httpx.HTTPError as error:
