Wait for entries that answer late in the tests of once-only calls and pieces

In the first, test_home_paused_and_continued, an entry did not answer a status question within 2 s, and the wait failed with an AttributeError instead of asking again. The home stayed paused, so that the eight tests after it failed, too.

Now a wait goes on until all entries asked have answered, within its bound as before, and the paused home goes on also if the wait fails. The same in the waits of the piece test.

--- a/wasabistage/entry/tests/test_process_once.py
+++ b/wasabistage/entry/tests/test_process_once.py
@@ -115,6 +115,7 @@
             self.wait_suspected()
             self.fleet.resume("entry-1")
 
+        self.addCleanup(self.fleet.resume, "entry-1")
         self.play(partial(self.fleet.pause, "entry-1"), heal)
 
     def wait_suspected(self):
@@ -123,6 +124,8 @@
 
         def suspected():
             told = trio.run(read_status, peers, PEER_KEY)
+            if None in told:
+                return False
             states = {
                 member.state
                 for item in told
--- a/wasabistage/entry/tests/test_process_pieces.py
+++ b/wasabistage/entry/tests/test_process_pieces.py
@@ -153,15 +153,19 @@
         accepted = self.fleet.publish(replace(self.fleet.deployment, models=models))
         self.wait(
             lambda: all(
-                item.config_version >= accepted.version for item in self.status()
+                item is not None and item.config_version >= accepted.version
+                for item in self.status()
             ),
             "the version everywhere",
         )
         self.wait(
             lambda: all(
-                dict(server.versions).get(model.name) == version
+                item is not None
+                and all(
+                    dict(server.versions).get(model.name) == version
+                    for server in item.servers
+                )
                 for item in self.status()
-                for server in item.servers
             ),
             "the version in the load reports",
         )
