Give one task to each function that calls plain services

Found in review: ServiceClients built a request, sent it, checked and decoded its answer in one function, added and closed pools in another, and its ServiceAnswer stood beside the client's class of the same name. It returns a Reply now, like HttpClient. No change of behaviour: test_plain_service passes (4 tests), test_whole_path and test_process_once too.

--- a/wasabistage/entry/_plain.py
+++ b/wasabistage/entry/_plain.py
@@ -209,7 +209,7 @@
             target += b"?" + call.query
         declared = call.resolved.call
         try:
-            answer = await self.services.call(
+            reply = await self.services.call(
                 server.address,
                 declared.method,
                 target,
@@ -229,10 +229,14 @@
                 remedy="ask again with the same key",
                 ran=Ran.UNKNOWN,
             ) from error
+        received = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in reply.fields.items()
+        }
         return PlainAnswer(
-            status=answer.status,
-            headers=pick_headers(answer.headers, PASSED_ANSWER_HEADERS),
-            body=answer.body,
+            status=reply.status,
+            headers=pick_headers(received, PASSED_ANSWER_HEADERS),
+            body=reply.body,
             server=server.name,
         )
 
--- a/wasabistage/entry/_services.py
+++ b/wasabistage/entry/_services.py
@@ -1,12 +1,11 @@
 """Calls of plain services over kept channels."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
 
 import h11
 import trio
 
-from wasabistage.http1 import ChannelError, ChannelPool
+from wasabistage.http1 import ChannelError, ChannelPool, Reply
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 #: Services with kept channels; the one called longest ago loses them beyond it.
@@ -17,20 +16,6 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
-@dataclass(frozen=True, kw_only=True)
-class ServiceAnswer:
-    """Whole answer of a plain service.
-
-    :param status: HTTP status.
-    :param headers: dict of lower-case name to value; repeated ones are joined.
-    :param body: body, bytes.
-    """
-
-    status: int
-    headers: dict
-    body: bytes
-
-
 class ServiceClients:
     """Clients of plain services, with a pool of channels for each address.
 
@@ -52,7 +37,7 @@
         :param headers: dict of name to value, with the request's id.
         :param body: body, bytes.
         :param timeout: longest time of the whole call, in seconds.
-        :return: a :class:`ServiceAnswer`.
+        :return: a :class:`wasabistage.http1.Reply`; repeated headers are joined.
         :raises NotSentError: if no byte of the request was sent.
         :raises ChannelError: if no whole answer came; the call may have run.
         """
@@ -69,40 +54,33 @@
         channel = await pool.take(self.timers.now())
         kept = False
         try:
-            fields = {"Host": address, "Accept-Encoding": "identity", **headers}
-            if body or method in BODY_METHODS:
-                fields["Content-Length"] = str(len(body))
-            lines = [
-                (name.encode("latin-1"), value.encode("latin-1"))
-                for name, value in fields.items()
-            ]
-            await channel.send_request(method.encode(), target, lines, body)
+            fields = _build_fields(address, method, headers, body)
+            await channel.send_request(method.encode(), target, fields, body)
             head = await channel.read_head()
-            answered_id = head.fields.get(REQUEST_ID_HEADER.lower().encode())
-            if answered_id not in (None, headers[REQUEST_ID_HEADER].encode()):
-                # The id of another caller's request must not reach this one.
-                raise ChannelError("the answer is one to another request")
+            _check_request_id(head, headers[REQUEST_ID_HEADER])
             data = await channel.read_body(MAX_ANSWER_BYTES)
             pool.give_back(channel, head.fields, self.timers.now())
             kept = True
         finally:
             if not kept:
                 channel.close()
-        return ServiceAnswer(
-            status=head.status, headers=_join_headers(head.headers), body=data
-        )
+        return Reply(status=head.status, fields=_join_fields(head.headers), body=data)
 
     def _get_pool(self, address):
-        pool = self.pools.pop(address, None)
-        if pool is None:
-            host, _, port = address.rpartition(":")
-            pool = ChannelPool((host, int(port)), CONNECT_TIMEOUT_SECONDS)
+        """Return the pool of an address as the one used last."""
+        if address not in self.pools:
+            self._add_pool(address)
+        self.pools.move_to_end(address)
+        pool = self.pools[address]
         pool.close_expired(self.timers.now())
-        self.pools[address] = pool
+        return pool
+
+    def _add_pool(self, address):
+        host, _, port = address.rpartition(":")
+        self.pools[address] = ChannelPool((host, int(port)), CONNECT_TIMEOUT_SECONDS)
         if len(self.pools) > MAX_SERVICES:
             _, oldest = self.pools.popitem(last=False)
             oldest.close()
-        return pool
 
     def close(self):
         """Close every idle channel."""
@@ -110,9 +88,28 @@
             pool.close()
 
 
-def _join_headers(headers):
-    joined = {}
+def _build_fields(address, method, headers, body):
+    """Return the header of a request as list of (name, value) pairs of bytes."""
+    fields = {"Host": address, "Accept-Encoding": "identity", **headers}
+    if body or method in BODY_METHODS:
+        fields["Content-Length"] = str(len(body))
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in fields.items()
+    ]
+
+
+def _check_request_id(head, request_id):
+    answered_id = head.fields.get(REQUEST_ID_HEADER.lower().encode())
+    if answered_id not in (None, request_id.encode()):
+        # The id of another caller's request must not reach this one.
+        raise ChannelError("the answer is one to another request")
+
+
+def _join_fields(headers):
+    """Return a dict of lower-case name to value; repeated headers are joined."""
+    fields = {}
     for name, value in headers:
-        name, value = name.decode("latin-1").lower(), value.decode("latin-1")
-        joined[name] = f"{joined[name]}, {value}" if name in joined else value
-    return joined
+        name = name.lower()
+        fields[name] = b"%b, %b" % (fields[name], value) if name in fields else value
+    return fields
