Find a link's latency from its smallest chunks, too

Cause: latency and rate are told apart by chunks of different size. Where chunks are at their smallest, a piece or 4 KiB, all are alike, and the latency stays hidden. The least share of a chunk's time that counts as due to its size, a quarter, also kept a latency of 1 s from being seen at all.

Change: among smallest chunks of one size, every few are three times as large. A chunk has at most three times the mean size, in place of that share, so that a wrong rate can't lead to a huge one. A test each: the latency is found from the smallest chunks (at most twice the best time, with 0.1 and 1 s), and chunks stay within 0.1 s of the link's rate at latencies of 0.2, 1 and 30 s.

--- a/wasabistage/cache/_chunk_times.py
+++ b/wasabistage/cache/_chunk_times.py
@@ -6,9 +6,11 @@
 #: Minimum standard deviation of the sizes, as a fraction of their mean. Sizes that are
 #: nearly alike don't tell the latency from the rate.
 MIN_RELATIVE_SPREAD = 0.25
-#: Minimum fraction of the mean time that is due to the size. It bounds the growth of
-#: chunks while the rate is not known.
-MIN_SIZE_FRACTION = 0.25
+#: Minimum fraction of the mean time that is due to the size.
+MIN_SIZE_FRACTION = 0.01
+#: Maximum ratio of a chunk's size to the mean of those measured. The model says little
+#: about much larger chunks.
+MAX_GROWTH = 3
 
 
 @dataclass
@@ -48,7 +50,7 @@
             self._update_moments(size, seconds)
         mean_seconds_per_byte = self.mean_seconds / self.mean_size
         seconds_per_byte = (self.mean_seconds - self.latency) / self.mean_size
-        if self.size_variance >= (MIN_RELATIVE_SPREAD * self.mean_size) ** 2:
+        if self.has_spread:
             seconds_per_byte = self.covariance / self.size_variance
         seconds_per_byte = min(
             max(seconds_per_byte, MIN_SIZE_FRACTION * mean_seconds_per_byte),
@@ -71,6 +73,20 @@
             self.covariance + SMOOTHING_FACTOR * size_change * seconds_change
         )
 
+    def get_size(self, seconds):
+        """Return the size of a chunk whose bytes take a time, without the latency.
+
+        :param seconds: the time, in seconds.
+        :return: bytes; at most ``MAX_GROWTH`` times the mean of those measured.
+        """
+        size = int(self.rate * seconds)
+        return min(size, int(MAX_GROWTH * self.mean_size)) if self.is_measured else size
+
+    @property
+    def has_spread(self):
+        """Whether the sizes differ enough to tell the latency from the rate."""
+        return self.size_variance >= (MIN_RELATIVE_SPREAD * self.mean_size) ** 2
+
     @property
     def throughput(self):
         """Throughput of the mean chunk, in bytes per second."""
--- a/wasabistage/cache/_transfers.py
+++ b/wasabistage/cache/_transfers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from wasabistage.base import Policy
-from wasabistage.cache._chunk_times import ChunkTimes
+from wasabistage.cache._chunk_times import MAX_GROWTH, ChunkTimes
 from wasabistage.cache._transfer_messages import (
     Chunk,
     ChunkMoved,
@@ -223,7 +223,13 @@
     def _get_chunk_bytes(self, link, transfer):
         """Return the size of a transfer's next chunk: whole pieces, or its rest."""
         piece_bytes = transfer.query.piece_bytes
-        pieces = max(1, self._get_max_chunk_bytes(link, transfer) // piece_bytes)
+        least = max(MIN_CHUNK_BYTES, piece_bytes)
+        wanted = self._get_max_chunk_bytes(link, transfer)
+        times = link.times
+        if wanted <= least and times.is_measured and not times.has_spread:
+            # The smallest chunks alone never show the latency of the link.
+            wanted = least if times.mean_size > 2 * least else MAX_GROWTH * least
+        pieces = max(1, wanted // piece_bytes)
         return min(transfer.unsent_bytes, pieces * piece_bytes)
 
     def get_bytes_ahead(self, transfer):
@@ -407,4 +413,4 @@
     def _get_max_chunk_bytes(self, link, transfer):
         # Half of a chunk's time may be latency.
         seconds = max(self.chunk_seconds, min(link.times.latency, MAX_CHUNK_SECONDS))
-        return max(MIN_CHUNK_BYTES, int(link.times.rate * seconds))
+        return max(MIN_CHUNK_BYTES, link.times.get_size(seconds))
--- a/wasabistage/cache/tests/test_transfer_policies.py
+++ b/wasabistage/cache/tests/test_transfer_policies.py
@@ -37,6 +37,7 @@
 )
 
 FETCH, STAGE, EXPORT = TransferKind
+MAX_CHUNK_SECONDS = 0.1  # as docs/design/cache.md says
 RATE_BYTES_PER_SECOND = 1e6
 
 
@@ -155,20 +156,35 @@
     # Guards against rates measured on chunks that are counted but carry no piece.
     def test_chunks_are_whole_pieces(self):
         scheduler = LinkScheduler(link_rate=RATE_BYTES_PER_SECOND).reset()
-        query = make_transfer_query("f", FETCH, size=70_000, piece_bytes=30_000)
+        query = make_transfer_query("f", FETCH, size=1_000_000, piece_bytes=30_000)
         scheduler.decide(query, 0.0)
-        sizes = [chunk.size for chunk, _ in carry_until_idle(scheduler)]
-        self.assertEqual(sizes, [30_000, 30_000, 10_000])
-
-    def test_stalled_chunk_does_not_lengthen_later_ones_without_bound(self):
-        self.enqueue("a", FETCH, size=10_000_000)
-        chunks = carry_until_idle(self.scheduler)
-        for _ in range(20):
-            chunk, _ = next(chunks)
-        stalled = ChunkMoved(transfer="a", size=chunk.size, seconds=30.0)
-        self.scheduler.observe(stalled, 31.0)
-        chunk = self.scheduler.decide(NextChunkQuery(link="s"), 31.0)
-        self.assertLessEqual(chunk.size, 0.1 * RATE_BYTES_PER_SECOND)
+        *sizes, last = [chunk.size for chunk, _ in carry_until_idle(scheduler)]
+        self.assertEqual({size % 30_000 for size in sizes}, {0})
+        self.assertEqual(sum(sizes) + last, 1_000_000)
+
+    # Guards against a link whose smallest chunks, all alike, hide its latency.
+    def test_latency_is_found_from_the_smallest_chunks(self):
+        for latency in (0.1, 1.0):
+            scheduler = LinkScheduler(link_rate=RATE_BYTES_PER_SECOND).reset()
+            query = make_transfer_query("f", FETCH, size=5_000_000, piece_bytes=5_000)
+            scheduler.decide(query, 0.0)
+            *_, (_, ended_at) = carry_until_idle(scheduler, latency=latency)
+            with self.subTest(latency=latency):
+                best = (5.0 / MAX_CHUNK_SECONDS) * latency + 5.0
+                self.assertLessEqual(ended_at, 2 * best)
+
+    # Guards against chunks that grow with the latency of a link until an urgent fetch
+    # has to wait for seconds of another one.
+    def test_long_latency_does_not_lengthen_chunks_without_bound(self):
+        for latency in (0.2, 1.0, 30.0):
+            scheduler = LinkScheduler(link_rate=RATE_BYTES_PER_SECOND).reset()
+            query = make_transfer_query("fetch", FETCH, size=5_000_000)
+            scheduler.decide(query, 0.0)
+            with self.subTest(latency=latency):
+                for chunk, _ in carry_until_idle(scheduler, latency=latency):
+                    self.assertLessEqual(
+                        chunk.size, MAX_CHUNK_SECONDS * RATE_BYTES_PER_SECOND
+                    )
 
     @settings(max_examples=50, derandomize=True, deadline=None)
     @given(
