--- /dev/null
+++ b/standins/edge_program.py
@@ -0,0 +1,136 @@
+"""Edge processes as separate programs on loopback addresses.
+
+The test or command that uses this module starts each process and ends it by its id.
+"""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+
+ROOT = Path(__file__).resolve().parent.parent
+FIRST_HOST = 10  # the lower ones are the store's and the servers'
+HOSTS_PER_NETWORK = 240
+SEEDS = 3
+GOSSIP_PORT = 7260
+SETTINGS = """\
+[instance]
+name = {name}
+failure_domain = {domain}
+ip = {ip}
+link_mbps = {link_mbps}
+
+[listen]
+callers = {ip}:8580
+readiness = {ip}:8586
+directory = {ip}:8584
+peers = {ip}:8582
+gossip_port = {gossip_port}
+
+[records]
+store = {store}
+
+[peers]
+seeds = {seeds}
+
+[bounds]
+{bounds}
+"""
+
+
+class EdgeProgram:
+    """One edge process.
+
+    :param number: its number in the fleet, from 0.
+    :param network: first two numbers of the loopback addresses, such as ``127.20``.
+    :param store: ``IP:PORT`` of the store of records.
+    :param folder: folder of its settings and its log.
+    :param domains: number of failure domains in the fleet.
+    :param bounds: dict of key to value of the section ``[bounds]``.
+    :param is_isolated: whether reports neither reach it nor leave it: it listens on
+        a port of its own.
+    """
+
+    def __init__(
+        self,
+        number,
+        network,
+        store,
+        folder,
+        domains=4,
+        bounds=None,
+        is_isolated=False,
+    ):
+        self.name = f"edge-{number}"
+        self.ip = get_ip(network, number)
+        self.callers = f"{self.ip}:8580"
+        self.readiness = f"{self.ip}:8586"
+        self.directory = f"{self.ip}:8584"
+        self.metrics = f"{self.ip}:9464"
+        self.log_path = Path(folder) / f"{self.name}.log"
+        self.settings_path = Path(folder) / f"{self.name}.ini"
+        self.settings_path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                domain=f"domain-{number % domains}",
+                ip=self.ip,
+                link_mbps=100.0 if number // domains % 10 == 0 else 20.0,
+                store=store,
+                gossip_port=GOSSIP_PORT + 1 + number if is_isolated else GOSSIP_PORT,
+                seeds=",".join(
+                    f"{get_ip(network, item)}:8582" for item in range(SEEDS)
+                ),
+                bounds="\n".join(f"{k} = {v}" for k, v in (bounds or {}).items()),
+            ),
+            encoding="utf-8",
+        )
+        self.process = None
+        self.is_frozen = False
+
+    @property
+    def is_running(self):
+        """Whether the process has been started and has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self):
+        """Start the process."""
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "wasabistage.platform", str(self.settings_path)],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+        self.is_frozen = False
+
+    def send_signal(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.is_running:
+            os.kill(self.process.pid, number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.is_frozen = number == signal.SIGSTOP
+
+    async def kill(self):
+        """Kill the process and wait until it is gone."""
+        if self.is_running:
+            self.process.kill()
+        if self.process is not None:
+            await self.wait()
+
+    async def wait(self):
+        """Wait until the process has ended."""
+        while self.process.poll() is None:
+            await trio.sleep(0.01)
+
+
+def get_ip(network, number):
+    """Return the loopback address of an edge process.
+
+    :param network: first two numbers of the address.
+    :param number: number of the process, from 0.
+    """
+    high, low = divmod(number, HOSTS_PER_NETWORK)
+    return f"{network}.{high}.{FIRST_HOST + low}"
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import struct
+from collections import Counter
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 from weakref import WeakKeyDictionary
@@ -84,7 +85,17 @@
         self.refuses_appends = False
         self.append_delay = 0.0
         self.silent_topic = ""
+        #: Seconds by which calls on a topic are answered late, by its name.
+        self.late_seconds = {}
+        #: Topics whose calls are carried out and never answered, and those whose calls
+        #: get 503.
+        self.lost_topics = set()
+        self.down_topics = set()
+        #: Offset of the first record that a topic still holds, by its name.
+        self.first_offsets = {}
         self.calls = 0
+        #: Number of reads by topic and status.
+        self.reads = Counter()
         self.appended = trio.Event()
 
     def put(self, key, value, topic="keyed.op"):
@@ -104,7 +115,11 @@
         self.calls += 1
         path, _, query = request.target.partition(b"?")
         fields = {k: v[0] for k, v in parse_qs(query.decode()).items()}
-        if self.is_down:
+        topic = fields.get("topic", "")
+        if topic in self.lost_topics:
+            await trio.sleep_forever()
+        await trio.sleep(self.late_seconds.get(topic, 0.0))
+        if self.is_down or topic in self.down_topics:
             await channel.respond(503, [], b"")
         elif path == b"/v1/log-newest":
             await respond_json(channel, 200, self._newest(fields["topic"]))
@@ -128,13 +143,19 @@
 
     async def _read(self, channel, fields):
         start, wait = int(fields["from"]), int(fields.get("waitMs", 0)) / 1000
+        first = self.first_offsets.get(fields["topic"], 0)
+        status = 410 if start < first else 200
+        self.reads[fields["topic"], status] += 1
+        if status == 410:
+            await respond_json(channel, 410, {"first": first})
+            return
         with trio.move_on_after(min(wait, LONGEST_HOLD)):
             while len(self.topics.get(fields["topic"], [])) <= start:
                 await self.appended.wait()
         records = self.topics.get(fields["topic"], [])
         if wait and fields["topic"] == self.silent_topic:
             records = records[:start]
-        body = struct.pack(">QQ", len(records), 0)
+        body = struct.pack(">QQ", len(records), first)
         for data in records[start:]:
             body += struct.pack(">I", len(data)) + data
         await channel.respond(200, [], body)
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of edge processes against stand-ins, with faults from outside."""
--- /dev/null
+++ b/tools/soak/_checks.py
@@ -0,0 +1,188 @@
+"""Checks of the promises, from what callers and backend servers have seen."""
+
+from bisect import bisect_left, bisect_right
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """Bounds of the deployment.
+
+    :param retry_ratio: retries per request.
+    :param retry_extra: retries in a window besides.
+    :param retry_window: seconds.
+    :param drain: seconds after which a leaving server gets no request.
+    :param settle: seconds after a disturbance until an entry is judged again.
+    """
+
+    retry_ratio: float = 0.2
+    retry_extra: float = 54.0
+    retry_window: float = 10.0
+    drain: float = 2.0
+    settle: float = 3.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that reached a backend server.
+
+    :param at: seconds.
+    :param request_id: its id.
+    :param server: id of the server.
+    :param service: name of the service.
+    :param has_run: whether the server began to work on it.
+    :param status: status that the server meant to answer, 0 for none.
+    """
+
+    at: float
+    request_id: str
+    server: str
+    service: str
+    has_run: bool
+    status: int
+
+
+@dataclass
+class Sent:
+    """A request of a caller.
+
+    :param at: seconds.
+    :param request_id: its id.
+    :param kind: kind of request.
+    :param service: name of the service that its route leads to.
+    :param entry: name of the entry that it was sent to.
+    :param status: status of the answer, 0 without a whole answer.
+    :param body: body of the answer.
+    """
+
+    at: float
+    request_id: str
+    kind: str
+    service: str
+    entry: str
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass
+class Record:
+    """What callers and servers have seen in one run.
+
+    :param sent: list of :class:`Sent`, in order of time.
+    :param arrivals: list of :class:`Arrival`, in order of time.
+    :param leavings: dict of server to the time at which its leaving was acknowledged.
+    :param disturbances: rows of begin, end and the name of the disturbed entry, ``""``
+        for the store.
+    """
+
+    sent: list = field(default_factory=list)
+    arrivals: list = field(default_factory=list)
+    leavings: dict = field(default_factory=dict)
+    disturbances: list = field(default_factory=list)
+
+    def is_disturbed(self, entry, begin, end):
+        """Return whether an entry or the store was disturbed in a span."""
+        return any(
+            name in ("", entry) and begin <= until and since <= end
+            for since, until, name in self.disturbances
+        )
+
+
+def find_retry_excess(record, bounds):
+    """Return the worst window of each service with too many retries.
+
+    :param record: a :class:`Record`.
+    :param bounds: :class:`Bounds`.
+    :return: list of texts.
+    """
+    found = []
+    for service, (count, allowed, end) in find_retry_peaks(record, bounds).items():
+        if count > allowed:
+            found.append(
+                f"BUDGET: {service} got {count} repeats in {bounds.retry_window:.0f} "
+                f"s, {allowed:.0f} allowed, until {end:.2f}"
+            )
+    return found
+
+
+def find_retry_peaks(record, bounds):
+    """Return the window of each service with most retries, relative to its bound.
+
+    :param record: a :class:`Record`.
+    :param bounds: :class:`Bounds`.
+    :return: dict of service to number of retries, number allowed, end of the window.
+    """
+    peaks, window = {}, bounds.retry_window
+    requests, repeats, seen = defaultdict(list), defaultdict(list), set()
+    for item in record.sent:
+        requests[item.service].append(item.at)
+    for arrival in record.arrivals:
+        key = arrival.service, arrival.request_id
+        if key in seen:
+            repeats[arrival.service].append(arrival.at)
+        seen.add(key)
+    for service, times in repeats.items():
+        for index, end in enumerate(times):
+            count = index + 1 - bisect_left(times, end - window)
+            most = max(
+                count_between(requests[service], end - shift - window, end - shift)
+                for shift in (0.0, window / 2, window)
+            )
+            allowed = bounds.retry_ratio * most + bounds.retry_extra
+            known = peaks.get(service)
+            if known is None or count / allowed > known[0] / known[1]:
+                peaks[service] = count, allowed, end
+    return peaks
+
+
+def count_between(times, begin, end):
+    """Return the number of sorted times in a span."""
+    return bisect_right(times, end) - bisect_left(times, begin)
+
+
+def find_late_arrivals(record, bounds):
+    """Return the requests that reached a server long after it said that it leaves."""
+    entries = {item.request_id: item.entry for item in record.sent}
+    found = []
+    for arrival in record.arrivals:
+        leaving_at = record.leavings.get(arrival.server)
+        if leaving_at is None or arrival.status == 421:
+            continue
+        late = arrival.at - leaving_at - bounds.drain
+        entry = entries.get(arrival.request_id, "")
+        if late > 0 and not record.is_disturbed(
+            entry, arrival.at - bounds.settle, arrival.at
+        ):
+            found.append(
+                f"DRAIN: {arrival.request_id} of {entry} reached {arrival.server} "
+                f"{late + bounds.drain:.2f} s after its leaving, at {arrival.at:.2f}"
+            )
+    return found
+
+
+def find_wrong_answers(record):
+    """Return the answers that are not the caller's own, or that were untrue."""
+    found, runs = [], Counter()
+    for arrival in record.arrivals:
+        runs[arrival.request_id] += arrival.has_run
+    for item in record.sent:
+        ran = runs[item.request_id]
+        if item.kind == "buy" and ran > 1:
+            found.append(f"TWICE: {item.request_id} ran {ran} times")
+        if item.kind == "buy" and item.status in NOT_RUN_STATUSES and ran:
+            found.append(f"REFUSED: {item.request_id} got {item.status} and ran")
+        if item.status == 200 and item.request_id.encode() not in item.body:
+            found.append(f"MIXED: {item.request_id} got {item.body[:80]!r}")
+    return found
+
+
+def find_violations(record, bounds):
+    """Return all that was broken, a list of texts."""
+    return [
+        *find_retry_excess(record, bounds),
+        *find_late_arrivals(record, bounds),
+        *find_wrong_answers(record),
+    ]
--- /dev/null
+++ b/tools/soak/_faults.py
@@ -0,0 +1,191 @@
+"""Faults that a soak injects from outside the processes, and their schedule."""
+
+import signal
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from tools.soak._world import SERVE_AFTER_LEAVING_SECONDS, Grey
+
+STOP_SECONDS = 8.0
+ODD_VALUES = (
+    b'{"service":"app","later":' + b"[" * 1500,
+    b'{"service":"app","address":"127.0.0.1:99999","state":"ready","born":1}',
+    b'{"service":"app","address":"127.0.0.1:1","state":"ready","born":' + b"9" * 400,
+    '{"service":"app","address":"127.0.0.1:\u0662","state":"ready"}'.encode(),
+    b'{"service":"app","address":"127.0.0.1:1","state":"ready","slots":1e400}',
+    b'\xff\xfe{"service"',
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One fault.
+
+    :param at: seconds from the start of traffic.
+    :param kind: name of a method of :class:`FaultInjector`.
+    :param seconds: how long it lasts.
+    :param share: share of the things that it strikes.
+    """
+
+    at: float
+    kind: str
+    seconds: float
+    share: float = 0.0
+
+
+def draw_schedule(random, kinds, seconds, count):
+    """Return faults in series that overlap.
+
+    :param random: a seeded ``random.Random``.
+    :param kinds: names of kinds to draw from.
+    :param seconds: length of the run.
+    :param count: number of faults.
+    :return: list of :class:`Fault`, in order of time.
+    """
+    faults = [
+        Fault(
+            at=round(random.uniform(0.05, 0.75) * seconds, 2),
+            kind=random.choice(kinds),
+            seconds=round(random.uniform(0.5, 6.0), 2),
+            share=round(random.uniform(0.2, 1.0), 2),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+class FaultInjector:
+    """Plays a schedule.
+
+    :param world: a :class:`tools.soak._world.World`.
+    :param seed: of the choices of what a fault strikes.
+    """
+
+    def __init__(self, world, seed):
+        self.world = world
+        # Apart from the callers' choices, whose number depends on the time.
+        self.random = Random(seed)
+        self.odd_count = 0
+
+    async def play(self, schedule):
+        """Play faults at their times; return when the last one is over."""
+        async with trio.open_nursery() as nursery:
+            for fault in schedule:
+                nursery.start_soon(self._play_one, fault)
+
+    async def _play_one(self, fault):
+        await trio.sleep(fault.at)
+        await getattr(self, fault.kind)(fault)
+
+    def _draw(self, items, share):
+        items = list(items)
+        count = max(1, round(share * len(items)))
+        return self.random.sample(items, min(count, len(items)))
+
+    async def kill(self, fault):
+        """Kill some entries and start them again."""
+        programs = self._draw(self.world.programs, fault.share)
+        self.world.disturb(fault.seconds + 2.0, *(item.name for item in programs))
+        for program in programs:
+            await program.kill()
+        await trio.sleep(fault.seconds)
+        for program in programs:
+            if not program.is_running:
+                program.start()
+
+    async def restart_in_turn(self, fault):
+        """Stop entries with SIGTERM one after the other and start them again."""
+        for program in self._draw(self.world.programs, min(fault.share, 0.3)):
+            self.world.disturb(STOP_SECONDS + 2.0, program.name)
+            program.send_signal(signal.SIGTERM)
+            with trio.move_on_after(STOP_SECONDS):
+                while program.is_running:
+                    await trio.sleep(0.05)
+            await program.kill()
+            program.start()
+
+    async def freeze(self, fault):
+        """Stop some entries and let them go on."""
+        programs = self._draw(self.world.programs, fault.share)
+        self.world.disturb(fault.seconds, *(item.name for item in programs))
+        for program in programs:
+            program.send_signal(signal.SIGSTOP)
+        await trio.sleep(fault.seconds)
+        for program in programs:
+            program.send_signal(signal.SIGCONT)
+
+    async def reload(self, fault):
+        """Send SIGHUP to some entries."""
+        for program in self._draw(self.world.programs, fault.share):
+            program.send_signal(signal.SIGHUP)
+
+    async def grey(self, fault):
+        """Let some servers fail part of their requests."""
+        how = self.random.choice(("shed", "error", "reset"))
+        servers = self._draw(self.world.servers, fault.share)
+        for server in servers:
+            server.grey = Grey(max(0.3, fault.share), how)
+        await trio.sleep(fault.seconds)
+        for server in servers:
+            server.grey = Grey()
+
+    async def crash(self, fault):
+        """Let some servers crash; they start again."""
+        for server in self._draw(self.world.servers, 0.5 * fault.share):
+            server.behaviour.down_seconds = fault.seconds
+            if server.life_scope is not None:
+                server.life_scope.cancel()
+
+    async def leave(self, fault):
+        """Let a server announce that it leaves, or go from the list at once."""
+        world = self.world
+        staying = [item for item in world.servers if not item.is_leaving]
+        server = self.random.choice(staying)
+        server.is_leaving = True
+        await world.add_server(server.service)
+        await trio.sleep(0.5)
+        is_announced = self.random.random() < 0.7
+        if is_announced:
+            world.list_server(server, state="draining")
+        else:
+            world.store.put(server.server, None, "keyed.servers")
+        world.record.leavings[server.server] = world.timer.now()
+        await trio.sleep(SERVE_AFTER_LEAVING_SECONDS)
+        if is_announced:
+            world.store.put(server.server, None, "keyed.servers")
+
+    async def odd_entry(self, fault):
+        """Let another writer leave an entry that can't be read."""
+        self.odd_count += 1
+        value = self.random.choice(ODD_VALUES)
+        topic = self.random.choice(("keyed.servers", "keyed.entries", "keyed.op"))
+        key = f"odd-{self.odd_count}".encode()
+        self.world.store.append(topic, bytes([len(key)]) + key + value)
+
+    async def lose_answers(self, fault):
+        """Let the store give no answer on some topics."""
+        topics = self._draw(("keyed.op", "keyed.servers", "keyed.entries"), fault.share)
+        store = self.world.store
+        self.world.disturb(fault.seconds)
+        store.lost_topics.update(topics)
+        await trio.sleep(fault.seconds)
+        store.lost_topics.difference_update(topics)
+
+    async def answer_late(self, fault):
+        """Let the store answer late on some topics."""
+        topics = self._draw(("keyed.op", "keyed.servers", "keyed.entries"), fault.share)
+        store = self.world.store
+        self.world.disturb(fault.seconds + 2.0)
+        for topic in topics:
+            store.late_seconds[topic] = self.random.uniform(0.5, 2.0)
+        await trio.sleep(fault.seconds)
+        for topic in topics:
+            store.late_seconds.pop(topic, None)
+
+    async def trim(self, fault):
+        """Let the store forget the history of a topic."""
+        store = self.world.store
+        topic = self.random.choice(("keyed.op", "keyed.servers", "orders"))
+        store.first_offsets[topic] = len(store.topics.get(topic, []))
--- /dev/null
+++ b/tools/soak/_world.py
@@ -0,0 +1,284 @@
+"""The world of a soak: stand-ins, edge processes and callers."""
+
+import json
+import random
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from standins.edge_program import EdgeProgram
+from standins.users_platform import StandinServer, StandinStore, respond_json
+from tools.soak._checks import Arrival, Bounds, Record, Sent
+from wasabistage.http1 import ChannelError, HttpClient
+from wasabistage.timing import TrioTimerService
+
+READY_SECONDS = 60.0
+CALL_SECONDS = 4.0
+KINDS = (("read", "app"), ("buy", "app"), ("chat", "llm"))
+WORK_SECONDS = 0.02
+BEAT_SECONDS = 1.2
+SERVE_AFTER_LEAVING_SECONDS = 8.0
+MAX_OPEN_CALLS = 400
+
+
+@dataclass
+class Grey:
+    """Share of the requests that a server fails, and how.
+
+    :param share: from 0 to 1.
+    :param how: ``shed``, ``error`` or ``reset``.
+    """
+
+    share: float = 0.0
+    how: str = "shed"
+
+
+class SoakServer(StandinServer):
+    """A backend server that records what reaches it."""
+
+    def __init__(self, world, address, server, service, model=""):
+        super().__init__(address, server, service, model)
+        self.world = world
+        self.grey = Grey()
+        self.is_leaving = False
+
+    async def answer(self, channel, request):
+        """See :meth:`Standin.answer`."""
+        if request.target.startswith(b"/v1/kv-"):
+            fields = {name.lower(): value for name, value in request.headers}
+            await trio.sleep(int(fields.get(b"wait-ms", b"0")) / 1000)
+        await super().answer(channel, request)
+
+    async def _run(self, channel, request):
+        fields = {name.lower(): value for name, value in request.headers}
+        request_id = fields.get(b"wasabistage-request-id", b"").decode()
+        expected = fields.get(b"wasabistage-expect-instance", b"").decode()
+        version = int(fields.get(b"wasabistage-expect-version", self.version))
+        fails = self.world.random.random() < self.grey.share
+        status, has_run = 200, True
+        if expected not in ("", self.server) or version != self.version:
+            status, has_run = 421, False
+        elif fails and self.grey.how == "shed":
+            status, has_run = 503, False
+        elif fails:
+            status = 500 if self.grey.how == "error" else 0
+        arrival = Arrival(
+            at=self.world.timer.now(),
+            request_id=request_id,
+            server=self.server,
+            service=self.service,
+            has_run=has_run,
+            status=status,
+        )
+        self.world.record.arrivals.append(arrival)
+        echo = (b"Wasabistage-Request-Id", request_id.encode())
+        if status == 0:
+            channel.close()
+        elif status == 503:
+            await channel.respond(503, [echo, (b"Wasabistage-Not-Executed", b"1")], b"")
+        elif status == 500:
+            await channel.respond(500, [echo], b"")
+        else:
+            await super()._run(channel, request)
+
+    async def _report(self, channel):
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        state = {"models": models, "busy": False, "seq": self.orders, "queued": 0}
+        await respond_json(channel, 200, {**state, "born": self.born})
+
+
+class World:
+    """A store, backend servers, edge processes and callers.
+
+    :param seed: of all random choices.
+    :param folder: folder for the settings and logs of the processes.
+    :param entries: number of edge processes.
+    :param plain: number of plain servers.
+    :param engines: number of model engines.
+    :param rate: requests of callers per second.
+    :param bounds: :class:`tools.soak._checks.Bounds`.
+    :param isolated: share of the edge processes that no report reaches.
+    """
+
+    def __init__(
+        self,
+        seed,
+        folder,
+        *,
+        entries,
+        plain=4,
+        engines=4,
+        rate=40.0,
+        bounds=None,
+        isolated=0.0,
+    ):
+        self.random = random.Random(seed)
+        self.timer = TrioTimerService()
+        self.record = Record()
+        self.bounds = bounds or Bounds()
+        self.rate = rate
+        self.network = f"127.{self.random.randrange(20, 250)}"
+        self.store = StandinStore(f"{self.network}.250.2:8587")
+        self.server_count = 0
+        self.servers = [self._build_server("app") for _ in range(plain)]
+        self.servers += [self._build_server("llm", "m") for _ in range(engines)]
+        self.programs = [
+            EdgeProgram(
+                number,
+                self.network,
+                self.store.address,
+                Path(folder),
+                bounds={
+                    "retry_ratio": self.bounds.retry_ratio,
+                    "retry_extra": self.bounds.retry_extra,
+                    "retry_window_s": self.bounds.retry_window,
+                },
+                is_isolated=number < isolated * entries,
+            )
+            for number in range(entries)
+        ]
+        self.clients = {}
+        self.request_count = 0
+        self.open_calls = 0
+        self.nursery = None
+
+    def _build_server(self, service, model=""):
+        self.server_count += 1
+        address = f"{self.network}.251.{self.server_count}:8327"
+        return SoakServer(self, address, f"s{self.server_count}", service, model)
+
+    async def start(self, nursery):
+        """Start everything; wait until every edge process is ready."""
+        self.nursery = nursery
+        await nursery.start(self.store.run)
+        for server in self.servers:
+            await nursery.start(server.run)
+            self.list_server(server)
+        self.publish()
+        for program in self.programs:
+            program.start()
+        with trio.fail_after(READY_SECONDS):
+            for program in self.programs:
+                await self.wait_ready(program)
+
+    def publish(self, version=1):
+        """Write a configuration."""
+        common = {"host": "h.example", "timeoutMs": 3000, "goalMs": 500, "priority": 1}
+        plain = {**common, "service": "app", "attempts": 3}
+        chat = {**common, "service": "llm", "kind": "streaming", "sticky": True}
+        chat |= {"name": "chat", "pathPrefix": "/chat/", "attempts": 3}
+        routes = [
+            {**plain, "name": "read", "pathPrefix": "/read/", "kind": "idempotent"},
+            {**plain, "name": "buy", "pathPrefix": "/buy/", "kind": "non_idempotent"},
+            {**chat, "resumable": True},
+        ]
+        engine = {"slots": 64, "kvCapacity": 80000, "kvTokenBytes": 1000}
+        value = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
+            "tenants": [{"name": "small", "keys": ["k1"]}],
+        }
+        self.store.put("config", value)
+
+    def list_server(self, server, **changes):
+        """Write a server's record to the list of servers."""
+        self.store.put(server.server, server.entry(**changes), "keyed.servers")
+
+    async def wait_ready(self, program):
+        """Wait until an edge process says that it is ready."""
+        client = HttpClient(program.readiness, self.timer)
+        while True:
+            try:
+                reply = await client.call(b"GET", b"/v1/ready", timeout=1.0)
+                if reply.status == 200:
+                    client.close()
+                    return
+            except ChannelError:
+                pass
+            await trio.sleep(0.1)
+
+    async def add_server(self, service):
+        """Start and list another server of a service."""
+        server = self._build_server(service, "m" if service == "llm" else "")
+        self.servers.append(server)
+        await self.nursery.start(server.run)
+        self.list_server(server)
+        return server
+
+    async def send_traffic(self):
+        """Send requests of callers until cancelled."""
+        while True:
+            if self.open_calls < MAX_OPEN_CALLS:
+                self.nursery.start_soon(self.call)
+            await trio.sleep(1.0 / self.rate)
+
+    async def call(self, kind=None, program=None):
+        """Send one request over a kept channel, and record what came of it."""
+        kind, service = kind or self.random.choice(KINDS)
+        program = program or self.random.choice(self.programs)
+        self.request_count += 1
+        request_id = f"r{self.request_count:07x}"
+        headers = [
+            (b"Wasabistage-Request-Id", request_id.encode()),
+            (b"Wasabistage-Deadline-Ms", b"3000"),
+            (b"Authorization", b"Bearer k1"),
+        ]
+        if kind == "chat":
+            headers += [
+                (b"Wasabistage-Model", b"m"),
+                (b"Wasabistage-Token-Count", b"600,20"),
+                (b"Wasabistage-Prompt-Prefix", b"aa:500,%s:100" % request_id.encode()),
+            ]
+        sent = Sent(self.timer.now(), request_id, kind, service, program.name)
+        self.record.sent.append(sent)
+        client = self._get_client(program.callers)
+        method, body = (b"GET", b"") if kind == "read" else (b"POST", b"{}")
+        self.open_calls += 1
+        try:
+            reply = await client.call(
+                method, f"/{kind}/x".encode(), body, headers, CALL_SECONDS
+            )
+            sent.status, sent.body = reply.status, reply.body
+            if kind == "chat" and reply.status == 200:
+                sent.body = request_id.encode()
+        except ChannelError:
+            pass
+        finally:
+            self.open_calls -= 1
+
+    def _get_client(self, address):
+        if address not in self.clients:
+            self.clients[address] = HttpClient(address, self.timer)
+            self.clients[address].host = b"h.example"
+        return self.clients[address]
+
+    def disturb(self, seconds, *names):
+        """Record a disturbance from now on of entries, or of the store (``""``)."""
+        now = self.timer.now()
+        for name in names or ("",):
+            self.record.disturbances.append((now, now + seconds, name))
+
+    def collect_events(self, *names):
+        """Return the log lines of the edge processes with one of some events."""
+        rows = []
+        for program in self.programs:
+            for line in program.log_path.read_bytes().splitlines():
+                try:
+                    row = json.loads(line)
+                except ValueError:
+                    rows.append({"event": "not_json", "line": line.decode("latin-1")})
+                    continue
+                if row.get("event") in names:
+                    rows.append(row)
+        return rows
+
+    async def stop(self):
+        """End all edge processes."""
+        for program in self.programs:
+            if program.is_running:
+                program.process.kill()
+        for program in self.programs:
+            if program.process is not None:
+                await program.wait()
