Log the inputs of each retry decision and the age of the server list

A retry decision is logged with the failure, the entries among which the budget is shared, and the retries that remain; attempts name the age of the list of servers; the gauge fleet.entries shows the count.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -101,7 +101,19 @@
             entry_count=self.state.entry_count,
             deadline_at=exchange.deadline_at,
         )
-        return self.state.retries.decide(query, now)
+        decision = self.state.retries.decide(query, now)
+        self.state.log.write(
+            "retry_decided",
+            request=exchange.request.request_id,
+            service=exchange.service,
+            server=attempt.choice.record.server,
+            failure=str(attempt.failure),
+            retry=bool(decision),
+            reason="" if decision else str(decision.reason),
+            entries=query.entry_count,
+            remaining=self.state.retries.get_remaining(query, now),
+        )
+        return decision
 
     async def _send_final_answer(self, exchange, reason):
         """Send the final response for a request that no attempt answered."""
@@ -522,6 +534,7 @@
             "route": exchange.route.name,
             "account": exchange.account.name if exchange.account else "",
             "server": record.server,
+            "list_age": round(self.state.servers_age, 3),
             "configuration": self.state.routes.configuration.version,
             "seconds": round(self.state.timer.now() - request.begun_at, 4),
             "outcome": attempt.reason or "answered",
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -4,10 +4,11 @@
 and the events that record its effects.
 """
 
+import math
 import random
 
 from wasabistage.cache import PartMap
-from wasabistage.fleet import KeyFreshness, RouteTable, ServerTable
+from wasabistage.fleet import KeyFreshness, RouteTable, ServerTable, Topic
 from wasabistage.quarantine import CrashQuarantine
 from wasabistage.retries import WindowRetryPolicy
 from wasabistage.rollout import OrderLease, VersionRollout
@@ -139,6 +140,12 @@
         """The number of entries that share the retry budget, including this one."""
         return len(self.view.get_members())
 
+    @property
+    def servers_age(self):
+        """Time since the list of servers was last confirmed, in seconds."""
+        watch = self.facts.watches.get(str(Topic.SERVERS))
+        return math.inf if watch is None else self.timer.now() - watch.confirmed_at
+
     def get_source_domain(self, address):
         """Return the failure domain of a cache source, or ``""``.
 
--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -25,6 +25,7 @@
     "cache.exported": ("counter", "cache pieces exported to a store"),
     "cache.rejected": ("counter", "cache pieces that failed verification"),
     "config.version": ("gauge", "configuration version in force"),
+    "fleet.entries": ("gauge", "entries that share the retry budgets (edge)"),
     "config.alarm": ("counter", "log records that were skipped as bad"),
     "peer.calls": ("counter", "calls sent to other entries"),
     "peer.failures": ("counter", "calls to other entries that failed"),
--- a/wasabistage/retries/_window_retries.py
+++ b/wasabistage/retries/_window_retries.py
@@ -81,6 +81,16 @@
             return BUDGET_SPENT
         return Retry(delay=0.0, servers=())
 
+    def get_remaining(self, query, now):
+        """Return the retries that remain to this entry at the service of a query.
+
+        :param query: a :class:`RetryQuery`.
+        :param now: monotonic time, in seconds.
+        :return: number of retries, rounded to two digits.
+        """
+        budget = self._get_budget(query.service)
+        return round(budget.get_remaining(query.entry_count, now), 2)
+
     def _get_budget(self, service):
         if service not in self.budgets_:
             self.budgets_[service] = self._build_budget()
