Divide the retry allowance by the entries that may run, not by those heard

Cause: every entry takes an equal share of retry_extra without asking the others, and divided by the entries whose reports it heard at that moment. Besides, a restarted entry had forgotten what it had spent in the window.

Ruled out for these runs: retries of requests that were not sent (none granted).

Change: SharerTable counts each entry from the moment at which it is known, from the record store or from reports, until ten minutes after it was last known to run. A process takes nothing of the allowance until it can know the others: three seconds when the fleet starts for the first time, otherwise a whole window after its start, since its predecessor may have spent the share. The part for its own requests stays.

--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -12,6 +12,7 @@
     RelayReported,
     RolePlan,
     RoleQuery,
+    SharerTable,
 )
 
 FOLLOWER_TIMEOUT_SECONDS = 1.8  # a follower without a report is no member
@@ -34,6 +35,8 @@
 BOUNDED_TOPICS = (Topic.CONFIGURATION, Topic.SERVERS)
 SOURCE_READERS = 1  # relays that read one cache source
 MAX_SOURCE_RANK = 4  # relays that try a source that others fail to read
+#: Time after the first start of a fleet within which its entries find each other.
+FIRST_START_SECONDS = 3.0
 STORE_SUCCESS_SECONDS = 3.0  # time for which a read shows that the store is reached
 
 
@@ -64,6 +67,8 @@
         self.probe_position = 0
         self._has_store = False
         self.store_read_at = float("-inf")
+        self.sharers = SharerTable()
+        self.started_at = state.timer.now()
 
     @property
     def has_store(self):
@@ -101,6 +106,7 @@
             weight=entry.weight,
         )
         self.assumed_until[name] = self.state.timer.now() + NEW_ENTRY_SECONDS
+        self.sharers.observe([name], self.state.timer.now())
         self.roles_key = None
         return True
 
@@ -130,6 +136,22 @@
         own = self.build_own_member()
         return {**self.table.get_members(), own.name: own}
 
+    def get_sharer_count(self):
+        """Return the number of entries that share the retry budgets, with this one.
+
+        :return: number of entries, or ``None`` while it is unknown, or while this
+            process may have spent its share of a window before it was restarted.
+        """
+        if self.state.timer.now() - self.started_at < self._get_hold_back_seconds():
+            return None
+        return self.sharers.count()
+
+    def _get_hold_back_seconds(self):
+        settings = self.state.settings
+        if not settings.instance.first_start:
+            return settings.bounds.retry_window_s
+        return FIRST_START_SECONDS if self.seed_ips else 0.0
+
     def get_roles(self):
         """Return the :class:`wasabistage.topology.Roles` of the last interval."""
         return self.roles or self.update_roles()
@@ -152,6 +174,8 @@
         """Compute the roles from the entries that are live now, and return them."""
         now = self.state.timer.now()
         members = self.get_members()
+        self.sharers.observe(members, now)
+        self.sharers.tick(now)
         for name, until in list(self.assumed_until.items()):
             if now > until:
                 del self.assumed_until[name]
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -211,7 +211,7 @@
             self.state.log.write("server_lapsed", server=server)
             self.state.health.observe(ServerRemoved(server=server), now)
         self.state.pace.tick(now)
-        self.state.metrics.gauge("fleet.entries", self.state.entry_count)
+        self.state.metrics.gauge("fleet.entries", self.state.entry_count or 0)
         for change in self.state.health.tick(now):
             self.state.log.write(
                 "server_health", server=change.server, state=str(change.state)
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -22,6 +22,9 @@
     ip: str
     #: Bandwidth of its link. Entries with fast links carry the facts of others.
     link_mbps: float = 1000.0
+    #: The whole fleet starts for the first time. A restarted process doesn't know what
+    #: it has spent of the budgets that all entries share.
+    first_start: bool = False
 
     @property
     def weight(self):
@@ -187,6 +190,8 @@
     for section in (settings.instance, settings.bounds, settings.engines):
         for name in section.__struct_fields__:
             value = getattr(section, name)
+            if isinstance(value, bool):
+                continue
             if isinstance(value, int | float) and value <= 0:
                 raise SettingError(
                     f"{path}: {name} is {value}, not above 0",
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -137,8 +137,11 @@
 
     @property
     def entry_count(self):
-        """The number of entries that share the retry budget, including this one."""
-        return len(self.view.get_members())
+        """The number of entries that share the retry budgets, including this one.
+
+        ``None`` while it is unknown.
+        """
+        return self.view.get_sharer_count()
 
     @property
     def servers_age(self):
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -123,7 +123,11 @@
         self.domain = domain
         settings = EdgeSettings(
             instance=InstanceSection(
-                name=self.name, failure_domain=domain, ip=self.ip, link_mbps=mbps
+                name=self.name,
+                failure_domain=domain,
+                ip=self.ip,
+                link_mbps=mbps,
+                first_start=fleet.is_first_start,
             ),
             listen=ListenSection(
                 callers=f"{self.ip}:80",
@@ -219,8 +223,9 @@
 class Fleet:
     """Entries, their links, and the record store."""
 
-    def __init__(self, size, domains, seed=1, loss=0.0):
+    def __init__(self, size, domains, seed=1, loss=0.0, is_first_start=False):
         self.random = random.Random(seed)
+        self.is_first_start = is_first_start
         self.loss = loss
         self.now = 100.0
         self.entries = {}
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -418,5 +418,76 @@
         self.assertIn(b"peer", entry.state.metrics.render())
 
 
+class RetryShareTest(unittest.TestCase):
+    """Pattern: entries don't hear each other, and all retry."""
+
+    def play(self, size, domains, cut, settled=True, is_first_start=False):
+        """Return the largest multiple of the shared allowance that entries took."""
+        shares = []
+
+        def check(fleet):
+            counts = [item.state.entry_count for item in fleet.entries.values()]
+            shares.append(sum(1.0 / count for count in counts if count))
+
+        fleet = Fleet(size, domains, is_first_start=is_first_start)
+        if settled:
+            fleet.play(12.0)
+        cut(fleet)
+        fleet.play(12.0, check)
+        return max(shares)
+
+    # Guards against retries beyond the budget of the fleet while entries are cut off
+    # from each other, which took up to 112 times the shared allowance (issue 29).
+    def test_entries_that_lose_each_other_stay_within_one_allowance(self):
+        def isolate_half(fleet):
+            names = sorted(entry.name for entry in fleet.entries.values())
+            fleet.sides = {name: i for i, name in enumerate(names) if i % 2}
+
+        def deafen_relays(fleet):
+            fleet.is_deaf = fleet.get_relays()
+
+        def kill_relays(fleet):
+            fleet.kill(fleet.get_relays())
+
+        def split_domains(fleet):
+            domains = [entry.domain for entry in fleet.entries.values()]
+            fleet.sides = {
+                entry.name: domains.index(entry.domain)
+                for entry in fleet.entries.values()
+            }
+
+        for cut in (isolate_half, deafen_relays, kill_relays, split_domains):
+            for size, domains in ((14, 2), (58, 4)):
+                with self.subTest(cut=cut.__name__, size=size):
+                    self.assertLessEqual(self.play(size, domains, cut), 1.0 + 1e-9)
+
+    # Guards against a whole allowance for each entry of a fleet that starts, which made
+    # 55 of them with 58 entries (issue 29).
+    def test_starting_entries_stay_within_one_allowance(self):
+        for size, domains in ((7, 4), (58, 4)):
+            for is_first_start in (False, True):
+                with self.subTest(size=size, is_first_start=is_first_start):
+                    share = self.play(
+                        size,
+                        domains,
+                        lambda fleet: None,
+                        settled=False,
+                        is_first_start=is_first_start,
+                    )
+                    self.assertLessEqual(share, 1.0 + 1e-9)
+                    self.assertGreater(share, 0.9)
+
+    def test_restarted_entries_stay_within_one_allowance(self):
+        """Pattern: some entries are killed; others start in their place."""
+
+        def replace(fleet):
+            killed = sorted(entry.name for entry in fleet.entries.values())[::3]
+            fleet.kill(killed)
+            for _ in killed:
+                fleet.add(4)
+
+        self.assertLessEqual(self.play(58, 4, replace), 1.0 + 1e-9)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -25,7 +25,10 @@
     "cache.exported": ("counter", "cache pieces exported to a store"),
     "cache.rejected": ("counter", "cache pieces that failed verification"),
     "config.version": ("gauge", "configuration version in force"),
-    "fleet.entries": ("gauge", "entries that share the retry budgets (edge)"),
+    "fleet.entries": (
+        "gauge",
+        "entries that share the retry budgets, 0: unknown (edge)",
+    ),
     "config.alarm": ("counter", "log records that were skipped as bad"),
     "peer.calls": ("counter", "calls sent to other entries"),
     "peer.failures": ("counter", "calls to other entries that failed"),
--- a/wasabistage/platform/tests/edge_case.py
+++ b/wasabistage/platform/tests/edge_case.py
@@ -43,7 +43,9 @@
 def make_settings(name, base, store, **bounds):
     """Return the settings of an edge process on ports from ``base`` on."""
     return EdgeSettings(
-        instance=InstanceSection(name=name, failure_domain="a", ip="127.0.0.1"),
+        instance=InstanceSection(
+            name=name, failure_domain="a", ip="127.0.0.1", first_start=True
+        ),
         listen=ListenSection(
             callers=f"127.0.0.1:{base}",
             readiness=f"127.0.0.1:{base + 1}",
--- a/wasabistage/retries/_messages.py
+++ b/wasabistage/retries/_messages.py
@@ -67,7 +67,8 @@
     :param retry_after: delay that the server asked for, in seconds, or ``None``.
     :param unsent_attempts: attempts so far that failed before they were sent.
     :param max_attempts: attempts that the request's route allows, or ``None``.
-    :param entry_count: number of entries that share the budget, this one included.
+    :param entry_count: number of entries that share the budget, this one included;
+        ``None`` while it is unknown.
     :param deadline_at: latest useful time of the answer's first byte, in monotonic
         seconds.
     :param draw: random number from 0 to 1 for the jitter, drawn from a seeded
@@ -84,7 +85,7 @@
     retry_after: float | None = None
     unsent_attempts: int = 0
     max_attempts: int | None = None
-    entry_count: int = 1
+    entry_count: int | None = 1
     deadline_at: float
     draw: float = 0.5
 
--- a/wasabistage/retries/_window_budget.py
+++ b/wasabistage/retries/_window_budget.py
@@ -10,8 +10,9 @@
 
     In any window, all entries together may send ``ratio`` retries per request plus
     ``extra`` retries. Each entry counts its own requests and takes an equal share of
-    ``extra``. The entries therefore need no messages, and an entry that is cut off
-    from the others can't exceed its share.
+    ``extra``, so that they need no messages. The bound holds as long as no entry
+    divides by less than the number of entries that run; one that doesn't know it takes
+    nothing of ``extra``.
 
     :param ratio: retries per request.
     :param extra: retries in a window, besides those for requests, that all entries
@@ -50,19 +51,20 @@
     def get_remaining(self, entries, now):
         """Return the number of retries that this entry may still send.
 
-        :param entries: number of entries that share ``extra``.
+        :param entries: number of entries that share ``extra``, or ``None`` if unknown.
         :param now: monotonic time, in seconds.
         :return: number of retries; may be a fraction, and is negative if requests
             that allowed retries have left the window before those retries.
         """
         self._expire(now)
-        allowed = self.ratio * len(self.request_times) + self.extra / max(1, entries)
+        share = 0.0 if entries is None else self.extra / max(1, entries)
+        allowed = self.ratio * len(self.request_times) + share
         return self.usable_fraction * allowed - len(self.retry_times)
 
     def acquire(self, entries, now):
         """Take one retry if one remains.
 
-        :param entries: number of entries that share ``extra``.
+        :param entries: number of entries that share ``extra``, or ``None`` if unknown.
         :param now: monotonic time, in seconds.
         :return: whether the retry is allowed.
         """
--- a/wasabistage/retries/tests/test_window_budget.py
+++ b/wasabistage/retries/tests/test_window_budget.py
@@ -15,6 +15,14 @@
         acquired = sum(budget.acquire(5, 0.0) for _ in range(50))
         self.assertEqual(acquired, 8)
 
+    # Guards against a whole extra for each entry that starts alone (issue 29, BUDGET).
+    def test_unknown_number_of_entries_allows_retries_for_requests_alone(self):
+        budget = WindowBudget(ratio=0.5, extra=50, window=10, usable_fraction=0.8)
+        self.assertFalse(budget.acquire(None, 0.0))
+        for _ in range(10):
+            budget.record_request(0.0)
+        self.assertEqual(sum(budget.acquire(None, 0.0) for _ in range(50)), 4)
+
     def test_retry_is_allowed_again_after_the_window(self):
         budget = WindowBudget(ratio=0.0, extra=1, window=10, usable_fraction=1.0)
         self.assertTrue(budget.acquire(1, 0.0))
--- a/wasabistage/topology/__init__.py
+++ b/wasabistage/topology/__init__.py
@@ -36,5 +36,6 @@
         "_readers": ("ReadQuery", "ReaderPolicy"),
         "_relay_choice": ("RelayChoice", "RelayQuery", "RelayReported"),
         "_roles": ("RoleQuery", "Roles", "RolePlan"),
+        "_sharers": ("SharerTable",),
     },
 )
