Pass over records, reports and replies that can't be read

Cause: a decoder raised what its caller did not expect (RecursionError for deep nesting, ValueError for digits such as the superscript two or for 5,000 digits, OverflowError for numbers beyond 64 bits). That ended the task that follows the shared list; it started again at the same record, and so on for ever.

Change: all decoders of data from others go through decode_data, which raises UnreadableError alone, and integers are bounded to 64 bits. A watch passes over a record that can't be applied, whatever the exception; it is counted and logged once per key. A source of cache events that fails in an unexpected way no longer stops the others.

Tests that expected None from the decoders expect the error now.

--- a/wasabistage/edge/_caches.py
+++ b/wasabistage/edge/_caches.py
@@ -2,8 +2,6 @@
 
 import trio
 
-from wasabistage.http1 import ChannelError
-
 READ_WAIT_SECONDS = 1.0  # time for which a source holds a read without events
 READ_INTERVAL_SECONDS = 0.25  # pause after a read, so that one returns several events
 RETRY_INTERVAL_SECONDS = 0.5  # mean pause after a failed read
@@ -24,6 +22,7 @@
     async def run(self):
         """Follow the sources that this entry reads until cancelled."""
         state = self.state
+        self.scopes = {}
         async with trio.open_nursery() as nursery:
             while True:
                 state.source_domains = self._get_source_domains()
@@ -64,7 +63,8 @@
                     await self._read_events(address)
                     self.state.view.unreadable.discard(address)
                     await trio.sleep(READ_INTERVAL_SECONDS)
-                except ChannelError as error:
+                except Exception as error:
+                    # Whatever a source sends, the others are followed.
                     self._record_failure(address, error)
                     await trio.sleep(
                         RETRY_INTERVAL_SECONDS * (0.5 + self.state.random.random())
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -1,7 +1,5 @@
 """Facts that entries tell each other: records, cached parts, live entries."""
 
-import msgspec
-
 from wasabistage.edge._messages import CacheEvent, CacheEvents
 from wasabistage.edge._peer_messages import (
     ENCODER,
@@ -15,6 +13,7 @@
 )
 from wasabistage.fleet import StoredRecord, Topic
 from wasabistage.topology import FactLog, FleetMember
+from wasabistage.utils import UnreadableError, decode_data
 
 #: Topics whose records are facts.
 SHARED_TOPICS = (Topic.CONFIGURATION, Topic.SERVERS, Topic.ENTRIES)
@@ -155,8 +154,8 @@
         :param ip: IP of the entry.
         """
         try:
-            fact = FACT_DECODER.decode(data)
-        except msgspec.DecodeError as error:
+            fact = decode_data(FACT_DECODER, data)
+        except UnreadableError as error:
             self.state.metrics.count("peer.failures")
             self.state.log.write("fact_unreadable", reason=str(error))
             return
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -27,6 +27,7 @@
     MissingFacts,
     select_busiest,
 )
+from wasabistage.utils import decode_data
 
 PEER_REPORT_INTERVAL_SECONDS = 0.2
 #: Intervals between two reports of an entry without load.
@@ -38,6 +39,7 @@
 MAX_FACTS_BYTES = 24000  # of the facts in a datagram
 MAX_DATAGRAM_BYTES = 60000  # below the largest UDP payload
 MAX_VERSIONS = 64  # rows in a report
+MAX_UNREADABLE_IPS = 256  # of which one unreadable report was logged
 MAX_LOAD_ROWS = 500  # some 25 KB; with the facts a datagram is not above its bound
 INTRODUCTION_INTERVAL_SECONDS = 0.5  # between two to the same entry
 
@@ -71,6 +73,8 @@
         self.introductions = []
         self.introduced_at = {}
         self.announced = {}
+        #: IPs whose unreadable reports were logged.
+        self.unreadable_ips = set()
         #: Servers with an order that this entry has sent or is about to send.
         self.ordering = set()
         #: Set to send a report before the next interval.
@@ -298,7 +302,7 @@
             datagram = ENCODER.encode(EncodedReportDatagram(clock, incarnation, data))
             try:
                 await self.sock.sendto(datagram, (ip, port))
-            except OSError:
+            except (OSError, ValueError):
                 self.state.metrics.count("peer.failures")
 
     async def _send_introductions(self):
@@ -328,15 +332,26 @@
     async def run_receiving(self):
         """Receive reports until cancelled."""
         while True:
-            data, _ = await self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+            data, sender = await self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                message = DATAGRAM_DECODER.decode(data)
-            except msgspec.DecodeError:
-                self.state.metrics.count("peer.failures")
-                continue
-            is_own_echo = message.echoed == self.state.incarnation
-            echo = message.echo if is_own_echo else None
-            self.handle_report(message.report, echo, self.state.timer.now())
+                message = decode_data(DATAGRAM_DECODER, data)
+                is_own_echo = message.echoed == self.state.incarnation
+                echo = message.echo if is_own_echo else None
+                self.handle_report(message.report, echo, self.state.timer.now())
+            except Exception as error:
+                # Reports of others must not wait for the task to start again.
+                self._record_unreadable(sender[0], error)
+
+    def _record_unreadable(self, ip, error):
+        self.state.metrics.count("peer.failures")
+        if ip in self.unreadable_ips:
+            return
+        if len(self.unreadable_ips) >= MAX_UNREADABLE_IPS:
+            self.unreadable_ips.clear()
+        self.unreadable_ips.add(ip)
+        self.state.log.write(
+            "report_unreadable", ip=ip, error=type(error).__name__, reason=str(error)
+        )
 
     def handle_report(self, report, echo, now):
         """Apply a peer's report to the state of this entry.
--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -9,6 +9,9 @@
 
 #: Age of a topic from which an entry that can't read it asks another one.
 MIN_SNAPSHOT_AGE_SECONDS = 1.0
+MAX_UNREADABLE_KEYS = 256  # of which a topic remembers that they were logged
+MAX_LOGGED_KEY = 128  # characters
+MAX_LOGGED_REASON = 200  # characters
 ROLE_INTERVAL_SECONDS = 0.25  # pause between two checks whether to read a topic
 
 
@@ -35,6 +38,8 @@
         #: Whether the records are known, from the store or another entry.
         self.is_known = False
         self.newest_records = {}
+        #: Offset of the last unreadable record of each key, the oldest key first.
+        self.unreadable_offsets = {}
         #: Offset of the newest record that was told as a fact, or read at the start.
         self.newest_fact = -1
         #: Time at which the records were confirmed as the newest, and the same by a
@@ -98,7 +103,7 @@
             self._record_success(begun_at)
         now = self.state.timer.now()
         for record in page.records:
-            is_new = self.apply_record(record, now)
+            is_new = self._apply_readable(record, now)
             if is_new or not self.is_known:
                 self.newest_fact = max(self.newest_fact, record.offset)
             # Other entries read the records that a starting one finds by themselves.
@@ -123,7 +128,7 @@
 
         :param record: a :class:`wasabistage.fleet.StoredRecord`.
         """
-        is_new = bool(self.apply_record(record, self.state.timer.now()))
+        is_new = self._apply_readable(record, self.state.timer.now())
         if is_new:
             self.newest_fact = max(self.newest_fact, record.offset)
         return is_new
@@ -155,7 +160,7 @@
         if confirmed_at >= self.confirmed_at:
             self.reset_keys(records, now)
         for record in records:
-            if self.apply_record(record, now):
+            if self._apply_readable(record, now):
                 self.state.facts.publish_record(self.topic, record, is_own=False)
         self.is_known = True
         self.newest_fact = max(self.newest_fact, snapshot.newest)
@@ -211,6 +216,40 @@
         """
         return
 
+    def _apply_readable(self, record, now):
+        """Apply one record; pass over one that can't be applied, whatever it holds.
+
+        The topic may have other writers, and a record that ends the watch would keep
+        it from all that follow.
+
+        :return: whether other entries need the record.
+        """
+        try:
+            return bool(self.apply_record(record, now))
+        except Exception as error:
+            self._record_unreadable(record, error)
+            return False
+
+    def _record_unreadable(self, record, error):
+        state = self.state
+        state.metrics.count("records.unreadable", label=str(self.topic))
+        logged_offset = self.unreadable_offsets.get(record.key)
+        if logged_offset == record.offset:
+            return
+        if len(self.unreadable_offsets) >= MAX_UNREADABLE_KEYS:
+            self.unreadable_offsets.pop(next(iter(self.unreadable_offsets)))
+        self.unreadable_offsets[record.key] = record.offset
+        if logged_offset is None:
+            state.log.write(
+                "record_unreadable",
+                topic=str(self.topic),
+                key=record.key[:MAX_LOGGED_KEY],
+                offset=record.offset,
+                bytes=len(record.value or b""),
+                error=type(error).__name__,
+                reason=str(error)[:MAX_LOGGED_REASON],
+            )
+
     @abstractmethod
     def apply_record(self, record, now):
         """Apply one record.
@@ -218,6 +257,8 @@
         :param record: a :class:`wasabistage.fleet.StoredRecord`.
         :param now: monotonic time, in seconds.
         :return: whether other entries need it.
+        :raises UnreadableError: if its value can't be decoded. Any other exception is
+            treated in the same way.
         """
 
     def handle_page_end(self, end, now):
--- a/wasabistage/edge/_snapshots.py
+++ b/wasabistage/edge/_snapshots.py
@@ -14,6 +14,7 @@
 from wasabistage.fleet import StoreError
 from wasabistage.http1 import Answer, ChannelError, HttpClient
 from wasabistage.topology import FactCursor, MissingFacts
+from wasabistage.utils import UnreadableError, decode_data
 
 SNAPSHOT_TIMEOUT_SECONDS = 0.4  # peers answer in some milliseconds
 STATE_TIMEOUT_SECONDS = 2.0  # a state of 1 MB takes a second on the slowest links
@@ -95,8 +96,8 @@
             reply = await self._call(ip, target, SNAPSHOT_TIMEOUT_SECONDS)
             if reply.status != 200:
                 raise StoreError(f"peer {ip} has not read the topic yet")
-            return SNAPSHOT_DECODER.decode(reply.body), requested_at
-        except (ChannelError, msgspec.DecodeError) as error:
+            return decode_data(SNAPSHOT_DECODER, reply.body), requested_at
+        except (ChannelError, UnreadableError) as error:
             raise StoreError(f"peer {ip} sent no snapshot: {error}") from error
 
     async def _call(self, ip, target, timeout):
@@ -140,7 +141,7 @@
                 target = LOG_PATH + f"{log}/{gap.position}".encode()
                 reply = await self._call(ip, target, STATE_TIMEOUT_SECONDS)
                 if reply.status == 200:
-                    batch = BATCH_DECODER.decode(reply.body)
+                    batch = decode_data(BATCH_DECODER, reply.body)
                     new = cursor.accept(batch.log, batch.first, batch.facts)
                     if not isinstance(new, MissingFacts):
                         for fact in new:
@@ -151,10 +152,10 @@
             reply = await self._call(ip, target, STATE_TIMEOUT_SECONDS)
             if reply.status != 200:
                 raise ChannelError(f"the peer answered {reply.status}")
-            fleet_state = STATE_DECODER.decode(reply.body)
+            fleet_state = decode_data(STATE_DECODER, reply.body)
             exchange.apply_state(fleet_state, requested_at)
             cursor.set(fleet_state.log, fleet_state.position)
-        except (ChannelError, msgspec.DecodeError) as error:
+        except (ChannelError, UnreadableError) as error:
             self.state.metrics.count("peer.failures")
             self.state.log.write("peer_state_missing", peer=name, reason=str(error))
         finally:
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -1,5 +1,8 @@
 """Tasks that follow the record topics of configuration, servers, entries, orders."""
 
+import math
+from ipaddress import IPv4Address
+
 import msgspec
 import trio
 
@@ -13,6 +16,9 @@
     VersionNamed,
 )
 from wasabistage.routing import ServerAppeared, ServerLeaving, ServerRemoved
+from wasabistage.utils import UnreadableError, decode_data
+
+ENTRY_DECODER = msgspec.json.Decoder(PeerEntry)
 
 
 class ConfigurationWatch(RecordWatch):
@@ -27,11 +33,12 @@
         """See :meth:`RecordWatch.apply_record`."""
         if not self.is_newer(record):
             return False
-        self.newest_records[record.key] = record
         if self.state.platform.is_configuration(record):
             self._apply_configuration(record)
+            self.newest_records[record.key] = record
             return True
         named = self.state.platform.decode_named_version(record)
+        self.newest_records[record.key] = record
         if named is not None:
             event = VersionNamed(model=named.model, version=named.version)
             self.state.swap.observe(event, now)
@@ -44,11 +51,11 @@
         return True
 
     def _apply_configuration(self, record):
-        configuration = self.state.platform.decode_configuration(record.value)
-        if configuration is None:
-            self.state.log.write("configuration_unreadable", offset=record.offset)
+        try:
+            configuration = self.state.platform.decode_configuration(record.value)
+        except UnreadableError:
             self.state.metrics.count("config.alarm")
-            return
+            raise
         if self.state.routes.apply_configuration(configuration):
             self.state.metrics.gauge("config.version", configuration.version)
             self.state.log.write(
@@ -100,9 +107,6 @@
             self._remove(record.key, now)
             return True
         server = self.state.platform.decode_server(record)
-        if server is None:
-            self.state.metrics.count("servers.unreadable")
-            return False
         self.newest_records[record.key] = record
         if not self.state.servers.observe(server, now):
             return False
@@ -167,15 +171,23 @@
         """See :meth:`RecordWatch.apply_record`."""
         if record.value is None or not self.is_newer(record):
             return False
+        entry = decode_data(ENTRY_DECODER, record.value)
+        check_entry(entry)
         self.newest_records[record.key] = record
-        try:
-            entry = msgspec.json.decode(record.value, type=PeerEntry)
-        except msgspec.DecodeError:
-            self.state.log.write("entry_unreadable", key=record.key)
-            return False
         return self.state.view.add_entry(record.key, entry)
 
 
+def check_entry(entry):
+    """Check the address and the weight of an entry.
+
+    :param entry: a :class:`PeerEntry`.
+    :raises ValueError: if one of them can't be used.
+    """
+    IPv4Address(entry.ip)
+    if not 0.0 < entry.weight < math.inf:
+        raise UnreadableError(f"the weight is {entry.weight}, not above 0 and finite")
+
+
 class OrderRecord(msgspec.Struct):
     """Value of a record in the topic of orders: a grant of the order lease.
 
@@ -187,6 +199,9 @@
     servers: list[str]
 
 
+ORDER_DECODER = msgspec.json.Decoder(OrderRecord)
+
+
 class OrderWatch(RecordWatch):
     """Follows the grants of the order lease."""
 
@@ -218,11 +233,7 @@
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
-        try:
-            grant = msgspec.json.decode(record.value, type=OrderRecord)
-        except msgspec.DecodeError:
-            self.state.log.write("order_unreadable", offset=record.offset)
-            return False
+        grant = decode_data(ORDER_DECODER, record.value)
         event = LeaseRecord(
             offset=record.offset,
             holder=grant.holder,
--- a/wasabistage/platform/_records.py
+++ b/wasabistage/platform/_records.py
@@ -14,11 +14,14 @@
     ServerRecord,
     Service,
 )
+from wasabistage.utils import Int64, UnreadableError, decode_data
 
 MILLISECONDS_PER_SECOND = 1000.0
 BYTES_PER_MEGABIT = 125_000.0
 CONFIGURATION_KEY = "config"
 VERSION_PREFIX = "version/"
+MAX_SHOWN = 64  # characters of a wrong value that an error shows
+MAX_PORT_DIGITS = 5
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.ONCE,
@@ -46,11 +49,11 @@
     #: Time within which an answer earns its full worth, not a deadline.
     goal_ms: float = 1000.0
     #: A rank, 0 first.
-    priority: int = 0
+    priority: Int64 = 0
     service: str = ""
     split: list[WireTarget] = []
     #: Servers that one request may be sent to, not tries.
-    attempts: int = 1
+    attempts: Int64 = 1
     anonymous: bool = False
     #: Requests carry a prompt whose parts servers may have cached.
     sticky: bool = False
@@ -60,26 +63,26 @@
 class WireEngine(msgspec.Struct, rename="camel"):
     """What a service of model engines has."""
 
-    slots: int = 1
+    slots: Int64 = 1
     #: In tokens.
-    kv_capacity: int = 0
-    kv_token_bytes: int = 1
+    kv_capacity: Int64 = 0
+    kv_token_bytes: Int64 = 1
     link_mbps: float = 1000.0
     #: Calls for cache events held at once, not requests.
-    max_inflight: int = 1
+    max_inflight: Int64 = 1
 
 
 class WireService(msgspec.Struct, rename="camel"):
     """A service, or a store of KV cache if it has a store's address."""
 
     name: str
-    max_conns: int = 0
+    max_conns: Int64 = 0
     engine: WireEngine | None = None
     kv_store_addr: str = ""
     zone: str = ""
-    kv_capacity: int = 0
+    kv_capacity: Int64 = 0
     link_mbps: float = 1000.0
-    max_inflight: int = 1
+    max_inflight: Int64 = 1
     #: The store drops nothing by itself.
     is_managed: bool = False
     #: Added to each transfer, in milliseconds.
@@ -89,8 +92,8 @@
 class WireLimits(msgspec.Struct, rename="camel"):
     """Bounds on callers."""
 
-    max_header_bytes: int = 65536
-    max_body_bytes: int = 4 << 20
+    max_header_bytes: Int64 = 65536
+    max_body_bytes: Int64 = 4 << 20
     header_timeout_ms: float = 10_000.0
     idle_timeout_ms: float = 60_000.0
 
@@ -100,14 +103,14 @@
 
     name: str
     keys: list[str] = []
-    priority: int | None = None
+    priority: Int64 | None = None
     dedicated: bool = False
 
 
 class WireConfiguration(msgspec.Struct):
     """The whole configuration."""
 
-    version: int
+    version: Int64
     routes: list[WireRoute]
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -118,7 +121,7 @@
     """A model that a server holds."""
 
     name: str
-    version: int = 1
+    version: Int64 = 1
 
 
 class WireServer(msgspec.Struct):
@@ -127,9 +130,9 @@
     service: str
     address: str
     state: str
-    born: int = 0
+    born: Int64 = 0
     zone: str = ""
-    slots: int = 1
+    slots: Int64 = 1
     models: list[WireModel] = []
 
 
@@ -137,7 +140,7 @@
     """Weights named by the operators."""
 
     model: str
-    version: int
+    version: Int64
 
 
 CONFIGURATION_DECODER = msgspec.json.Decoder(WireConfiguration)
@@ -149,14 +152,16 @@
     """Decode a configuration.
 
     :param value: bytes.
-    :return: a :class:`wasabistage.fleet.Configuration`, or ``None`` if it can't be
-        used.
+    :return: a :class:`wasabistage.fleet.Configuration`.
+    :raises UnreadableError: if it can't be used.
     """
     try:
-        wire = CONFIGURATION_DECODER.decode(value)
+        wire = decode_data(CONFIGURATION_DECODER, value)
         routes = tuple(make_route(item) for item in wire.routes)
-    except (msgspec.DecodeError, KeyError, UnicodeError):
-        return None
+    except KeyError as error:
+        raise UnreadableError(f"{error} is no kind of request") from error
+    except UnicodeError as error:
+        raise UnreadableError(str(error)) from error
     services = [item for item in wire.services if not item.kv_store_addr]
     stores = [item for item in wire.services if is_address(item.kv_store_addr)]
     return Configuration(
@@ -239,26 +244,30 @@
     host, _, port = text.rpartition(":")
     numbers = host.split(".")
     return (
-        port.isdigit()
+        is_number(port)
         and 0 < int(port) < 65536
         and len(numbers) == 4
-        and all(item.isdigit() and int(item) < 256 for item in numbers)
+        and all(is_number(item) and int(item) < 256 for item in numbers)
     )
 
 
+def is_number(text):
+    """Tell whether a text is a whole number of a few ASCII digits."""
+    return len(text) <= MAX_PORT_DIGITS and text.isascii() and text.isdigit()
+
+
 def decode_server(record):
     """Decode a server's record.
 
     :param record: a :class:`wasabistage.fleet.StoredRecord` with a value.
-    :return: a :class:`wasabistage.fleet.ServerRecord`, or ``None`` if it names no
-        server to use.
+    :return: a :class:`wasabistage.fleet.ServerRecord`.
+    :raises UnreadableError: if it names no server to use.
     """
-    try:
-        wire = SERVER_DECODER.decode(record.value)
-    except (msgspec.DecodeError, UnicodeError):
-        return None
-    if wire.state not in (READY, DRAINING) or not is_address(wire.address):
-        return None
+    wire = decode_data(SERVER_DECODER, record.value)
+    if wire.state not in (READY, DRAINING):
+        raise UnreadableError(f"{wire.state[:MAX_SHOWN]!r} is no state of a server")
+    if not is_address(wire.address):
+        raise UnreadableError(f"{wire.address[:MAX_SHOWN]!r} is not IP:PORT")
     return ServerRecord(
         server=record.key,
         incarnation=wire.born,
@@ -275,12 +284,11 @@
     """Decode a record that names a weight version.
 
     :param record: a :class:`wasabistage.fleet.StoredRecord`.
-    :return: a :class:`wasabistage.edge.NamedWeightVersion`, or ``None``.
+    :return: a :class:`wasabistage.edge.NamedWeightVersion`, or ``None`` if the record
+        is another one.
+    :raises UnreadableError: if it can't be decoded.
     """
     if not record.key.startswith(VERSION_PREFIX) or record.value is None:
         return None
-    try:
-        wire = NAMED_DECODER.decode(record.value)
-    except (msgspec.DecodeError, UnicodeError):
-        return None
+    wire = decode_data(NAMED_DECODER, record.value)
     return NamedWeightVersion(model=wire.model, version=wire.version)
--- a/wasabistage/platform/_requests.py
+++ b/wasabistage/platform/_requests.py
@@ -17,7 +17,8 @@
 EVENT_STREAM = b"text/event-stream"
 
 MAX_LOAD_NUMBERS = 4  # further numbers in the header of a server's load are ignored
-MAX_COUNT_DIGITS = 9  # of a number in that header
+MAX_COUNT_DIGITS = 9  # of a number in a header
+MAX_RETRY_AFTER_SECONDS = 3600.0  # a longer pause that a server asks for is cut
 USUAL_PACE_PERCENT = 100.0
 #: Statuses that tell callers that a request was not run and never will be.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -103,8 +104,8 @@
     try:
         return Prompt(
             model=fields[names.MODEL].decode("latin-1"),
-            prompt_tokens=int(prompt_tokens or 0),
-            output_tokens=int(output_tokens or 0),
+            prompt_tokens=decode_count(prompt_tokens or b"0"),
+            output_tokens=decode_count(output_tokens or b"0"),
             parts=decode_parts(fields.get(names.PARTS, b"")),
         )
     except ValueError as error:
@@ -118,11 +119,23 @@
     rows = value.split(b",")[:MAX_PARTS]
     pairs = [row.strip().partition(b":") for row in rows]
     return tuple(
-        PromptPart(part=part.decode("latin-1"), tokens=int(tokens))
+        PromptPart(part=part.decode("latin-1"), tokens=decode_count(tokens))
         for part, _, tokens in pairs
     )
 
 
+def decode_count(value):
+    """Return a number of tokens.
+
+    :param value: bytes.
+    :raises ValueError: if it is not a whole number of a few digits.
+    """
+    value = value.strip()
+    if not is_count(value):
+        raise ValueError(f"{value[:MAX_COUNT_DIGITS]!r} is not a number of tokens")
+    return int(value)
+
+
 def passed_on(headers, fields):
     """Yield the headers of a request that go on to a server as they came."""
     dropped = connection_names(fields)
@@ -207,7 +220,7 @@
         is_verified_success=names.SEAL in fields and b"content-encoding" not in fields,
         is_event_stream=decode_is_event_stream(fields.get(b"content-type")),
         is_leaving=b"close" in connection_names(fields),
-        weight_version=int(version) if version.isdigit() else None,
+        weight_version=int(version) if is_count(version) else None,
         load=decode_load(fields.get(names.LOAD, b"")),
         retry_after=decode_seconds(fields.get(names.RETRY_AFTER, b"")),
         server=fields.get(names.SERVER, b"").decode("latin-1"),
@@ -244,11 +257,14 @@
 
 
 def decode_seconds(value):
-    """Return a number of seconds, or ``None``."""
+    """Return the seconds after which to retry, or ``None`` for what is no time."""
     try:
-        return float(value)
+        seconds = float(value)
     except ValueError:
         return None
+    if not seconds >= 0.0:
+        return None
+    return min(seconds, MAX_RETRY_AFTER_SECONDS)
 
 
 def encode_response_headers(head):
--- a/wasabistage/platform/_servers.py
+++ b/wasabistage/platform/_servers.py
@@ -10,8 +10,10 @@
     OrderMethod,
 )
 from wasabistage.http1 import ChannelError, HttpClient
+from wasabistage.utils import Int64, UnreadableError, decode_data
 
 MILLISECONDS_PER_SECOND = 1000.0
+MAX_CLOCK_MILLISECONDS = 1e15  # some 30,000 years
 CALL_TIMEOUT = 1.0  # seconds; the calls need no slot and take milliseconds
 LONGEST_WAIT = 1.0  # seconds, the most that an engine holds a call for events
 #: Largest reply. A listing of 25,000 parts has about that size.
@@ -31,7 +33,7 @@
     """A model that an engine holds."""
 
     name: str
-    version: int = 1
+    version: Int64 = 1
 
 
 class WireReport(msgspec.Struct):
@@ -41,41 +43,63 @@
     #: An order is in progress; not that requests run.
     busy: bool = False
     #: Orders accepted, not records.
-    seq: int = 0
-    queued: int = 0
-    active: int = 0
+    seq: Int64 = 0
+    queued: Int64 = 0
+    active: Int64 = 0
     #: Wall clock of the servers, in milliseconds.
     clock_ms: float | None = None
     #: Millisecond of its start.
-    born: int | None = None
+    born: Int64 | None = None
+
+
+#: Number, sign, cache key, part, tokens kept now, model.
+EventRow = tuple[Int64, str, str, str, Int64, str]
+#: Cache key, part, tokens, model.
+HeldRow = tuple[str, str, Int64, str]
 
 
 class WireEvents(msgspec.Struct):
     """Changes of what is cached."""
 
-    epoch: int
+    epoch: Int64
     #: Value of ``since`` for the next read.
-    next: int
+    next: Int64
     #: Some events between the reads are gone.
     lost: bool = False
-    #: Rows of number, sign, cache key, part, tokens kept now, model.
-    events: list[tuple[int, str, str, str, int, str]] = []
+    events: list[EventRow] = []
     clock_ms: float | None = None
 
 
+class RawEvents(WireEvents):
+    """The same, with rows that may be unreadable."""
+
+    events: list[msgspec.Raw] = []
+
+
 class WireListing(msgspec.Struct):
     """All that is cached."""
 
-    epoch: int
-    next: int
-    #: Rows of cache key, part, tokens, model.
-    held: list[tuple[str, str, int, str]] = []
+    epoch: Int64
+    next: Int64
+    held: list[HeldRow] = []
     clock_ms: float | None = None
 
 
+class RawListing(WireListing):
+    """The same, with rows that may be unreadable."""
+
+    held: list[msgspec.Raw] = []
+
+
 REPORT_DECODER = msgspec.json.Decoder(WireReport)
+
+
 EVENTS_DECODER = msgspec.json.Decoder(WireEvents, strict=False)
 LISTING_DECODER = msgspec.json.Decoder(WireListing, strict=False)
+RAW_EVENTS_DECODER = msgspec.json.Decoder(RawEvents, strict=False)
+RAW_LISTING_DECODER = msgspec.json.Decoder(RawListing, strict=False)
+EVENT_DECODER = msgspec.json.Decoder(EventRow, strict=False)
+HELD_DECODER = msgspec.json.Decoder(HeldRow, strict=False)
 
 
 class ServerCalls:
@@ -139,15 +163,19 @@
         client = self._client(address)
         timeout = wait + CALL_TIMEOUT
         reply = await client.call(b"GET", target, headers=headers, timeout=timeout)
-        wire = decode(EVENTS_DECODER, reply)
-        rows = (row[2:5] for row in wire.events)
+        wire, events = decode_rows(
+            reply, EVENTS_DECODER, RAW_EVENTS_DECODER, EVENT_DECODER, "events"
+        )
+        rows = (row[2:5] for row in events)
         return to_cache_events(wire, rows, has_gap=wire.lost)
 
     async def list_cache(self, address):
         """Return all that is cached, as :class:`wasabistage.edge.CacheEvents`."""
         reply = await self._client(address).call(b"GET", b"/v1/kv-list")
-        wire = decode(LISTING_DECODER, reply)
-        rows = (row[:3] for row in wire.held)
+        wire, held = decode_rows(
+            reply, LISTING_DECODER, RAW_LISTING_DECODER, HELD_DECODER, "held"
+        )
+        rows = (row[:3] for row in held)
         return to_cache_events(wire, rows, has_gap=False)
 
     async def free_parts(self, address, parts, epoch, until):
@@ -180,9 +208,36 @@
     )
 
 
+def decode_rows(reply, decoder, raw_decoder, row_decoder, field):
+    """Decode a reply with a list of rows, without the unreadable ones.
+
+    :param reply: a :class:`wasabistage.http1.Reply`.
+    :param decoder: msgspec decoder of a reply in which every row is readable.
+    :param raw_decoder: msgspec decoder of a reply whose rows are ``msgspec.Raw``.
+    :param row_decoder: msgspec decoder of one row.
+    :param field: name of the field with the rows.
+    :return: the decoded reply and its list of decoded rows.
+    :raises ChannelError: if it is no success or can't be decoded.
+    """
+    try:
+        wire = decode(decoder, reply)
+        return wire, getattr(wire, field)
+    except ChannelError:
+        wire = decode(raw_decoder, reply)
+    rows = []
+    for row in getattr(wire, field):
+        try:
+            rows.append(decode_data(row_decoder, row))
+        except UnreadableError:
+            continue
+    return wire, rows
+
+
 def to_seconds(milliseconds):
-    """Return seconds, or ``None`` for ``None``."""
-    return None if milliseconds is None else milliseconds / MILLISECONDS_PER_SECOND
+    """Return seconds, or ``None`` for ``None`` and for what is no time of a clock."""
+    if milliseconds is None or not 0.0 <= milliseconds < MAX_CLOCK_MILLISECONDS:
+        return None
+    return milliseconds / MILLISECONDS_PER_SECOND
 
 
 def decode(decoder, reply):
@@ -195,6 +250,6 @@
     if reply.status != 200:
         raise ChannelError(f"the server answered {reply.status}")
     try:
-        return decoder.decode(reply.body)
-    except msgspec.DecodeError as error:
+        return decode_data(decoder, reply.body)
+    except UnreadableError as error:
         raise ChannelError(f"unexpected reply: {error}") from error
--- a/wasabistage/platform/_store.py
+++ b/wasabistage/platform/_store.py
@@ -16,6 +16,7 @@
     TrimmedError,
 )
 from wasabistage.http1 import ChannelError, HttpClient
+from wasabistage.utils import Int64, UnreadableError, decode_data
 
 TOPICS = {
     Topic.CONFIGURATION: "keyed.op",
@@ -36,15 +37,15 @@
     """The newest record of a key."""
 
     key: str
-    offset: int
+    offset: Int64
     value: str = ""
 
 
 class WireNewest(msgspec.Struct, rename="camel"):
     """A page of newest records."""
 
-    end: int
-    items: list[WireItem] = []
+    end: Int64
+    items: list[msgspec.Raw] = []
     more_pages: bool = False
 
 
@@ -52,9 +53,10 @@
     """Answer to an append."""
 
     #: Offset of the first record that was appended.
-    offset: int
+    offset: Int64
 
 
+ITEM_DECODER = msgspec.json.Decoder(WireItem)
 NEWEST_DECODER = msgspec.json.Decoder(WireNewest)
 APPENDED_DECODER = msgspec.json.Decoder(WireAppended)
 
@@ -79,10 +81,11 @@
             page = await self._newest_page(query)
             # Records may follow while pages are read: read on from the first page.
             end = page.end if end is None else end
-            records += [decode_item(item) for item in page.items]
-            if not page.more_pages or not page.items:
+            items = list(decode_items(page.items))
+            records += items
+            if not page.more_pages or not items:
                 return RecordPage(records=tuple(records), end=end)
-            after = page.items[-1].key
+            after = items[-1].key
         raise StoreError("the newest records have too many pages")
 
     async def _newest_page(self, query):
@@ -92,8 +95,8 @@
             return WireNewest(end=0)
         check_status(reply)
         try:
-            return NEWEST_DECODER.decode(reply.body)
-        except msgspec.DecodeError as error:
+            return decode_data(NEWEST_DECODER, reply.body)
+        except UnreadableError as error:
             raise StoreError(f"not a page of records: {error}") from error
 
     async def read(self, topic, start, wait):
@@ -125,8 +128,8 @@
             raise OvertakenError("the topic has newer records")
         check_status(reply)
         try:
-            return APPENDED_DECODER.decode(reply.body).offset
-        except msgspec.DecodeError as error:
+            return decode_data(APPENDED_DECODER, reply.body).offset
+        except UnreadableError as error:
             raise StoreError(f"not an answer to an append: {error}") from error
 
     async def _call(self, method, target, body=b"", timeout=CALL_TIMEOUT):
@@ -146,13 +149,19 @@
         raise StoreError(f"the store answered {reply.status}")
 
 
-def decode_item(item):
-    """Return the :class:`wasabistage.fleet.StoredRecord` of a :class:`WireItem`."""
-    try:
-        value = base64.b64decode(item.value)
-    except ValueError as error:
-        raise StoreError("a record's value is not base64") from error
-    return StoredRecord(offset=item.offset, key=item.key, value=value)
+def decode_items(items):
+    """Yield the records of a page of newest records, without those that are unreadable.
+
+    :param items: list of ``msgspec.Raw``, each a :class:`WireItem`.
+    :return: iterator of :class:`wasabistage.fleet.StoredRecord`.
+    """
+    for raw in items:
+        try:
+            item = decode_data(ITEM_DECODER, raw)
+            value = base64.b64decode(item.value)
+        except (UnreadableError, ValueError):
+            continue
+        yield StoredRecord(offset=item.offset, key=item.key, value=value)
 
 
 def decode_page(body, start, is_keyed):
--- a/wasabistage/platform/tests/test_records.py
+++ b/wasabistage/platform/tests/test_records.py
@@ -11,6 +11,7 @@
     decode_server,
 )
 from wasabistage.platform._store import LENGTH, POSITIONS, decode_page
+from wasabistage.utils import UnreadableError
 
 CONFIGURATION = {
     "version": 7,
@@ -93,17 +94,20 @@
         self.assertTrue(made.accounts["t"].is_dedicated)
         self.assertEqual(made.limits.idle_timeout_seconds, 15.0)
 
-    def test_what_can_not_be_used_is_none(self):
+    def test_what_can_not_be_used_is_unreadable(self):
         bad_kind = {**CONFIGURATION, "routes": [{**CONFIGURATION["routes"][0]}]}
         bad_kind["routes"][0]["kind"] = "unheard"
         for value in (b"", b"\xff", b"[]", json.dumps(bad_kind).encode()):
-            self.assertIsNone(decode_configuration(value))
+            with self.assertRaises(UnreadableError):
+                decode_configuration(value)
 
     @given(st.binary(max_size=200))
     @settings(max_examples=200, deadline=None)
     def test_arbitrary_bytes_harm_nothing(self, value):
-        self.assertIsNone(decode_configuration(value))
-        self.assertIsNone(decode_server(StoredRecord(offset=0, key="i", value=value)))
+        with self.assertRaises(UnreadableError):
+            decode_configuration(value)
+        with self.assertRaises(UnreadableError):
+            decode_server(StoredRecord(offset=0, key="i", value=value))
 
 
 class DecodeServerTest(unittest.TestCase):
@@ -124,15 +128,16 @@
             {"born": "yesterday"},
             {"models": "daka"},
         ):
-            with self.subTest(change):
-                self.assertIsNone(decode_server(record("i-1", {**SERVER, **change})))
+            with self.subTest(change), self.assertRaises(UnreadableError):
+                decode_server(record("i-1", {**SERVER, **change}))
 
     def test_named_versions(self):
         named = {"model": "daka", "version": 2}
         made = decode_named_version(record("version/daka", named))
         self.assertEqual((made.model, made.version), ("daka", 2))
         self.assertIsNone(decode_named_version(record("config", named)))
-        self.assertIsNone(decode_named_version(record("version/daka", b"\xff")))
+        with self.assertRaises(UnreadableError):
+            decode_named_version(record("version/daka", b"\xff"))
 
 
 class DecodePageTest(unittest.TestCase):
