Refuse a request that may outlast a planned stop

Callers lost answers at planned stops of one machine, purchases among them: a request that came late in the grace was taken, passed on, and cut without an answer at the end (LOST).

Cause: only streams were refused when too little time was left. Any other call was taken until the last moment, whatever its timeout, and the channel was cut when the process ended. A stream was measured against the time until SIGKILL, although open requests are cut earlier.

Change: while a process stops, a request is taken only if its deadline lies before the cut, or if it is a stream and the longest stream still fits. What is open at the cut and has no byte of an answer gets a final one: 504, or 503 if nothing was sent.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -20,6 +20,7 @@
     "freeze",
     "reload",
     "grey",
+    "slow",
     "crash",
     "leave",
     "odd_entry",
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+MAX_REQUEST_SECONDS = 4.0  # the time for which callers wait
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -76,12 +77,14 @@
     :param leavings: dict of server to the time at which its leaving was acknowledged.
     :param disturbances: rows of begin, end and the name of the disturbed entry, ``""``
         for the store.
+    :param stops: rows of begin, end and the name of an entry of planned stops.
     """
 
     sent: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)
     leavings: dict = field(default_factory=dict)
     disturbances: list = field(default_factory=list)
+    stops: list = field(default_factory=list)
 
     def is_disturbed(self, entry, begin, end):
         """Return whether an entry or the store was disturbed in a span."""
@@ -90,6 +93,12 @@
             for since, until, name in self.disturbances
         )
 
+    def is_stopping(self, entry, at):
+        """Return whether an entry was being stopped as planned at a time."""
+        return any(
+            name == entry and since <= at <= until for since, until, name in self.stops
+        )
+
 
 def find_retry_excess(record, bounds):
     """Return the worst window of each service with too many retries.
@@ -153,9 +162,10 @@
             continue
         late = arrival.at - leaving_at - bounds.drain
         entry = entries.get(arrival.request_id, "")
-        if late > 0 and not record.is_disturbed(
+        is_excused = record.is_disturbed(
             entry, arrival.at - bounds.settle, arrival.at
-        ):
+        ) or record.is_stopping(entry, arrival.at)
+        if late > 0 and not is_excused:
             found.append(
                 f"DRAIN: {arrival.request_id} of {entry} reached {arrival.server} "
                 f"{late + bounds.drain:.2f} s after its leaving, at {arrival.at:.2f}"
@@ -163,6 +173,21 @@
     return found
 
 
+def find_cut_answers(record, bounds):
+    """Return the requests that a planned stop cut after a server had got them."""
+    arrived = {item.request_id for item in record.arrivals if item.status == 200}
+    return [
+        f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by its stop"
+        for item in record.sent
+        if item.status == 0
+        and item.request_id in arrived
+        and record.is_stopping(item.entry, item.at)
+        and not record.is_disturbed(
+            item.entry, item.at - bounds.settle, item.at + MAX_REQUEST_SECONDS
+        )
+    ]
+
+
 def find_wrong_answers(record):
     """Return the answers that are not the caller's own, or that were untrue."""
     found, runs = [], Counter()
@@ -184,5 +209,6 @@
     return [
         *find_retry_excess(record, bounds),
         *find_late_arrivals(record, bounds),
+        *find_cut_answers(record, bounds),
         *find_wrong_answers(record),
     ]
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -98,7 +98,9 @@
     async def restart_in_turn(self, fault):
         """Stop entries with SIGTERM one after the other and start them again."""
         for program in self._draw(self.world.programs, min(fault.share, 0.3)):
-            self.world.disturb(STOP_SECONDS + 2.0, program.name)
+            now = self.world.timer.now()
+            stop = now, now + STOP_SECONDS, program.name
+            self.world.record.stops.append(stop)
             program.send_signal(signal.SIGTERM)
             with trio.move_on_after(STOP_SECONDS):
                 while program.is_running:
@@ -131,6 +133,16 @@
         for server in servers:
             server.grey = Grey()
 
+    async def slow(self, fault):
+        """Let some plain servers answer late."""
+        plain = [item for item in self.world.servers if not item.model]
+        servers = self._draw(plain, fault.share)
+        for server in servers:
+            server.behaviour.pause = self.random.uniform(0.2, 3.5)
+        await trio.sleep(fault.seconds)
+        for server in servers:
+            server.behaviour.pause = 0.0
+
     async def crash(self, fault):
         """Let some servers crash; they start again."""
         for server in self._draw(self.world.servers, 0.5 * fault.share):
--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -1,5 +1,7 @@
 """Handlers of callers' requests, address requests and readiness probes."""
 
+from contextlib import contextmanager
+
 import h11
 import trio
 
@@ -22,9 +24,11 @@
 START_RETRY_SECONDS = 0.3  # a starting entry may be ready by then
 KEYS_RETRY_SECONDS = 0.5  # the keys may have been confirmed by then
 OTHER_ENTRY_RETRY_SECONDS = 0.1  # other entries accept requests at once
-#: Fraction of ``stop_s`` that must be left when a stream starts: the longest streams of
-#: the specification take 5 s, and ``stop_s`` is 8 s by default.
+#: Fraction of ``stop_s`` that must be left when a stream starts, whatever its timeout:
+#: the longest streams of the specification take 5 s, and ``stop_s`` is 8 s by default.
 MIN_STREAM_TIME_FRACTION = 0.63
+#: Time for the final response of a request that times out while the process stops.
+STOP_MARGIN_SECONDS = 0.2
 
 
 class CallerHandler:
@@ -38,6 +42,8 @@
         self.state = state
         self.forwarder = forwarder
         self.channels = set()
+        #: Cancel scopes of the requests that are being forwarded.
+        self.scopes = set()
 
     async def serve(self, sock):
         """Serve a channel until it closes.
@@ -121,7 +127,7 @@
             ):
                 return None, None, (503, "the entry is starting", START_RETRY_SECONDS)
             return None, None, (404, route.reason, None)
-        if self._may_stop_before_end(route, now):
+        if self._may_stop_before_end(route, request, now):
             return None, None, (503, "the entry is stopping", OTHER_ENTRY_RETRY_SECONDS)
         if state.routes.configuration.accounts and not route.is_anonymous:
             fresh = state.freshness.decide(now)
@@ -132,24 +138,28 @@
             return None, None, (401, caller.reason, None)
         return route, caller, None
 
-    def _may_stop_before_end(self, route, now):
-        """Return whether this process may stop before a stream that starts now ends."""
+    def _may_stop_before_end(self, route, request, now):
+        """Return whether this process may stop before a request has its answer."""
         state = self.state
-        if state.stops_at is None or route.kind is not RouteKind.STREAM:
+        if state.stops_at is None:
+            return False
+        if get_deadline(route, request) + STOP_MARGIN_SECONDS <= state.stops_at:
             return False
+        if route.kind is not RouteKind.STREAM:
+            return True
         time_left = state.stops_at - now
         return time_left < MIN_STREAM_TIME_FRACTION * state.settings.bounds.stop_s
 
     async def _forward(self, channel, request, route, caller):
         """Forward a request until its deadline or until its caller disconnects."""
         state = self.state
-        timeout = route.timeout
-        if request.patience is not None:
-            timeout = min(timeout, request.patience)
-        deadline_at = request.begun_at + timeout
+        deadline_at = get_deadline(route, request)
         time_left = deadline_at - state.timer.now()
         caller_gone = False
-        with trio.CancelScope(deadline=trio.current_time() + time_left) as scope:
+        with (
+            trio.CancelScope(deadline=trio.current_time() + time_left) as scope,
+            self._keep_scope(scope),
+        ):
             async with trio.open_nursery() as nursery:
 
                 async def cancel_when_gone():
@@ -180,6 +190,22 @@
         elif scope.cancelled_caught:
             await self._send_timeout_response(channel, exchange)
 
+    @contextmanager
+    def _keep_scope(self, scope):
+        self.scopes.add(scope)
+        try:
+            yield
+        finally:
+            self.scopes.discard(scope)
+
+    def end_open_requests(self):
+        """End the requests that are being forwarded, with a final response.
+
+        A response that has begun is cut.
+        """
+        for scope in list(self.scopes):
+            scope.cancel()
+
     async def _send_timeout_response(self, channel, exchange):
         """Send the final response for a request that missed its deadline."""
         may_have_run = any(item.failure is None for item in exchange.attempts)
@@ -203,6 +229,18 @@
             await channel.respond(status, headers, b"")
 
 
+def get_deadline(route, request):
+    """Return the time by which a request must be answered, monotonic seconds.
+
+    :param route: its :class:`wasabistage.fleet.Route`.
+    :param request: a :class:`CallerRequest`.
+    """
+    timeout = route.timeout
+    if request.patience is not None:
+        timeout = min(timeout, request.patience)
+    return request.begun_at + timeout
+
+
 class DirectoryHandler(RequestHandler):
     """Answers address requests and readiness probes.
 
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -46,9 +46,13 @@
 SETTINGS_INTERVAL_SECONDS = 2.0  # pause between two checks of the settings file
 #: Fraction of ``stop_s`` left for open requests after the last channel is accepted.
 FINAL_DRAIN_FRACTION = 0.25
+#: Fraction of that time after which requests that are still open are cut, so that the
+#: process ends by itself.
+FINAL_WAIT_FRACTION = 0.8
 #: A draining process stops accepting channels once it has had no open request for three
 #: times this period.
 IDLE_TIMEOUT_SECONDS = 1.0
+LAST_RESPONSE_SECONDS = 0.2  # for the final responses of requests that are ended
 DRAIN_INTERVAL_SECONDS = 0.05  # pause between two checks for open requests
 REGISTER_RETRY_SECONDS = 0.5
 TASK_RESTART_SECONDS = 0.2  # pause before a failed task is restarted
@@ -263,9 +267,11 @@
         """Report that this entry is not ready, then wait for open requests to end."""
         state = self.state
         state.is_draining = True
-        state.stops_at = state.timer.now() + self.settings.bounds.stop_s
+        stop_seconds = self.settings.bounds.stop_s
+        final_seconds = stop_seconds * FINAL_DRAIN_FRACTION * FINAL_WAIT_FRACTION
+        stop_after = stop_seconds * (1.0 - FINAL_DRAIN_FRACTION)
+        state.stops_at = state.timer.now() + stop_after + final_seconds
         await state.reports.send_report()
-        stop_after = self.settings.bounds.stop_s * (1.0 - FINAL_DRAIN_FRACTION)
         started_at = trio.current_time()
         for channel in self.callers.channels:
             channel.closing = True
@@ -280,10 +286,13 @@
         for channel in list(self.callers.channels):
             if channel.idle:
                 channel.close()
-        with trio.move_on_after(
-            self.settings.bounds.stop_s * FINAL_DRAIN_FRACTION * 0.8
-        ):
-            while state.open_requests:
+        await self._wait_for_open_requests(final_seconds)
+        self.callers.end_open_requests()
+        await self._wait_for_open_requests(LAST_RESPONSE_SECONDS)
+
+    async def _wait_for_open_requests(self, seconds):
+        with trio.move_on_after(seconds):
+            while self.state.open_requests:
                 await trio.sleep(DRAIN_INTERVAL_SECONDS)
 
 
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -119,7 +119,7 @@
         self.pools = {}
         self.open_requests = 0
         self.is_draining = False
-        #: Time by which this process must end, monotonic seconds; set by a drain.
+        #: Time at which open requests are cut, monotonic seconds; set by a drain.
         self.stops_at = None
         self.has_read_servers = False
         self.server_clock_offset = None
