Tell an empty list of client accounts from a missing one

Cause: a configuration with an empty list of tenants was decoded, and used in three places, like one without a list, in which every caller is anonymous.

Change: Configuration.accounts is None without a list. With an empty one every key is unknown (401), keys must be fresh, and none is passed on. Looked for the same elsewhere: routes, services, engine and split of a route have no meaning of their own when absent.

The new tests fail before (200 instead of 401; {} instead of None).

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -129,7 +129,8 @@
             return None, None, (404, route.reason, None)
         if self._may_stop_before_end(route, request, now):
             return None, None, (503, "the entry is stopping", OTHER_ENTRY_RETRY_SECONDS)
-        if state.routes.configuration.accounts and not route.is_anonymous:
+        has_accounts = state.routes.configuration.accounts is not None
+        if has_accounts and not route.is_anonymous:
             fresh = state.freshness.decide(now)
             if not fresh:
                 return None, None, (503, STALE_KEYS.reason, KEYS_RETRY_SECONDS)
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -308,7 +308,7 @@
             "server": attempt.choice.record.server,
             "time_left": exchange.get_time_left(now),
             "account": account.name if account is not None else "",
-            "forwards_key": not state.routes.configuration.accounts,
+            "forwards_key": state.routes.configuration.accounts is None,
             "last_event": exchange.splitter.last_id,
         }
         if plan is None:
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -63,7 +63,7 @@
                 version=configuration.version,
                 offset=record.offset,
                 routes=len(configuration.routes),
-                accounts=len(configuration.accounts),
+                accounts=count_accounts(configuration),
             )
 
     def handle_confirmed(self, at):
@@ -79,6 +79,19 @@
         self.state.view.record_store_read(False)
 
 
+def count_accounts(configuration):
+    """Return the number of client accounts, ``None`` if no list is declared."""
+    accounts = configuration.accounts
+    return None if accounts is None else len(accounts)
+
+
+#: Age of the list of servers from which on an outage may have let records expire. The
+#: records expire after some seconds without renewal.
+MAX_LIST_AGE_SECONDS = 3.5
+#: The same in an entry whose own read has failed.
+MAX_FAILED_LIST_AGE_SECONDS = 2.2
+
+
 class ServerWatch(RecordWatch):
     """Follows the list of backend servers."""
 
--- a/wasabistage/fleet/_configuration.py
+++ b/wasabistage/fleet/_configuration.py
@@ -154,7 +154,8 @@
     :param routes: tuple of :class:`Route`.
     :param services: dict of name to :class:`Service`.
     :param stores: dict of name to :class:`CacheStore`.
-    :param accounts: dict of name to :class:`ClientAccount`; empty if no keys are used.
+    :param accounts: dict of name to :class:`ClientAccount`; ``None`` if no keys are
+        used. With an empty one, every key is unknown.
     :param limits: a :class:`CallerLimits`.
     """
 
@@ -162,5 +163,5 @@
     routes: tuple[Route, ...]
     services: dict = field(default_factory=dict)
     stores: dict = field(default_factory=dict)
-    accounts: dict = field(default_factory=dict)
+    accounts: dict | None = None
     limits: CallerLimits = CallerLimits()
--- a/wasabistage/fleet/_route_table.py
+++ b/wasabistage/fleet/_route_table.py
@@ -52,7 +52,7 @@
         self.routes_by_host = routes_by_host
         self.accounts_by_key = {
             key: account
-            for account in configuration.accounts.values()
+            for account in (configuration.accounts or {}).values()
             for key in account.keys
         }
         self.configuration = configuration
@@ -75,14 +75,14 @@
     def find_caller(self, route, key):
         """Find the caller of a request by its bearer key.
 
-        An unknown key is ignored on an anonymous route. Without any client account in
-        the configuration, every caller is anonymous.
+        An unknown key is ignored on an anonymous route. If the
+        configuration declares no list of client accounts, every caller is anonymous.
 
         :param route: the request's :class:`Route`.
         :param key: the bearer key, or ``""`` if the request has none.
         :return: a :class:`Caller`, :data:`NO_KEY` or :data:`UNKNOWN_KEY`.
         """
-        if not self.configuration.accounts:
+        if self.configuration.accounts is None:
             return ANONYMOUS
         account = self.accounts_by_key.get(key)
         if account is not None:
--- a/wasabistage/platform/_records.py
+++ b/wasabistage/platform/_records.py
@@ -114,7 +114,8 @@
     routes: list[WireRoute]
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
-    tenants: list[WireTenant] = []
+    #: An empty list means that every key is unknown, a missing one that none is needed.
+    tenants: list[WireTenant] | None = None
 
 
 class WireModel(msgspec.Struct):
@@ -169,7 +170,7 @@
         routes=routes,
         services={item.name: make_service(item) for item in services},
         stores={item.name: make_store(item) for item in stores},
-        accounts={item.name: make_account(item) for item in wire.tenants},
+        accounts=make_accounts(wire.tenants),
         limits=make_limits(wire.limits),
     )
 
@@ -219,6 +220,13 @@
     )
 
 
+def make_accounts(wire_tenants):
+    """Return the client accounts by name, or ``None`` if no list is declared."""
+    if wire_tenants is None:
+        return None
+    return {item.name: make_account(item) for item in wire_tenants}
+
+
 def make_account(wire):
     """Return a :class:`wasabistage.fleet.ClientAccount`."""
     return ClientAccount(
--- a/wasabistage/platform/tests/test_records.py
+++ b/wasabistage/platform/tests/test_records.py
@@ -94,6 +94,14 @@
         self.assertTrue(made.accounts["t"].is_dedicated)
         self.assertEqual(made.limits.idle_timeout_seconds, 15.0)
 
+    # Guards against keys that go on working once the last tenant is gone (issue 30,
+    # A 4).
+    def test_empty_list_of_tenants_is_not_a_missing_one(self):
+        empty = decode_configuration(json.dumps({**CONFIGURATION, "tenants": []}))
+        missing = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
+        self.assertEqual(empty.accounts, {})
+        self.assertIsNone(decode_configuration(json.dumps(missing)).accounts)
+
     def test_what_can_not_be_used_is_unreadable(self):
         bad_kind = {**CONFIGURATION, "routes": [{**CONFIGURATION["routes"][0]}]}
         bad_kind["routes"][0]["kind"] = "unheard"
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -317,6 +317,47 @@
         self.play(test)
 
 
+class AccountsTest(EdgeCase):
+    # Guards against keys that go on working, and are passed on to servers, once the
+    # last tenant is gone (issue 30, A 4).
+    def test_no_key_works_without_tenants(self):
+        async def test():
+            self.assertEqual((await self.call(b"/read/x")).status, 200)
+            self.platform.publish(version=2, tenants=[])
+            await self.until(lambda: self.edge.state.routes.configuration.version == 2)
+            for server in self.platform.plain:
+                server.runs.clear()
+            for path in (b"/read/x", b"/buy/x"):
+                self.assertEqual((await self.call(path, method=b"POST")).status, 401)
+            self.assertFalse(any(server.runs for server in self.platform.plain))
+
+        self.play(test)
+
+
+class ManyModelsTest(EdgeCase):
+    # Guards against a version that is taken for that of all models of a server (issue
+    # 30, A 5).
+    def test_version_in_a_response_is_that_of_the_requests_model(self):
+        async def test():
+            swap = self.edge.state.swap
+            for engine in self.platform.engines:
+                models = [{"name": "a", "version": 1}, {"name": "m", "version": 1}]
+                entry = engine.entry(models=models)
+                self.platform.store.put(engine.server, entry, "keyed.servers")
+            names = [engine.server for engine in self.platform.engines]
+            await self.until(lambda: all(swap.version(name, "a") for name in names))
+            named = {"model": "m", "version": 2}
+            self.platform.store.put("version/m", named)
+            await self.until(lambda: all(swap.version(n, "m") == 2 for n in names))
+            for number in range(6):
+                headers = (*PROMPT, (b"Wasabistage-Request-Id", b"id-%d" % number))
+                reply = await self.call(b"/chat/x", *headers, method=b"POST")
+                self.assertEqual(reply.status, 200)
+            self.assertEqual({swap.version(name, "a") for name in names}, {1})
+
+        self.play(test)
+
+
 class DrainTest(EdgeCase):
     bounds = {"stop_s": 3.0}
 
