Record the version in a response for the model of its request alone

Cause: the version in a response was recorded for every model of the server, and the model of a request that was turned away was guessed from the server's first. Besides, a server behind with two models was given two orders at once, of which it can take one.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -270,7 +270,7 @@
             if metadata.is_not_run:
                 channel.refused_ids.add(request_id)
             attempt.head_seconds = state.timer.now() - attempt.begun_at
-            self._record_response(attempt, metadata)
+            self._record_response(exchange, attempt, metadata)
             fields = await self._forward_response(
                 exchange, attempt, channel, head, metadata
             )
@@ -344,7 +344,7 @@
             self.state.metrics.count("answer.mismatch")
             await channel.skip_response()
 
-    def _record_response(self, attempt, metadata):
+    def _record_response(self, exchange, attempt, metadata):
         """Record the load and weight version that a response reports."""
         state, now = self.state, self.state.timer.now()
         record, plan = attempt.choice.record, attempt.choice.plan
@@ -358,25 +358,25 @@
             )
             state.plain_router.observe(report, now)
         if metadata.weight_version is not None and plan is not None:
-            self._record_version(attempt, metadata.weight_version, now)
+            self._record_version(exchange, attempt, metadata.weight_version, now)
 
-    def _record_version(self, attempt, version, now):
+    def _record_version(self, exchange, attempt, version, now):
+        """Record the version of the request's model; the server may hold others."""
         record = attempt.choice.record
-        for model in record.versions:
-            event = ServerVersionReported(
-                server=record.server,
-                incarnation=record.incarnation,
-                model=model,
-                version=version,
-            )
-            self.state.swap.observe(event, now)
+        event = ServerVersionReported(
+            server=record.server,
+            incarnation=record.incarnation,
+            model=exchange.request.prompt.model,
+            version=version,
+        )
+        self.state.swap.observe(event, now)
 
     async def _forward_response(self, exchange, attempt, channel, head, metadata):
         """Forward a response to the caller; return its headers."""
         if metadata.is_not_run:
             with self.body_budget.hold() as hold:
                 await channel.read_body(MAX_HELD_BODY_BYTES, hold)
-            self._record_not_run(attempt, head, metadata)
+            self._record_not_run(exchange, attempt, head, metadata)
             return head.fields
         exchange.may_have_run = True
         self.state.crash_watch.record_head(attempt)
@@ -414,7 +414,7 @@
         self._record_answered(exchange, attempt)
         return head.fields
 
-    def _record_not_run(self, attempt, head, metadata):
+    def _record_not_run(self, exchange, attempt, head, metadata):
         state, now = self.state, self.state.timer.now()
         attempt.failure = Failure.OVERLOAD
         attempt.reason = f"the server did not run the request, status {head.status}"
@@ -428,10 +428,9 @@
         if metadata.server in ("", server):
             # The server runs the named version by now, or has an order to load it.
             attempt.is_version_mismatch = True
-            model = next(iter(attempt.choice.record.versions), "")
-            named = state.swap.named_versions_.get(model, 0)
+            named = state.swap.named_versions_.get(exchange.request.prompt.model, 0)
             if metadata.weight_version is None and named > plan.candidate.version:
-                self._record_version(attempt, named, now)
+                self._record_version(exchange, attempt, named, now)
             else:
                 state.swap.observe(ServerOrdered(server=server), now)
 
--- a/wasabistage/rollout/_swap.py
+++ b/wasabistage/rollout/_swap.py
@@ -308,14 +308,15 @@
         ordered = sorted(
             candidates, key=lambda item: (item.server in self.failed_at_, item.server)
         )
-        return tuple(
-            VersionLoad(
-                server=item.server, model=model, version=self.named_versions_[model]
-            )
-            for item in ordered
-            for model in item.models
-            if self.is_behind(item.server, model) and self._may_order(item.server, now)
-        )
+        loads = []
+        for item in ordered:
+            behind = [name for name in item.models if self.is_behind(item.server, name)]
+            if behind and self._may_order(item.server, now):
+                # A server carries out one order at a time.
+                version = self.named_versions_[behind[0]]
+                load = VersionLoad(server=item.server, model=behind[0], version=version)
+                loads.append(load)
+        return tuple(loads)
 
     def next_servers(self, servers, model):
         """Return the servers of the next two rounds of orders.
--- a/wasabistage/rollout/tests/test_swap.py
+++ b/wasabistage/rollout/tests/test_swap.py
@@ -35,6 +35,24 @@
     def name_version(self, version, now=0.0):
         self.policy.observe(VersionNamed(model="m", version=version), now)
 
+    # Guards against a second order to a server that is carrying out the first (issue
+    # 30, A 5).
+    def test_server_behind_with_two_models_gets_one_order_at_a_time(self):
+        for model in ("a", "b"):
+            event = ServerVersionReported(
+                server="s0", incarnation=1, model=model, version=1
+            )
+            self.policy.observe(event, 0.0)
+            self.policy.observe(VersionNamed(model=model, version=2), 0.0)
+        candidate = VersionLoadCandidate(server="s0", incarnation=1, models=("a", "b"))
+        query = VersionLoadQuery(candidates=(candidate,))
+        (load,) = self.policy.decide(query, 0.0)
+        self.assertEqual(load.model, "a")
+        event = ServerVersionReported(server="s0", incarnation=1, model="a", version=2)
+        self.policy.observe(event, 0.0)
+        (load,) = self.policy.decide(query, 1.0)
+        self.assertEqual(load.model, "b")
+
     def select_next(self, now):
         return [item.server for item in self.policy.decide(QUERY, now)]
 
