Judge an outage of the list of servers by its own topic

Cause: whether records may have lapsed because of an outage was told by reads of the configuration, here or at another entry. Topics are read by different entries and lie on different partitions.

Change: the list has an outage while its records are not confirmed, by a read of this entry or of another: for 3.5 s, or 2.2 s if an own read failed.

--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -15,6 +15,7 @@
     EncodedReportDatagram,
     PeerReport,
 )
+from wasabistage.fleet import Topic
 from wasabistage.rollout import (
     PeerOrderEnded,
     ServerOrdered,
@@ -470,11 +471,9 @@
             state.log.write(
                 "peer_lost", peer=name, silent=round(now - peer.received_at, 3)
             )
-        if self.state.view.is_store_reached():
-            state.servers.end_outage(now)
-        else:
-            # Records of servers expire only while no entry reaches the store.
-            state.servers.start_outage()
+        watch = state.facts.watches.get(str(Topic.SERVERS))
+        if watch is not None:
+            watch.check_age()
 
 
 def is_outdated(report, known):
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -164,13 +164,24 @@
         """See :meth:`RecordWatch.handle_page_end`."""
         self.state.has_read_servers = True
 
-    def handle_store_read(self):
-        """See :meth:`RecordWatch.handle_store_read`."""
-        self.state.servers.end_outage(self.state.timer.now())
+    def handle_confirmed(self, at):
+        """See :meth:`RecordWatch.handle_confirmed`.
+
+        Whether the list has an outage is judged by this topic alone: the store may
+        serve others meanwhile, or not serve them.
+        """
+        now = self.state.timer.now()
+        if now - at <= MAX_LIST_AGE_SECONDS:
+            self.state.servers.end_outage(now)
 
     def handle_read_failure(self):
         """See :meth:`RecordWatch.handle_read_failure`."""
-        if not self.state.view.is_store_reached():
+        if self.state.servers_age > MAX_FAILED_LIST_AGE_SECONDS:
+            self.state.servers.start_outage()
+
+    def check_age(self):
+        """Start an outage of the list if no entry has confirmed it for too long."""
+        if self.state.servers_age > MAX_LIST_AGE_SECONDS:
             self.state.servers.start_outage()
 
 
