Use a server again whose record returns

Cause: the incarnation of a removed server was ignored for good, as protection against older records that arrive late.

Change: a record that is newer than the removal is applied. A watch remembers up to which offset a key is known to have no record, so that older ones are still ignored. Only an incarnation that has left stays out: it had announced it, or another server has answered at its address.

The new tests fail before, five of them.

--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -12,6 +12,7 @@
 MIN_TRIM_RETRY_SECONDS = 0.1  # pause after a read whose records were dropped
 MAX_TRIM_DOUBLINGS = 4  # of that pause, up to 1.6 s
 MAX_UNREADABLE_KEYS = 256  # of which a topic remembers that they were logged
+MAX_REMOVED_KEYS = 4096  # twice the servers of the largest deployment
 MAX_LOGGED_KEY = 128  # characters
 MAX_LOGGED_REASON = 200  # characters
 ROLE_INTERVAL_SECONDS = 0.25  # pause between two checks whether to read a topic
@@ -41,6 +42,8 @@
         #: Whether the records are known, from the store or another entry.
         self.is_known = False
         self.newest_records = {}
+        #: Offset up to which each removed key is known to have no record.
+        self.removed_offsets = {}
         #: Offset of the last unreadable record of each key, the oldest key first.
         self.unreadable_offsets = {}
         #: Offset of the newest record that was told as a fact, or read at the start.
@@ -122,7 +125,7 @@
         if self.position is None:
             page = await self.store.read_newest(self.topic)
             self._record_success(begun_at)
-            self.reset_keys(page.records, self.state.timer.now())
+            self.reset_keys(page, self.state.timer.now())
         else:
             # The first read doesn't wait: the end of the topic matters even without
             # new records.
@@ -151,7 +154,9 @@
         :param record: a :class:`wasabistage.fleet.StoredRecord`.
         """
         known = self.newest_records.get(record.key)
-        return known is None or known.offset < record.offset
+        if known is None:
+            return self.removed_offsets.get(record.key, -1) < record.offset
+        return known.offset < record.offset
 
     def apply_shared(self, record):
         """Apply a record that another entry has read; return whether it is new.
@@ -188,7 +193,7 @@
         )
         confirmed_at = requested_at - snapshot.age
         if confirmed_at >= self.confirmed_at:
-            self.reset_keys(records, now)
+            self.reset_keys(RecordPage(records=records, end=snapshot.end), now)
         for record in records:
             if self._apply_readable(record, now):
                 self.state.facts.publish_record(self.topic, record, is_own=False)
@@ -238,10 +243,22 @@
             self.state.log.write("store_lost", topic=str(self.topic), reason=str(error))
         self.handle_read_failure()
 
-    def reset_keys(self, records, now):
+    def record_removal(self, key, offset):
+        """Record that a key has no record, so that none from before is applied.
+
+        :param key: the key.
+        :param offset: offset up to which this is known.
+        """
+        self.newest_records.pop(key, None)
+        self.removed_offsets.pop(key, None)
+        self.removed_offsets[key] = offset
+        if len(self.removed_offsets) > MAX_REMOVED_KEYS:
+            del self.removed_offsets[next(iter(self.removed_offsets))]
+
+    def reset_keys(self, page, now):
         """Remove the keys without a newest record, before the newest are applied.
 
-        :param records: the newest records.
+        :param page: the newest records, a :class:`wasabistage.fleet.RecordPage`.
         :param now: monotonic time, in seconds.
         """
         return
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -98,15 +98,15 @@
     topic = Topic.SERVERS
     pause_seconds = 0.5
 
-    def reset_keys(self, records, now):
+    def reset_keys(self, page, now):
         """See :meth:`RecordWatch.reset_keys`."""
-        listed = {record.key for record in records if record.value is not None}
-        end = max((record.offset for record in records), default=0)
+        listed = {record.key for record in page.records if record.value is not None}
         for server in list(self.state.servers.servers):
             if server not in listed:
-                known = self.newest_records.pop(server, None)
+                known = self.newest_records.get(server)
+                offset = max(page.end - 1, known.offset + 1 if known is not None else 0)
+                self.record_removal(server, offset)
                 self._remove(server, now)
-                offset = max(end, known.offset + 1 if known is not None else 0)
                 removal = StoredRecord(offset=offset, key=server, value=None)
                 self.state.facts.publish_record(self.topic, removal)
 
@@ -115,10 +115,11 @@
         if not self.is_newer(record):
             return False
         if record.value is None:
-            if self.newest_records.pop(record.key, None) is None:
-                return False
-            self._remove(record.key, now)
-            return True
+            is_known = record.key in self.newest_records
+            self.record_removal(record.key, record.offset)
+            if is_known:
+                self._remove(record.key, now)
+            return is_known
         server = self.state.platform.decode_server(record)
         self.newest_records[record.key] = record
         if not self.state.servers.observe(server, now):
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -7,7 +7,7 @@
 
 from wasabistage.edge._watches import OrderWatch, ServerWatch
 from wasabistage.edge.tests.fleet_case import Fleet
-from wasabistage.fleet import RecordPage, TrimmedError
+from wasabistage.fleet import RecordPage, StoredRecord, Topic, TrimmedError
 from wasabistage.rollout import LeaseQuery
 
 PLAY_SECONDS = 10.0
@@ -75,5 +75,80 @@
                 self.assertGreater(store.reads, 5)
 
 
+class ServerListTest(unittest.TestCase):
+    """Pattern: records of servers lapse and return, and facts arrive out of order."""
+
+    def setUp(self):
+        fleet = Fleet(1, 1)
+        self.fleet, self.entry = fleet, next(iter(fleet.entries.values()))
+        self.state = self.entry.state
+        self.watch = self.entry.watches[str(Topic.SERVERS)]
+        self.apply(1, b"10.5.5.5:80 0")
+
+    def apply(self, offset, value):
+        record = StoredRecord(offset=offset, key="s1", value=value)
+        return self.watch.apply_shared(record)
+
+    def read_list(self, at):
+        """Read the list at a time, without a new record."""
+        self.fleet.now = at
+        self.watch._record_success(at)
+
+    def fail_to_read(self, at):
+        self.fleet.now = at
+        self.watch._record_failure("503")
+
+    def find_usable(self):
+        return [record.server for record in self.state.servers.find_usable("s")]
+
+    # Guards against servers that are never used again after their records lapsed for
+    # silence (issue 30, A 3).
+    def test_record_that_returns_after_its_removal_is_applied(self):
+        self.read_list(100.0)
+        self.read_list(110.0)
+        self.fleet.now = 115.0
+        self.assertTrue(self.apply(5, None))
+        self.assertEqual(self.find_usable(), [])
+        self.assertTrue(self.apply(7, b"10.5.5.5:80 0"))
+        self.assertEqual(self.find_usable(), ["s1"])
+
+    # Guards against a server that has gone and is brought back by an older fact.
+    def test_record_from_before_its_removal_is_not_applied(self):
+        for at in (100.0, 110.0):
+            self.read_list(at)
+        self.fleet.now = 115.0
+        self.apply(5, None)
+        self.assertFalse(self.apply(3, b"10.5.5.5:80 0"))
+        self.assertEqual(self.find_usable(), [])
+        self.apply(6, b"10.5.5.5:80 0")
+        self.watch.reset_keys(RecordPage(records=(), end=20), 115.0)
+        self.assertFalse(self.apply(12, b"10.5.5.5:80 0"))
+        self.assertEqual(self.find_usable(), [])
+
+    # Guards against a server that has gone and is used on, since the configuration
+    # can't be read although the list of servers can (issue 29, DRAIN).
+    def test_outage_of_another_topic_keeps_no_server_that_has_gone(self):
+        self.state.view.record_store_read(False)
+        for step in range(20):
+            self.read_list(100.0 + 0.2 * step)
+            self.state.reports.remove_silent_peers()
+        self.apply(5, None)
+        self.assertEqual(self.find_usable(), [])
+
+    # Guards against servers that are dropped when the list alone has an outage (issue
+    # 30, A 3, and the report on a partial outage).
+    def test_outage_of_the_list_alone_keeps_its_servers(self):
+        self.read_list(100.0)
+        for step in range(1, 21):
+            self.state.view.record_store_read(True)
+            self.fail_to_read(100.0 + 0.25 * step)
+            self.state.reports.remove_silent_peers()
+        self.read_list(105.2)
+        self.apply(5, None)
+        self.assertEqual(self.find_usable(), ["s1"])
+        self.assertEqual(self.state.servers.tick(106.0), [])
+        self.assertEqual(self.state.servers.tick(107.2), ["s1"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wasabistage/fleet/_servers.py
+++ b/wasabistage/fleet/_servers.py
@@ -5,6 +5,7 @@
 #: Time after the end of a list outage within which the record of a running server
 #: must be back in the list. The platform states about 2 s for this time.
 RETURN_TIMEOUT_SECONDS = 1.9
+MAX_LEFT_SERVERS = 4096  # remembered; twice the servers of the largest deployment
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -47,15 +48,19 @@
 class ServerTable:
     """The backend servers that may receive requests.
 
-    A record that vanishes while the list can be read means that the server stopped. One
-    that vanishes during an outage of the list, or less than
-    :data:`RETURN_TIMEOUT_SECONDS` after it, may only have expired because the server
-    could not renew it. The server is kept until that time after the outage is over.
+    A record that vanishes while the list can be read means that the server stopped or
+    could not renew it. One that vanishes during an outage of the list, or less than
+    :data:`RETURN_TIMEOUT_SECONDS` after it, may have expired because of the outage. The
+    server is kept until that time after the outage is over.
+
+    A server whose record returns is used again, unless the same process has left: it
+    had announced so, or another server has answered at its address.
     """
 
     def __init__(self):
         self.servers = {}
-        self.removed_incarnations = {}
+        #: Incarnation of each server that has left.
+        self.left_incarnations = {}
         self.outage_ended_at = float("-inf")
         self.is_in_outage = False
 
@@ -75,15 +80,15 @@
     def observe(self, record, now):
         """Add or update a server from its record in the list.
 
-        A record is ignored if its incarnation is older than the listed one or is the
-        one last removed. An incarnation that is leaving stays leaving.
+        A record is ignored if its incarnation is older than the listed one or has left.
+        An incarnation that is leaving stays leaving.
 
         :param record: a :class:`ServerRecord`.
         :param now: monotonic time, in seconds; not used.
         :return: whether the server is new, changed, or listed again after its record
             vanished.
         """
-        if self.removed_incarnations.get(record.server) == record.incarnation:
+        if self.left_incarnations.get(record.server) == record.incarnation:
             return False
         known = self.servers.get(record.server)
         if known and known.record.incarnation > record.incarnation:
@@ -111,7 +116,7 @@
         if (self.is_in_outage or is_recovering) and not known.record.is_leaving:
             known.vanished_at = now
             return False
-        self._remove(server)
+        self._remove(server, has_left=known.record.is_leaving)
         return True
 
     def remove_replaced(self, record):
@@ -124,15 +129,16 @@
         known = self.servers.get(record.server)
         if known is None or known.record.incarnation > record.incarnation:
             return False
-        self._remove(record.server)
+        self._remove(record.server, has_left=True)
         return True
 
-    def _remove(self, server):
+    def _remove(self, server, *, has_left):
         known = self.servers.pop(server)
-        self.removed_incarnations[server] = known.record.incarnation
-        # Twice the number of servers in the largest deployment.
-        if len(self.removed_incarnations) > 4096:
-            del self.removed_incarnations[next(iter(self.removed_incarnations))]
+        if not has_left:
+            return
+        self.left_incarnations[server] = known.record.incarnation
+        if len(self.left_incarnations) > MAX_LEFT_SERVERS:
+            del self.left_incarnations[next(iter(self.left_incarnations))]
 
     def tick(self, now):
         """Remove the servers whose records vanished in an outage and did not return.
@@ -148,7 +154,7 @@
             if known.vanished_at is not None
         ]
         for server in removed:
-            self._remove(server)
+            self._remove(server, has_left=False)
         return removed
 
     def find_usable(self, service):
--- a/wasabistage/fleet/tests/test_servers.py
+++ b/wasabistage/fleet/tests/test_servers.py
@@ -38,6 +38,19 @@
         self.assertEqual(self.table.tick(20.0), [])
         self.assertEqual(self.find_usable(), ["s1"])
 
+    # Guards against servers that are never used again after their records lapsed for
+    # silence (issue 30, A 3).
+    def test_same_process_is_usable_again_when_its_record_returns(self):
+        self.table.remove("s1", 1.0)
+        self.assertTrue(self.table.observe(RECORD, 2.0))
+        self.assertEqual(self.find_usable(), ["s1"])
+        self.table.start_outage()
+        self.table.remove("s1", 3.0)
+        self.table.end_outage(4.0)
+        self.assertEqual(self.table.tick(4.1 + RETURN_TIMEOUT_SECONDS), ["s1"])
+        self.assertTrue(self.table.observe(RECORD, 9.0))
+        self.assertEqual(self.find_usable(), ["s1"])
+
     def test_leaving_server_is_unusable_and_stays_removed(self):
         self.table.observe(replace(RECORD, is_leaving=True), 1.0)
         self.table.observe(RECORD, 2.0)
