Send no new request to a server that announces its stop in an answer

Only the list of servers was heeded; some servers never announce their stop there.

Change: the header is read from the head of every answer, errors, streams and refusals included, before the body. It joins the state that the list sets, for the incarnation that was called; the next process of the server is used as soon as it is listed. Other entries are not told: each learns it from its own next answer, or from the list, and reports keep their size. That choice was weighed, not measured.

The field of a response that closes its channel was called is_leaving; it is closes_channel now.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -212,6 +212,7 @@
     :param repeats_id: whether a refusal that is sent once more names its request.
     :param resumed: status, headers and body of the response to a stream that is
         resumed, or ``None``.
+    :param headers: further headers of every answer to a request.
     :param crash_part: id of the part of a prompt under which the server crashes as soon
         as it begins to write an answer, or ``""``.
     :param down_seconds: time for which it is down after a crash.
@@ -232,6 +233,7 @@
     repeats_refusal: bool = False
     repeats_id: bool = True
     resumed: tuple[int, tuple, bytes] | None = None
+    headers: tuple = ()
     crash_part: str = ""
     down_seconds: float = 1.2
 
@@ -370,7 +372,8 @@
         if self.behaviour.is_unframed:
             await self._write_unframed(channel, echo, [body])
             return
-        await channel.respond(self.behaviour.status, [echo, (SEAL, b"s")], body)
+        headers = [echo, (SEAL, b"s"), *self.behaviour.headers]
+        await channel.respond(self.behaviour.status, headers, body)
         if self.behaviour.late_extra:
             extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
             extra += b"Wasabistage-Request-Id: other\r\n\r\nextra"
@@ -378,6 +381,7 @@
             await channel.write(extra)
 
     async def _refuse(self, channel, status, headers):
+        headers = [*headers, *self.behaviour.headers]
         self.refusals[channel] = status, headers
         await channel.respond(status, headers, b"")
 
@@ -414,7 +418,8 @@
             return
         version = (b"Wasabistage-Weight-Versions", b"%d" % self.version)
         framing = (b"Transfer-Encoding", b"chunked")
-        await channel.start_response(200, [echo, (SEAL, b"s"), version, framing])
+        headers = [echo, (SEAL, b"s"), version, framing, *self.behaviour.headers]
+        await channel.start_response(200, headers)
         if self.behaviour.crash_part in run.parts:
             self.life_scope.cancel()
             await trio.sleep_forever()
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -31,6 +31,7 @@
     PaceReported,
     RequestEnded,
     RequestSent,
+    ServerLeaving,
     ServerRemoved,
 )
 from wasabistage.sessions import EventTooLongError
@@ -266,15 +267,15 @@
             dispatch = self._build_dispatch(exchange, attempt)
             headers = state.platform.encode_request_headers(exchange.request, dispatch)
             await self._send(exchange, channel, headers)
-            head, metadata = await self._read_head(channel, request_id)
+            head, metadata = await self._read_head(exchange, attempt, channel)
             if metadata.is_not_run:
                 channel.refused_ids.add(request_id)
             attempt.head_seconds = state.timer.now() - attempt.begun_at
-            self._record_response(exchange, attempt, metadata)
+            self._record_response(exchange, attempt, head, metadata)
             fields = await self._forward_response(
                 exchange, attempt, channel, head, metadata
             )
-            if fields is not None and not metadata.is_leaving:
+            if fields is not None and not metadata.closes_channel:
                 pool.give_back(channel, fields, state.timer.now())
                 kept = True
         finally:
@@ -323,7 +324,7 @@
             fetch_until=state.to_server_time(now + FETCH_TIMEOUT_SECONDS),
         )
 
-    async def _read_head(self, channel, request_id):
+    async def _read_head(self, exchange, attempt, channel):
         """Return the head and metadata of the response to this request.
 
         Responses to other requests are skipped.
@@ -331,9 +332,12 @@
         :raises ChannelError: if a response names no request, and the channel has had
             others.
         """
+        request_id = exchange.request.request_id
         while True:
             head = await channel.read_head()
             metadata = self.state.platform.decode_response(head)
+            if metadata.is_leaving:
+                self._record_leaving(attempt, metadata)
             if metadata.request_id == request_id:
                 return head, metadata
             if not metadata.request_id:
@@ -344,8 +348,19 @@
             self.state.metrics.count("answer.mismatch")
             await channel.skip_response()
 
-    def _record_response(self, exchange, attempt, metadata):
-        """Record the load and weight version that a response reports."""
+    def _record_leaving(self, attempt, metadata):
+        """Record that the server of an attempt announces that it stops."""
+        record, state = attempt.choice.record, self.state
+        if metadata.server not in ("", record.server):
+            return  # another server has the address
+        if state.servers.record_leaving(record):
+            state.health.observe(ServerLeaving(server=record.server), state.timer.now())
+            state.log.write(
+                "server_leaving", server=record.server, address=record.address
+            )
+
+    def _record_response(self, exchange, attempt, head, metadata):
+        """Record what a response reports of its server."""
         state, now = self.state, self.state.timer.now()
         record, plan = attempt.choice.record, attempt.choice.plan
         if metadata.load is not None and metadata.load.pace is not None:
--- a/wasabistage/edge/_messages.py
+++ b/wasabistage/edge/_messages.py
@@ -139,7 +139,8 @@
         the headers prove that the server itself made the response.
     :param is_event_stream: whether the body is a stream of events; ``None`` if the
         response doesn't name its type.
-    :param is_leaving: whether the server closes the channel after this response.
+    :param closes_channel: whether the server closes the channel after this response.
+    :param is_leaving: whether the server announces that it stops.
     :param weight_version: weight version that made the response, or ``None``.
     :param load: a :class:`ServerLoad`, or ``None``.
     :param retry_after: time after which to retry, in seconds, or ``None``.
@@ -151,6 +152,7 @@
     promises_not_run: bool = False
     is_verified_success: bool = False
     is_event_stream: bool | None = None
+    closes_channel: bool = False
     is_leaving: bool = False
     weight_version: int | None = None
     load: ServerLoad | None = None
--- a/wasabistage/fleet/_servers.py
+++ b/wasabistage/fleet/_servers.py
@@ -119,6 +119,21 @@
         self._remove(server, has_left=known.record.is_leaving)
         return True
 
+    def record_leaving(self, record):
+        """Record that a server has announced itself that it stops.
+
+        :param record: the :class:`ServerRecord` by which it was called; another
+            incarnation of the server stays as it is.
+        :return: whether it was not known to leave.
+        """
+        known = self.servers.get(record.server)
+        if known is None or known.record.incarnation != record.incarnation:
+            return False
+        if known.record.is_leaving:
+            return False
+        known.record = replace(known.record, is_leaving=True)
+        return True
+
     def remove_replaced(self, record):
         """Remove a server since another one answers at its address.
 
--- a/wasabistage/platform/_headers.py
+++ b/wasabistage/platform/_headers.py
@@ -35,6 +35,8 @@
 #: The weight version of the answer, a single integer despite its name.
 WEIGHT_VERSION = b"wasabistage-weight-versions"
 RETRY_AFTER = b"retry-after"
+#: "1" in all responses of a server that is about to stop.
+SERVER_LEAVING = b"server-leaving"
 
 #: Headers with this prefix are set by the system or its servers.
 SYSTEM_PREFIX = b"wasabistage-"
--- a/wasabistage/platform/tests/edge_case.py
+++ b/wasabistage/platform/tests/edge_case.py
@@ -123,6 +123,18 @@
         body = b"b" if method == b"POST" else b""
         return await client.call(method, path, body, [*kept, *headers], timeout=5.0)
 
+    async def ask(self, path=b"/read/x", headers=(), method=b"GET", milliseconds=3000):
+        """Call the edge with an id of its own."""
+        self.request_count = getattr(self, "request_count", 0) + 1
+        own = (b"Wasabistage-Request-Id", b"ask-%d" % self.request_count)
+        patience = (b"Wasabistage-Deadline-Ms", b"%d" % milliseconds)
+        return await self.call(path, own, patience, *headers, method=method)
+
+    def clear_runs(self):
+        """Forget the requests that the servers have run."""
+        for server in self.platform.servers:
+            server.runs.clear()
+
     def events(self, name):
         """Return the log lines of one event."""
         return [line for line in self.log.lines if line["event"] == name]
