Leave a server alone for the time that it asks for with a 503

The time was used for the answer to the caller alone, and the next requests were sent to the server all the same.

Servers that rest are left out when one is selected. If all of a service rest, a request that can still be answered in time waits for the first of them, spread over 50 ms; any other is refused at once with the time that is left as Retry-After.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from wasabistage.cache import part_cache_key
-from wasabistage.fleet import ServerRecord
+from wasabistage.fleet import RouteKind, ServerRecord
 from wasabistage.routing import (
     NO_SERVER,
     Candidate,
@@ -16,6 +16,7 @@
     PartDecision,
     PartQuery,
     PartStore,
+    RestQuery,
     RouteQuery,
     SilenceQuery,
 )
@@ -55,6 +56,31 @@
     room: int = 0
 
 
+@dataclass(frozen=True, kw_only=True)
+class AllResting:
+    """No server is selected, since all that are left want no requests for a time.
+
+    :param seconds: time until the first of them takes requests, in seconds.
+    """
+
+    seconds: float
+    reason = "all backend servers of the service want no requests for a time"
+
+    def __bool__(self):
+        return False
+
+
+def get_rest_seconds(state, record, now):
+    """Return the time for which a server wants no requests, in seconds.
+
+    :param state: an :class:`EdgeState`.
+    :param record: its :class:`wasabistage.fleet.ServerRecord`.
+    :param now: monotonic time, in seconds.
+    """
+    query = RestQuery(server=record.server, incarnation=record.incarnation)
+    return state.rests.decide(query, now)
+
+
 def select_service(state, route, draw):
     """Select the service of a request among the route's weighted targets.
 
@@ -82,7 +108,8 @@
     :param service: name of the service.
     :param excluded: ids of the servers that already failed the request.
     :param now: monotonic time, in seconds.
-    :return: a :class:`Choice`, or a sentinel such as ``NO_SERVER``.
+    :return: a :class:`Choice`, an :class:`AllResting`, or a sentinel such as
+        ``NO_SERVER``.
     """
     weights = {
         item.server: item.weight / state.pace.decide(PaceQuery(server=item.server), now)
@@ -94,6 +121,11 @@
         for record in state.servers.find_usable(service)
         if record.server in weights and record.server not in excluded
     ]
+    awake = [item for item in records if not get_rest_seconds(state, item, now)]
+    if records and not awake:
+        seconds = min(get_rest_seconds(state, item, now) for item in records)
+        return AllResting(seconds=seconds)
+    records = awake
     responsive = [
         record
         for record in records
@@ -298,8 +330,6 @@
     """
     request, route, plan = exchange.request, exchange.route, choice.plan
     prompt = request.prompt
-    patience = max(MIN_STREAM_PATIENCE_SECONDS, STREAM_PATIENCE_RATIO * route.objective)
-    timeout = exchange.deadline_at - request.begun_at
     return GateQuery(
         request=request.request_id,
         rank=get_request_rank(route, exchange.account),
@@ -313,10 +343,23 @@
         predicted=plan.seconds,
         arrived_at=request.begun_at,
         objective=route.objective,
-        patience=min(patience, timeout),
+        patience=get_patience(route, exchange.deadline_at - request.begun_at),
     )
 
 
+def get_patience(route, timeout):
+    """Return the assumed time for which a caller waits for an answer to begin.
+
+    :param route: a :class:`wasabistage.fleet.Route`.
+    :param timeout: time from the begin of the request to its deadline, in seconds.
+    :return: seconds.
+    """
+    if route.kind is not RouteKind.STREAM:
+        return timeout
+    patience = max(MIN_STREAM_PATIENCE_SECONDS, STREAM_PATIENCE_RATIO * route.objective)
+    return min(patience, timeout)
+
+
 def get_request_rank(route, account):
     """Return the rank of a request: its account's if it has one, else its route's."""
     if account is not None and account.rank is not None:
--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -2,7 +2,12 @@
 
 import trio
 
-from wasabistage.edge._choice import build_gate_query, select_server
+from wasabistage.edge._choice import (
+    AllResting,
+    build_gate_query,
+    get_patience,
+    select_server,
+)
 from wasabistage.edge._peers import PEER_REPORT_INTERVAL_SECONDS
 from wasabistage.routing import TOO_LATE, RoomQuery, WaitEnded
 
@@ -11,6 +16,10 @@
 FLEET_GATE_INTERVAL_SECONDS = 0.05
 
 
+#: Time over which the requests that wait for a server's rest are spread at its end.
+REST_JITTER_SECONDS = 0.05
+
+
 class EngineWait:
     """Selects the backend server of each attempt, as soon as there is room.
 
@@ -41,6 +50,14 @@
                     excluded,
                     now,
                 )
+                if isinstance(choice, AllResting):
+                    exchange.rest_seconds = choice.seconds
+                    if not self._may_wait_for_rest(exchange, choice, now):
+                        return choice
+                    jitter = REST_JITTER_SECONDS * self.state.random.random()
+                    await trio.sleep(choice.seconds + jitter)
+                    continue
+                exchange.rest_seconds = 0.0
                 if not choice or choice.plan is None:
                     return choice
                 query = build_gate_query(self.state, exchange, choice)
@@ -57,6 +74,13 @@
             wait_ended = WaitEnded(request=request.request_id)
             self.state.gate.observe(wait_ended, self.state.timer.now())
 
+    def _may_wait_for_rest(self, exchange, choice, now):
+        """Return whether a request can be answered in time after a server's rest."""
+        route = exchange.route
+        needed = choice.seconds + REST_JITTER_SECONDS + route.objective
+        patience = get_patience(route, exchange.deadline_at - exchange.request.begun_at)
+        return now + needed < exchange.request.begun_at + patience
+
     def _is_admitted(self, exchange, choice, now):
         """Return whether a prompt that the gate admits is sent now.
 
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -60,6 +60,8 @@
     :param attempts: list of :class:`Attempt`, oldest first.
     :param may_have_run: whether a server may have run it.
     :param splitter: splits streams into events; knows which were forwarded.
+    :param rest_seconds: time for which all servers want no requests, in seconds; 0 if
+        one of them takes requests.
     :param gate_waits: number of times that the gate found no room for the request.
     """
 
@@ -74,6 +76,7 @@
     may_have_run: bool = False
     splitter: EventSplitter = field(default_factory=EventSplitter)
     gate_waits: int = 0
+    rest_seconds: float = 0.0
 
     def get_time_left(self, now):
         """Return the seconds until the deadline."""
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -31,6 +31,7 @@
     PaceReported,
     RequestEnded,
     RequestSent,
+    RestRequested,
     ServerLeaving,
     ServerRemoved,
 )
@@ -147,6 +148,8 @@
 
     def _get_retry_after(self, exchange, last):
         """Return the seconds after which to retry a request that was not run."""
+        if exchange.rest_seconds > 0.0:
+            return exchange.rest_seconds
         quarantine_seconds = self.state.crash_watch.get_retry_seconds(exchange.request)
         if quarantine_seconds > 0.0:
             return quarantine_seconds
@@ -363,6 +366,13 @@
         """Record what a response reports of its server."""
         state, now = self.state, self.state.timer.now()
         record, plan = attempt.choice.record, attempt.choice.plan
+        if head.status == 503 and metadata.retry_after is not None:
+            rest = RestRequested(
+                server=record.server,
+                incarnation=record.incarnation,
+                seconds=metadata.retry_after,
+            )
+            state.rests.observe(rest, now)
         if metadata.load is not None and metadata.load.pace is not None:
             pace = PaceReported(server=record.server, factor=metadata.load.pace)
             state.pace.observe(pace, now)
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -21,6 +21,7 @@
     PartRouter,
     ProbabilisticAdmission,
     RankedGate,
+    RestPolicy,
     SilenceDetector,
 )
 
@@ -86,6 +87,7 @@
             first_weight=0.3,
         ).reset()
         self.pace = PaceEstimator().reset()
+        self.rests = RestPolicy().reset()
         self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
         self.quarantine = CrashQuarantine().reset()
         #: Cancel scopes of running attempts that may be retried elsewhere, by server.
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -103,6 +103,11 @@
             "PeerMemoryReserved",
             "order_stores",
         ),
+        "_rest": (
+            "RestPolicy",
+            "RestQuery",
+            "RestRequested",
+        ),
         "_router": (
             "LeastLoadedRouter",
             "LeastOutstandingRouter",
