--- a/wasabistage/platform/__main__.py
+++ b/wasabistage/platform/__main__.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import signal
 import sys
 
 from wasabistage._alone import load_alone
@@ -14,6 +15,9 @@
 
 def main():
     """Run until told to stop."""
+    # Until the settings are read there is nothing to reload, and the default action
+    # would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     words = sys.argv[1:]
     only_check = "--check" in words
     paths = [word for word in words if word != "--check"]
