Don't resume a stream after a cancelled write to its caller

When a server fell silent while its events were being written to a slow caller, the attempt was cancelled and resumed elsewhere after the last event that had been taken from the splitter, though its write had not happened.

Change: an exchange knows whether a write to its caller has begun and not returned. After such a write the answer is cut, and the caller may resume it itself.

test_stream_is_not_resumed_after_a_cancelled_write fails before: the second of four events is missing from an answer that ends as complete.

--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -1,5 +1,6 @@
 """The state of one request while it is forwarded."""
 
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from wasabistage.retries import Failure
@@ -62,6 +63,8 @@
     :param splitter: splits streams into events; knows which were forwarded.
     :param rest_seconds: time for which all servers want no requests, in seconds; 0 if
         one of them takes requests.
+    :param is_write_open: whether a write to the caller has begun and not returned. If
+        it was cancelled, what the caller has received is unknown.
     :param gate_waits: number of times that the gate found no room for the request.
     """
 
@@ -77,6 +80,14 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     gate_waits: int = 0
     rest_seconds: float = 0.0
+    is_write_open: bool = False
+
+    @contextmanager
+    def write(self):
+        """Mark the writes of the block to the caller, until they have returned."""
+        self.is_write_open = True
+        yield
+        self.is_write_open = False
 
     def get_time_left(self, now):
         """Return the seconds until the deadline."""
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -93,7 +93,8 @@
             # A request that no server has run may be repeated on every route.
             idempotent=route.is_repeatable or not exchange.may_have_run,
             failure=attempt.failure,
-            answer_begun=exchange.channel.started and not route.is_resumable,
+            answer_begun=exchange.is_write_open
+            or (exchange.channel.started and not route.is_resumable),
             # A server that declined for its weight version uses up no attempt.
             attempts=0 if attempt.is_version_mismatch else servers,
             unsent_attempts=sum(
@@ -483,7 +484,8 @@
             headers = self.state.platform.encode_response_headers(head)
             framed = [*headers, (b"Transfer-Encoding", b"chunked")]
             encoded_head = caller.encode_head(head.status, framed, head.reason)
-            await caller.write(encoded_head)
+            with exchange.write():
+                await caller.write(encoded_head)
         is_first = True
         try:
             while data := await channel.read_piece():
@@ -494,7 +496,8 @@
                     is_first = False
                 self.state.crash_watch.record_bytes(attempt, has_events=bool(events))
                 if events:
-                    await caller.send_piece(events)
+                    with exchange.write():
+                        await caller.send_piece(events)
         except EventTooLongError as error:
             splitter.discard_incomplete()
             raise ChannelError(str(error)) from error
@@ -508,9 +511,10 @@
         if is_first and not head.is_framed and not is_resumed:
             # A server that crashes may look the same.
             raise ChannelClosedError("the stream ended before its first event")
-        if remainder := splitter.flush():
-            await caller.send_piece(remainder)
-        await caller.finish()
+        with exchange.write():
+            if remainder := splitter.flush():
+                await caller.send_piece(remainder)
+            await caller.finish()
         attempt.is_answer_whole = not is_first
         self._record_answered(exchange, attempt)
         return head.fields
