--- a/standins/edge_program.py
+++ b/standins/edge_program.py
@@ -96,7 +96,9 @@
         return self.process is not None and self.process.poll() is None
 
     def start(self):
-        """Start the process."""
+        """Start the process, unless it runs."""
+        if self.is_running:
+            return
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "wasabistage.platform", str(self.settings_path)],
@@ -115,15 +117,11 @@
 
     async def kill(self):
         """Kill the process and wait until it is gone."""
-        if self.is_running:
-            self.process.kill()
-        if self.process is not None:
-            await self.wait()
-
-    async def wait(self):
-        """Wait until the process has ended."""
-        while self.process.poll() is None:
-            await trio.sleep(0.01)
+        process = self.process
+        if process is not None:
+            process.kill()
+            while process.poll() is None:
+                await trio.sleep(0.01)
 
 
 def get_ip(network, number):
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -102,9 +102,9 @@
                 elapsed = world.timer.now() - begun["at"]
                 await trio.sleep(max(seconds - elapsed, SETTLED_SECONDS))
             finally:
+                nursery.cancel_scope.cancel()
                 with trio.CancelScope(shield=True):
                     await world.stop()
-            nursery.cancel_scope.cancel()
 
     trio.run(main)
     record = world.record
@@ -114,7 +114,12 @@
     served = sum(item.status == 200 for item in calm)
     violations = find_violations(record, bounds)
     if served < 0.9 * len(calm):
-        violations.append(f"RECOVER: {served} of {len(calm)} served after the faults")
+        failed = Counter(
+            f"{item.entry} {item.status}" for item in calm if item.status != 200
+        )
+        violations.append(
+            f"RECOVER: {served} of {len(calm)} served after the faults, {dict(failed)}"
+        )
     alarms = Counter(
         f"{row['event']} {row.get('error', '')} {row.get('reason', '')[:60]}"
         for row in world.collect_events(*ALARMS)
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -295,8 +295,4 @@
     async def stop(self):
         """End all edge processes."""
         for program in self.programs:
-            if program.is_running:
-                program.process.kill()
-        for program in self.programs:
-            if program.process is not None:
-                await program.wait()
+            await program.kill()
