Judge recovery in the soak from the first answer of a process

The time to start a process is the machine's. A process must be ready 12 s after its first answer now, and the calm window begins when all are.

If servers are left out since they want no requests, and others since they have failed this request, the request is refused without the time of the former.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -90,7 +90,7 @@
     )
     if schedule is None:
         schedule = draw_schedule(world.random, kinds, seconds, faults)
-    begun = {}
+    begun, violations = {}, []
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -100,7 +100,10 @@
                 nursery.start_soon(world.send_traffic)
                 await FaultInjector(world, seed).play(schedule)
                 elapsed = world.timer.now() - begun["at"]
-                await trio.sleep(max(seconds - elapsed, SETTLED_SECONDS))
+                await trio.sleep(max(0.0, seconds - elapsed))
+                # A machine that is busy takes its time to start a process.
+                violations.extend(await world.find_unready())
+                await trio.sleep(SETTLED_SECONDS)
             finally:
                 nursery.cancel_scope.cancel()
                 with trio.CancelScope(shield=True):
@@ -112,7 +115,7 @@
     last = max(item.at for item in record.sent)
     calm = [item for item in record.sent if last - 6.0 < item.at < last - 3.0]
     served = sum(item.status == 200 for item in calm)
-    violations = find_violations(record, bounds)
+    violations.extend(find_violations(record, bounds))
     if served < 0.9 * len(calm):
         failed = Counter(
             f"{item.entry} {item.status}" for item in calm if item.status != 200
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -16,6 +16,7 @@
     :param retry_extra: retries in a window besides.
     :param retry_window: seconds.
     :param drain: seconds after which a leaving server gets no request.
+    :param recover: seconds in which an entry that answers is ready.
     :param settle: seconds after a disturbance until an entry is judged again.
     """
 
@@ -23,6 +24,7 @@
     retry_extra: float = 54.0
     retry_window: float = 10.0
     drain: float = 2.0
+    recover: float = 12.0
     settle: float = 3.0
 
 
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AllResting:
-    """No server is selected, since all that are left want no requests for a time.
+    """No server is selected, since all of the service want no requests for a time.
 
     :param seconds: time until the first of them takes requests, in seconds.
     """
@@ -122,7 +122,7 @@
         if record.server in weights and record.server not in excluded
     ]
     awake = [item for item in records if not get_rest_seconds(state, item, now)]
-    if records and not awake:
+    if records and not awake and not excluded:
         seconds = min(get_rest_seconds(state, item, now) for item in records)
         return AllResting(seconds=seconds)
     records = awake
--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -14,8 +14,6 @@
 GATE_INTERVAL_SECONDS = 0.015  # pause between two queries to a gate without room
 #: The same in a fleet with followers, where room is known from reports.
 FLEET_GATE_INTERVAL_SECONDS = 0.05
-
-
 #: Time over which the requests that wait for a server's rest are spread at its end.
 REST_JITTER_SECONDS = 0.05
 
