Edge: cancel for silence only the wait for a server, never a write

Cause: one cancel scope covered the whole attempt. A cancellation that came during the write cut the answer. One that came in the same pass of the event loop as the head took effect at the next checkpoint, which for a short answer is that write, after the response counts as started. A response that was arriving was judged by the server's other channels, and a head did not count as a sign of life.

Change: the scope covers only waits for the server: up to the head of the response, then each read of its body. Leaving the first wait drops a cancellation that came too late. After the head, a wait ends only if the server is silent and this response itself has brought no byte for the same limit. Before the head, nothing changes: the attempt is moved as soon as its server is silent. A withdrawn prompt keeps its own scope.

Evidence: the new test module has 7 tests; 4 fail on the code before (an answer and an event being written, a body that arrives slowly, a head that arrives as the server is found silent), 3 hold before and after (a body or a stream that stops is moved, a stream is moved before it begins).

--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -47,6 +47,32 @@
     is_server_replaced: bool = False
 
 
+@dataclass(eq=False)
+class ServerWait:
+    """A wait of an attempt for bytes from its server.
+
+    :param scope: the cancel scope of the wait.
+    :param channel: the :class:`wasabistage.http1.Channel` of a response that has begun;
+        ``None`` before its head has been read.
+    :param limit: longest time without a byte of a response that has begun, in seconds.
+    :param begun_at: start of the wait, seconds of trio's clock.
+    """
+
+    scope: object
+    channel: object
+    limit: float
+    begun_at: float
+
+    def is_too_long(self, now):
+        """Return whether the wait ends if the server sends nothing on any channel.
+
+        :param now: seconds of trio's clock.
+        """
+        if self.channel is None:
+            return True
+        return now - max(self.begun_at, self.channel.heard_at) > self.limit
+
+
 @dataclass
 class Exchange:
     """A request of a caller with its attempts.
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -6,7 +6,7 @@
 
 from wasabistage.edge._choice import get_request_rank
 from wasabistage.edge._engine_wait import EngineWait
-from wasabistage.edge._exchange import Attempt
+from wasabistage.edge._exchange import Attempt, ServerWait
 from wasabistage.edge._messages import Dispatch
 from wasabistage.fleet import RouteKind
 from wasabistage.http1 import (
@@ -178,14 +178,12 @@
         self._record_start(exchange, attempt, now)
         error = None
         try:
-            with self._cancel_on_silence(exchange, server) as scope:
+            with trio.CancelScope() as scope:
                 if choice.plan is not None:
                     state.crash_watch.record_start(exchange, attempt, scope)
                 await self._send_and_forward(exchange, attempt)
-            if scope.cancelled_caught and attempt.is_withdrawn:
-                raise ChannelError("the prompt was withdrawn from the server")
             if scope.cancelled_caught:
-                raise ChannelError("the server sent no bytes for too long")
+                raise ChannelError("the prompt was withdrawn from the server")
         except NotSentError as caught:
             attempt.failure, attempt.reason = Failure.NOT_SENT, str(caught)
         except ChannelError as caught:
@@ -199,20 +197,36 @@
         return attempt
 
     @contextmanager
-    def _cancel_on_silence(self, exchange, server):
-        """Cancel an attempt that may be repeated when its server becomes silent."""
+    def _cancel_on_silence(self, exchange, attempt, channel=None):
+        """Cancel the block when the server of a repeatable request is silent.
+
+        The block only waits for the server. A write to the caller is never inside: if
+        it were cancelled, the caller would get a part of the response or nothing.
+
+        :param exchange: the :class:`Exchange`.
+        :param attempt: the :class:`Attempt`.
+        :param channel: the :class:`wasabistage.http1.Channel` of a response that has
+            begun, which is judged by its own bytes; otherwise ``None``.
+        :raises ChannelError: if the block was cancelled.
+        """
+        if not exchange.route.is_repeatable:
+            yield
+            return
+        silence, server = self.state.silence, attempt.choice.record.server
+        is_streaming = attempt.first_event_seconds is not None
+        limit = silence.stream_limit if is_streaming else silence.first_limit
         with trio.CancelScope() as scope:
-            if not exchange.route.is_repeatable:
-                yield scope
-                return
-            scopes = self.state.repeatable_scopes.setdefault(server, set())
-            scopes.add(scope)
+            wait = ServerWait(scope, channel, limit, trio.current_time())
+            waits = self.state.repeatable_waits.setdefault(server, set())
+            waits.add(wait)
             try:
-                yield scope
+                yield
             finally:
-                scopes.discard(scope)
-                if not scopes:
-                    self.state.repeatable_scopes.pop(server, None)
+                waits.discard(wait)
+                if not waits:
+                    self.state.repeatable_waits.pop(server, None)
+        if scope.cancelled_caught:
+            raise ChannelError("the server sent no bytes for too long")
 
     def _record_start(self, exchange, attempt, now):
         state, plan = self.state, attempt.choice.plan
@@ -265,13 +279,16 @@
         state, record = self.state, attempt.choice.record
         pool = self._get_pool(record.address)
         request_id = exchange.request.request_id
-        channel = await pool.take(state.timer.now(), request_id)
-        kept = False
+        channel, kept = None, False
         try:
-            dispatch = self._build_dispatch(exchange, attempt)
-            headers = state.platform.encode_request_headers(exchange.request, dispatch)
-            await self._send(exchange, channel, headers)
-            head, metadata = await self._read_head(exchange, attempt, channel)
+            with self._cancel_on_silence(exchange, attempt):
+                channel = await pool.take(state.timer.now(), request_id)
+                dispatch = self._build_dispatch(exchange, attempt)
+                headers = state.platform.encode_request_headers(
+                    exchange.request, dispatch
+                )
+                await self._send(exchange, channel, headers)
+                head, metadata = await self._read_head(exchange, attempt, channel)
             if metadata.is_not_run:
                 channel.refused_ids.add(request_id)
             attempt.head_seconds = state.timer.now() - attempt.begun_at
@@ -283,7 +300,7 @@
                 pool.give_back(channel, fields, state.timer.now())
                 kept = True
         finally:
-            if not kept:
+            if channel is not None and not kept:
                 channel.close()
 
     async def _send(self, exchange, channel, headers):
@@ -401,7 +418,7 @@
         """Forward a response to the caller; return its headers."""
         if metadata.is_not_run:
             with self.body_budget.hold() as hold:
-                await channel.read_body(MAX_HELD_BODY_BYTES, hold)
+                await self._read_body(exchange, attempt, channel, hold)
             self._record_not_run(exchange, attempt, head, metadata)
             return head.fields
         exchange.may_have_run = True
@@ -412,12 +429,20 @@
         if is_stream and exchange.route.kind is RouteKind.STREAM:
             return await self._forward_stream(exchange, attempt, channel, head)
         with self.body_budget.hold() as hold:
-            body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
+            body = await self._read_body(exchange, attempt, channel, hold)
             if metadata.promises_not_run:
                 self._record_false_promise(attempt, head)
                 return head.fields
             return await self._forward_body(exchange, attempt, head, body)
 
+    async def _read_body(self, exchange, attempt, channel, hold):
+        with self._cancel_on_silence(exchange, attempt, channel):
+            return await channel.read_body(MAX_HELD_BODY_BYTES, hold)
+
+    async def _read_piece(self, exchange, attempt, channel):
+        with self._cancel_on_silence(exchange, attempt, channel):
+            return await channel.read_piece()
+
     def _record_false_promise(self, attempt, head):
         """Record a response whose status says more than the server states."""
         attempt.failure = Failure.ERROR
@@ -488,7 +513,7 @@
                 await caller.write(encoded_head)
         is_first = True
         try:
-            while data := await channel.read_piece():
+            while data := await self._read_piece(exchange, attempt, channel):
                 self._record_bytes(attempt)
                 events = splitter.feed(data)
                 if is_first:
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -222,12 +222,14 @@
             )
 
     async def _cancel_silent_attempts(self, tick):
+        now = trio.current_time()
         for server in self.state.silence.tick(self.state.timer.now()):
-            scopes = self.state.repeatable_scopes.get(server, ())
-            if scopes:
-                self.state.log.write("server_silent", server=server, moved=len(scopes))
-            for scope in list(scopes):
-                scope.cancel()
+            waits = self.state.repeatable_waits.get(server, ())
+            moved = [wait for wait in waits if wait.is_too_long(now)]
+            if moved:
+                self.state.log.write("server_silent", server=server, moved=len(moved))
+            for wait in moved:
+                wait.scope.cancel()
 
     async def _close_idle_channels(self, tick):
         now = self.state.timer.now()
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -90,8 +90,9 @@
         self.rests = RestPolicy().reset()
         self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
         self.quarantine = CrashQuarantine().reset()
-        #: Cancel scopes of running attempts that may be retried elsewhere, by server.
-        self.repeatable_scopes = {}
+        #: The :class:`ServerWait` of each attempt that waits for its server and may be
+        #: retried elsewhere, by server.
+        self.repeatable_waits = {}
         self.swap = VersionRollout(
             at_once=settings.engines.loads_at_once,
             version_time=bounds.version_ms / 1000.0,
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -117,7 +117,8 @@
         self.ended = False
         self.used = 0
         self.idle_until = 0.0
-        self.heard_at = 0.0
+        #: Time of the last received byte, seconds of trio's clock.
+        self.heard_at = float("-inf")
         #: Bytes received since the last request was sent.
         self.received_bytes = 0
         self.skipped_bytes = 0
@@ -184,6 +185,7 @@
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
                     data = await self.sock.recv(READ_BYTES)
+                    self.heard_at = trio.current_time()
                     self.received_bytes += len(data)
                     self.ended = not data
                     self.connection.receive_data(data)
--- /dev/null
+++ b/wasabistage/platform/tests/test_begun_answer.py
@@ -0,0 +1,145 @@
+"""Pattern: a server counts as silent after its response has begun."""
+
+import unittest
+from unittest import mock
+
+import trio
+
+from standins.users_platform import Behaviour
+from wasabistage.http1 import CallerChannel, Channel
+from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
+
+SILENT_SECONDS = 0.5  # time after which a server counts as silent in these tests
+SLOW_SECONDS = 1.5  # several checks for silence longer
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nWasabistage-Request-Id: ID\r\nWasabistage-Response-Seal: s\r\n"
+)
+PIECE_COUNT = 12
+BODY_HEAD = HEAD + b"Content-Length: %d\r\n\r\n" % PIECE_COUNT
+EVENT = b"id: 1\ndata: piece 1\n\n"
+STREAM_HEAD = HEAD + (
+    b"Wasabistage-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+class BegunAnswerTest(EdgeCase):
+    def play(self, test):
+        """Run a test with a shorter limit of silence."""
+
+        async def run():
+            self.edge.state.silence.first_limit = SILENT_SECONDS
+            self.edge.state.silence.stream_limit = SILENT_SECONDS
+            await test()
+
+        super().play(run)
+
+    async def ask_at(self, server, path=b"/read/x", headers=(), method=b"GET"):
+        """Ask until a request has reached a server; return the last reply."""
+        while True:
+            reply = await self.ask(path, headers, method)
+            if server.runs:
+                return reply
+
+    def delay_writes(self, name):
+        """Delay one method of the channels of callers, for each call."""
+        method, callers = getattr(CallerChannel, name), self.edge.callers
+
+        async def call_slowly(channel, *arguments):
+            # The stand-in servers write with the same class.
+            if channel in callers.channels:
+                await trio.sleep(SLOW_SECONDS)
+            await method(channel, *arguments)
+
+        return mock.patch.object(CallerChannel, name, call_slowly)
+
+    # Guards against a channel that is closed without an answer, since the attempt was
+    # cancelled while its answer was written to the caller (soak seed 4009; LOST).
+    def test_write_of_a_plain_answer_is_not_cancelled(self):
+        async def test():
+            with self.delay_writes("respond"):
+                reply = await self.ask()
+            self.assertEqual(reply.status, 200)
+            self.assertTrue(reply.body)
+
+        self.play(test)
+
+    # Guards against the same when the server is found silent just after the head has
+    # been received: the attempt would only notice the cancellation in its write.
+    def test_server_is_found_silent_as_its_head_arrives(self):
+        read_head = Channel.read_head
+
+        async def read_and_find_silent(channel):
+            head = await read_head(channel)
+            await self.edge._cancel_silent_attempts(None)
+            return head
+
+        async def test():
+            names = [server.server for server in self.platform.plain]
+            tick = mock.patch.object(self.edge.state.silence, "tick", lambda now: names)
+            read = mock.patch.object(Channel, "read_head", read_and_find_silent)
+            with tick, read:
+                reply = await self.ask()
+            self.assertEqual(reply.status, 200)
+            self.assertEqual(sum(len(item.runs) for item in self.platform.plain), 1)
+
+        self.play(test)
+
+    # Guards against a stream that breaks off, since nothing is read from its server
+    # while an event is written to a slow caller.
+    def test_write_of_an_event_is_not_cancelled(self):
+        async def test():
+            for engine in self.platform.engines:
+                engine.behaviour = Behaviour(events=1)
+            with self.delay_writes("send_piece"):
+                reply = await self.ask(b"/chat/x", PROMPT, b"POST")
+            self.assertEqual((reply.status, reply.body), (200, EVENT))
+
+        self.play(test)
+
+    # Guards against a repeated request whose first server was sending the body.
+    def test_body_that_arrives_slowly_is_not_cancelled(self):
+        async def test():
+            for server in self.platform.plain:
+                server.behaviour = Behaviour(endless=(BODY_HEAD, b"x"), pause=0.1)
+            reply = await self.ask()
+            self.assertEqual((reply.status, reply.body), (200, b"x" * PIECE_COUNT))
+            self.assertEqual(sum(len(item.runs) for item in self.platform.plain), 1)
+
+        self.play(test)
+
+    # Guards against requests that wait for the rest of a body until their deadline.
+    def test_body_that_stops_is_moved(self):
+        async def test():
+            server = self.platform.plain[0]
+            server.behaviour = Behaviour(endless=(BODY_HEAD + b"x", b""), pause=0.1)
+            reply = await self.ask_at(server)
+            self.assertEqual(reply.status, 200)
+            self.assertNotIn(b"x", reply.body)
+
+        self.play(test)
+
+    # Guards against streams that wait for a silent server until their deadline.
+    def test_stream_is_moved_before_its_response_begins(self):
+        async def test():
+            engine = self.platform.engines[0]
+            engine.behaviour = Behaviour(endless=(b"", b""), pause=0.1)
+            reply = await self.ask_at(engine, b"/chat/x", PROMPT, b"POST")
+            numbers = [b"id: %d\n" % number in reply.body for number in range(1, 4)]
+            self.assertEqual((reply.status, numbers), (200, [True] * 3))
+
+        self.play(test)
+
+    def test_stream_that_stops_is_resumed(self):
+        async def test():
+            engine, chunk = self.platform.engines[0], b"%x\r\n%s\r\n"
+            first = STREAM_HEAD + chunk % (len(EVENT), EVENT)
+            engine.behaviour = Behaviour(endless=(first, b""), pause=0.1)
+            reply = await self.ask_at(engine, b"/chat/x", PROMPT, b"POST")
+            counts = [reply.body.count(b"id: %d\n" % number) for number in range(1, 4)]
+            self.assertEqual((reply.status, counts), (200, [1, 1, 1]))
+
+        self.play(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
