Edge: confirm topics while facts on caches wait to be sent

Cause: a relay left the ages of the topics out of its reports while facts waited in its outbox, and a follower that missed facts ignored the ages. After a start of the whole fleet the relays tell what all engines and stores hold, which takes longer than the 4.5 s for which keys stay valid without a confirmation. Followers read the store themselves, but spread over 16 s, so that their calls stay few.

Change: the ages of a topic are sent once the topic's own records were taken from the outbox, and a follower with the newest record of a topic accepts its age although other facts are missing. Records are applied in order, so that it has them all.

Evidence: the new test fails on the code before (an age of 4.5 s and more) and passes now.

--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -78,6 +78,8 @@
         self.watches = {}
         self.members = {}
         self.has_new_members = False
+        #: Position behind the last record of each topic, by the id of the log.
+        self.record_ends = {self.own_log.log: {}, self.fleet_log.log: {}}
         #: Records that were too large for a datagram: topic and key to the record,
         #: without its value, and the IP of an entry that has it.
         self.wanted_records = {}
@@ -143,10 +145,23 @@
     def _publish(self, fact, *, is_own=True):
         data = ENCODER.encode(fact)
         if is_own:
-            self.own_log.append(data)
-        self.fleet_log.append(data)
+            self._append(self.own_log, fact, data)
+        self._append(self.fleet_log, fact, data)
         self.state.reports.notify_facts()
 
+    def _append(self, log, fact, data):
+        log.append(data)
+        if isinstance(fact, RecordFact):
+            self.record_ends[log.log][fact.topic] = log.end
+
+    def has_taken_records(self, outbox, topic):
+        """Return whether all records of a topic were taken from an outbox.
+
+        :param outbox: a :class:`wasabistage.topology.FactOutbox` of one of the logs.
+        :param topic: name of the topic.
+        """
+        return outbox.position >= self.record_ends[outbox.log.log].get(topic, 0)
+
     def apply(self, data, ip):
         """Apply a fact of another entry, and keep it for the followers if it is new.
 
@@ -160,7 +175,7 @@
             self.state.log.write("fact_unreadable", reason=str(error))
             return
         if self._apply_fact(fact, ip):
-            self.fleet_log.append(bytes(data))
+            self._append(self.fleet_log, fact, bytes(data))
             self.state.reports.notify_facts()
 
     def _apply_fact(self, fact, ip):
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -243,17 +243,21 @@
             "first": first,
             "facts": [msgspec.Raw(fact) for fact in facts],
         }
-        if outbox.is_empty:
-            return {**fields, "ages": self._get_ages(confirmation)}
-        # The ages hold only for receivers with all facts.
-        self.early_event.set()
-        return fields
+        if not outbox.is_empty:
+            self.early_event.set()
+        return {**fields, "ages": self._get_ages(outbox, confirmation)}
 
-    def _get_ages(self, confirmation):
-        now, ages = self.state.timer.now(), {}
-        for topic, watch in self.state.facts.watches.items():
+    def _get_ages(self, outbox, confirmation):
+        """Return the ages of the topics whose records were all taken from an outbox.
+
+        Facts on caches don't hold them back: after a start of the whole fleet they take
+        seconds to send, and the followers' keys would become stale meanwhile.
+        """
+        exchange, now, ages = self.state.facts, self.state.timer.now(), {}
+        for topic, watch in exchange.watches.items():
             age = now - getattr(watch, confirmation)
-            if age < FLEET_TIMEOUT_SECONDS:
+            is_sent = exchange.has_taken_records(outbox, topic)
+            if is_sent and age < FLEET_TIMEOUT_SECONDS:
                 ages[topic] = (age, watch.newest_fact)
         return ages
 
@@ -404,6 +408,8 @@
         new = cursor.accept(report.log, report.first, report.facts)
         if isinstance(new, MissingFacts):
             self.request_gap(report, new)
+            if echo is not None:
+                self._confirm_topics(report, echo, has_gap=True)
             return
         for fact in new:
             self.state.facts.apply(fact, report.ip)
@@ -412,15 +418,24 @@
         if echo is not None:
             self._confirm_topics(report, echo)
 
-    def _confirm_topics(self, report, echo):
-        """Record that topics were confirmed, unless a record of theirs is missing."""
+    def _confirm_topics(self, report, echo, *, has_gap=False):
+        """Record that topics were confirmed, unless a record of theirs is missing.
+
+        Records are applied in order, so that an entry with the newest one of a topic
+        has all of them, whatever other facts it lacks.
+
+        :param report: a :class:`PeerReport`.
+        :param echo: time of the last own report that the peer had received.
+        :param has_gap: whether facts before those of the report are being requested.
+        """
         exchange = self.state.facts
         for topic, (age, newest) in report.ages.items():
             watch = exchange.watches.get(topic)
             if watch is None or not age >= 0:
                 continue
             if newest > watch.newest_fact:
-                exchange.missed_offsets[topic] = (newest, report.ip)
+                if not has_gap:
+                    exchange.missed_offsets[topic] = (newest, report.ip)
             elif not exchange.is_missing(topic):
                 watch.confirm(echo - age)
 
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -1,3 +1,4 @@
+import itertools
 import random
 import unittest
 
@@ -76,6 +77,33 @@
         self.assertEqual(fleet.get_versions(), {2})
         self.assertGreater(watch.confirmed_at, confirmed_at + 1.0)
 
+    # Guards against keys that become stale in every follower while the relays have more
+    # facts on caches to send than a report holds, as after a start of the whole fleet.
+    def test_keys_stay_fresh_while_many_cache_facts_are_sent(self):
+        fleet = Fleet(65, 3)
+        fleet.play(START_SECONDS)
+        parts = tuple(
+            CacheEvent(cache_key="k", part=f"part-{number:020}", tokens=100)
+            for number in range(3000)
+        )
+        positions, ages = itertools.count(1), []
+
+        def publish(fleet):
+            ages.append(max(fleet.get_config_ages()))
+            position = next(positions)
+            events = CacheEvents(
+                epoch=1, position=position, has_gap=False, events=parts
+            )
+            for entry in fleet.entries.values():
+                if entry.name in relays:
+                    facts = entry.state.facts
+                    facts.publish_events("10.8.0.1:80", position - 1, events)
+
+        relays = fleet.get_relays()
+        publish(fleet)
+        fleet.play(5.0, publish)
+        self.assertLess(max(ages), MAX_AGE_SECONDS)
+
     def test_cost_of_an_entry_does_not_grow_with_the_fleet(self):
         for size, domains in FLEETS:
             with self.subTest(size):
