Soak: measure the processor time that its processes were denied

Nothing told whether the machine or the recovery was slow.

Change: the soak samples /proc/PID/schedstat of each edge process and of itself (it runs store, servers and callers) four times a second: time run, and time waited in a run queue. Each RECOVER finding names these and "slow machine" or "slow recovery". An entry that was ready late is put to the machine if it would have been in time without what it, or the soak, was denied; the larger of the two counts. Calls that were not served are put to the machine if their entry or the soak was denied a quarter of the span, and these and the served ones reach the bar together. A finding fails the run either way. Each run prints the same figures, the longest lag of the soak's own clock, and the times from the start of an entry (the soak's clock) to its first log line (its own).

Limits: only main threads are accounted; an entry that keeps a processor busy by itself would also be denied some of it, so the time run is printed beside.

Evidence: unit tests of the judgement, the meter and the reader.

--- a/standins/edge_program.py
+++ b/standins/edge_program.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import trio
@@ -88,6 +89,8 @@
             encoding="utf-8",
         )
         self.process = None
+        #: Wall-clock times at which the process was started, in order.
+        self.start_times = []
         self.is_frozen = False
 
     @property
@@ -99,6 +102,7 @@
         """Start the process, unless it runs."""
         if self.is_running:
             return
+        self.start_times.append(time.time())
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "wasabistage.platform", str(self.settings_path)],
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from tools.soak._checks import Bounds, find_retry_peaks, find_violations
 from tools.soak._faults import Fault, FaultInjector, draw_schedule
+from tools.soak._processor import SOAK, judge_served, sum_usage
 from tools.soak._world import World
 
 KINDS = (
@@ -28,6 +29,7 @@
     "answer_late",
     "trim",
 )
+SERVED_SHARE = 0.9  # of the calls after the last fault
 SETTLED_SECONDS = 8.0  # calm traffic after the last fault
 ALARMS = ("task_failed", "not_json")
 SHOWN = 12
@@ -116,12 +118,16 @@
     calm = [item for item in record.sent if last - 6.0 < item.at < last - 3.0]
     served = sum(item.status == 200 for item in calm)
     violations.extend(find_violations(record, bounds))
-    if served < 0.9 * len(calm):
+    if served < SERVED_SHARE * len(calm):
         failed = Counter(
             f"{item.entry} {item.status}" for item in calm if item.status != 200
         )
+        judgement = judge_served(
+            world.meter.samples, calm, last - 6.0, last, SERVED_SHARE
+        )
         violations.append(
-            f"RECOVER: {served} of {len(calm)} served after the faults, {dict(failed)}"
+            f"RECOVER: {served} of {len(calm)} served after the faults, "
+            f"{dict(failed)}; {judgement}"
         )
     alarms = Counter(
         f"{row['event']} {row.get('error', '')} {row.get('reason', '')[:60]}"
@@ -140,11 +146,31 @@
         },
         "leavings": len(record.leavings),
         "statuses": dict(statuses),
+        "processor": describe_processor(world, begun["at"], last),
         "alarms": dict(alarms),
         "violations": violations,
     }
 
 
+def describe_processor(world, begin, end):
+    """Return what the processes of a soak got of the processor, as a dict of texts.
+
+    :param world: a :class:`tools.soak._world.World`.
+    :param begin: start of the span, in seconds.
+    :param end: its end, in seconds.
+    """
+    samples = world.meter.samples
+    usages = [sum_usage(samples, item.name, begin, end) for item in world.programs]
+    worst = max(usages, key=lambda item: item.denied)
+    delays = world.find_start_delays()
+    return {
+        "soak": str(sum_usage(samples, SOAK, begin, end)),
+        "worst": str(worst),
+        "lag": f"{world.meter.longest_lag:.2f} s",
+        "starts": f"{len(delays)}, up to {max(delays, default=0.0):.1f} s each",
+    }
+
+
 def main():
     """Play the soaks that the command line names; exit with 1 if one failed."""
     parser = argparse.ArgumentParser(prog="tools.soak")
@@ -207,6 +233,7 @@
         f"{len(violations)} violations, alarms {result['alarms']}",
         flush=True,
     )
+    print("  processor", result["processor"], flush=True)
     if violations:
         print("  statuses", result["statuses"])
         for fault in result["schedule"]:
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -12,6 +12,11 @@
 from standins.edge_program import EdgeProgram
 from standins.users_platform import StandinServer, StandinStore, respond_json
 from tools.soak._checks import Arrival, Bounds, Record, Sent
+from tools.soak._processor import (
+    ProcessorMeter,
+    find_start_delays,
+    judge_readiness,
+)
 from wasabistage.http1 import ChannelError, HttpClient
 from wasabistage.timing import TrioTimerService
 
@@ -156,6 +161,7 @@
             )
             for number in range(entries)
         ]
+        self.meter = ProcessorMeter(self.programs, self.timer)
         self.clients = {}
         self.request_count = 0
         self.open_calls = 0
@@ -169,6 +175,7 @@
     async def start(self, nursery):
         """Start everything; wait until every edge process is ready."""
         self.nursery = nursery
+        nursery.start_soon(self.meter.run)
         await nursery.start(self.store.run)
         for server in self.servers:
             await nursery.start(server.run)
@@ -232,14 +239,38 @@
                 if seconds > self.bounds.recover:
                     found.append(
                         f"RECOVER: {program.name} was ready after {seconds:.1f} s, "
-                        f"{self.bounds.recover:.0f} s are allowed"
+                        f"{self.bounds.recover:.0f} s are allowed; "
+                        f"{self._judge_readiness(program, seconds)}"
                     )
             if scope.cancelled_caught:
                 found.append(
-                    f"RECOVER: {program.name} was not ready in {READY_SECONDS:.0f} s"
+                    f"RECOVER: {program.name} was not ready in {READY_SECONDS:.0f} s; "
+                    f"{self._judge_readiness(program, READY_SECONDS)}"
                 )
         return found
 
+    def _judge_readiness(self, program, seconds):
+        self.meter.sample()
+        now = self.timer.now()
+        return judge_readiness(
+            self.meter.samples, program.name, now - seconds, now, self.bounds.recover
+        )
+
+    def find_start_delays(self):
+        """Return the times from the start of an edge process to its first log line."""
+        return [
+            delay
+            for program in self.programs
+            for delay in find_start_delays(
+                program.start_times,
+                [
+                    row["time"]
+                    for row in read_events(program, ("started",))
+                    if "time" in row
+                ],
+            )
+        ]
+
     async def add_server(self, service):
         """Start and list another server of a service."""
         server = self._build_server(service, "m" if service == "llm" else "")
@@ -303,19 +334,28 @@
 
     def collect_events(self, *names):
         """Return the log lines of the edge processes with one of some events."""
-        rows = []
-        for program in self.programs:
-            for line in program.log_path.read_bytes().splitlines():
-                try:
-                    row = json.loads(line)
-                except ValueError:
-                    rows.append({"event": "not_json", "line": line.decode("latin-1")})
-                    continue
-                if row.get("event") in names:
-                    rows.append(row)
-        return rows
+        return [row for item in self.programs for row in read_events(item, names)]
 
     async def stop(self):
         """End all edge processes."""
         for program in self.programs:
             await program.kill()
+
+
+def read_events(program, names):
+    """Return the log lines of one edge process with one of some events.
+
+    :param program: the :class:`standins.edge_program.EdgeProgram`.
+    :param names: names of the events. Lines that are no JSON have ``not_json``, and are
+        always returned.
+    """
+    rows = []
+    for line in program.log_path.read_bytes().splitlines():
+        try:
+            row = json.loads(line)
+        except ValueError:
+            rows.append({"event": "not_json", "line": line.decode("latin-1")})
+            continue
+        if row.get("event") in names:
+            rows.append(row)
+    return rows
--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -1,5 +1,7 @@
 import tempfile
 import unittest
+from pathlib import Path
+from types import SimpleNamespace
 
 from tools.soak.__main__ import KINDS, parse_schedule, play_soak
 from tools.soak._checks import (
@@ -12,6 +14,16 @@
     find_retry_excess,
     find_wrong_answers,
 )
+from tools.soak._processor import (
+    SOAK,
+    ProcessorMeter,
+    Sample,
+    find_start_delays,
+    judge_readiness,
+    judge_served,
+    read_accounts,
+    sum_usage,
+)
 
 
 class SoakTest(unittest.TestCase):
@@ -118,5 +130,100 @@
         )
 
 
+class ProcessorTest(unittest.TestCase):
+    """A slow machine is told from a slow recovery."""
+
+    def make_samples(self, denied, seconds=20):
+        """Return samples of one second each.
+
+        :param denied: dict of name to the share of time that it is denied.
+        """
+        return [
+            Sample(since=at, until=at + 1.0, name=name, ran=0.1, denied=share)
+            for at in range(seconds)
+            for name, share in denied.items()
+        ]
+
+    def make_calls(self, served, failed):
+        calls = [Sent(15.0, "r", "read", "app", "a", 200) for _ in range(served)]
+        return calls + [Sent(15.0, "r", "read", "app", "b") for _ in range(failed)]
+
+    def test_sample_counts_as_far_as_it_lies_in_the_span(self):
+        usage = sum_usage(self.make_samples({"a": 0.4, "b": 0.9}), "a", 2.5, 4.0)
+        self.assertAlmostEqual(usage.denied, 0.6)
+        self.assertAlmostEqual(usage.ran, 0.15)
+
+    def test_late_readiness_is_the_machines_if_it_was_denied_the_excess(self):
+        for name, share, cause in (
+            ("a", 0.5, "slow machine"),
+            (SOAK, 0.5, "slow machine"),
+            ("a", 0.2, "slow recovery"),
+            ("b", 0.9, "slow recovery"),
+        ):
+            samples = self.make_samples({"a": 0.0, SOAK: 0.0, name: share})
+            text = judge_readiness(samples, "a", 0.0, 18.0, 12.0)
+            with self.subTest(name=name, share=share):
+                self.assertEqual(text.partition(":")[0], cause)
+
+    def test_denials_at_the_same_time_count_once(self):
+        samples = self.make_samples({"a": 0.2, SOAK: 0.2})
+        text = judge_readiness(samples, "a", 0.0, 18.0, 12.0)
+        self.assertEqual(text.partition(":")[0], "slow recovery")
+
+    def test_failed_calls_are_explained_by_their_own_entry(self):
+        for name, cause in (
+            ("b", "slow machine"),
+            (SOAK, "slow machine"),
+            ("a", "slow recovery"),
+        ):
+            samples = self.make_samples({"a": 0.0, "b": 0.0, SOAK: 0.0, name: 0.3})
+            calls = self.make_calls(served=30, failed=70)
+            text = judge_served(samples, calls, 10.0, 20.0, 0.9)
+            with self.subTest(name=name):
+                self.assertEqual(text.partition(":")[0], cause)
+                self.assertIn("b ran", text)
+
+    def test_no_samples_give_no_cause(self):
+        calls = self.make_calls(served=0, failed=9)
+        self.assertEqual(
+            judge_served([], calls, 10.0, 20.0, 0.9), "processor time not measured"
+        )
+
+    def test_meter_takes_what_each_process_has_waited_since_the_last_sample(self):
+        accounts, times = {}, [0.0]
+        timer = SimpleNamespace(now=lambda: times[-1])
+        program = SimpleNamespace(name="a", process=SimpleNamespace(pid=5))
+        meter = ProcessorMeter([program], timer, accounts.get)
+        meter.sample()
+        for now, pid, ran, denied in (
+            (1.0, 5, 0.1, 0.4),
+            (2.0, 5, 0.2, 0.6),
+            # The next process of the same entry.
+            (3.0, 6, 0.1, 0.3),
+        ):
+            times.append(now)
+            program.process.pid = pid
+            accounts[pid] = ran, denied
+            meter.sample()
+        found = [(item.since, item.until, item.denied) for item in meter.samples]
+        self.assertEqual([row[:2] for row in found], [(0, 1), (1, 2), (2, 3)])
+        for row, denied in zip(found, (0.4, 0.2, 0.3), strict=True):
+            self.assertAlmostEqual(row[2], denied)
+
+    def test_accounts_are_read_and_may_be_missing(self):
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertIsNone(read_accounts(7, folder))
+            path = Path(folder) / "7"
+            path.mkdir()
+            (path / "schedstat").write_text("1500000000 250000000 12\n")
+            self.assertEqual(read_accounts(7, folder), (1.5, 0.25))
+            (path / "schedstat").write_text("")
+            self.assertIsNone(read_accounts(7, folder))
+
+    def test_delay_of_a_start_is_counted_from_the_last_start_before(self):
+        starts = [10.0, 30.0, 50.0]
+        self.assertEqual(find_start_delays(starts, [14.0, 51.0]), [4.0, 1.0])
+
+
 if __name__ == "__main__":
     unittest.main()
