Bound memory, channels and work that clients cause

Cause: a request was held up to three times over (parser, growing buffer, copy, copy for sending), without a bound over all channels; tiny chunks were parsed a whole read at a time; channels were accepted without a bound; a body over the limit was read to the limit although its length was announced.

Change: - http1/_intake.py: one account per process, used by all listeners. It asks HoldingPolicy and ends the channels that it names. Requests, what is sent ahead, and the bodies of responses are counted; a channel counts as 24 KiB. - Bodies over 128 KiB are kept in pages of their own (http1/_body.py), once, and are sent without a copy. After a refusal nothing is read; the channel stays open for up to 0.5 s, so that the response arrives before the reset. - Work that costs much per byte (small pieces, short reads, pipelined requests, long heads) takes turns over the whole process, with a pause; large bodies take turns without one. - Channels per listener, unfinished requests and memory follow from the new section [limits] of the settings (memory_mb 200, max_fds 4096 by default). - Counters refused_CAUSE and one line clients_refused per cause and second. The line request_rejected is no longer written for what is no complete request.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -2,12 +2,12 @@
 
 from contextlib import contextmanager
 
-import h11
 import trio
 
 from wasabistage.edge._choice import select_service
 from wasabistage.edge._exchange import Exchange
 from wasabistage.edge._handlers import RequestHandler
+from wasabistage.edge._intake import CALLERS
 from wasabistage.edge._messages import BadRequestError
 from wasabistage.fleet import (
     NO_CONFIGURATION,
@@ -16,7 +16,14 @@
     CallerLimits,
     RouteKind,
 )
-from wasabistage.http1 import Answer, CallerChannel, CallerGoneError
+from wasabistage.http1 import (
+    Answer,
+    CallerChannel,
+    CallerGoneError,
+    ChannelsFullError,
+    RefusedError,
+    send_unavailable,
+)
 
 MAX_ADDRESS_LIFETIME_SECONDS = 2.0  # bounds how long callers try a lost entry
 MIN_NEAR_ADDRESSES = 8  # entries that share the callers of a failure domain
@@ -29,6 +36,7 @@
 MIN_STREAM_TIME_FRACTION = 0.63
 #: Time for the final response of a request that times out while the process stops.
 STOP_MARGIN_SECONDS = 0.2
+REFUSAL_SECONDS = 1.0  # for writing a response without a body
 
 
 class CallerHandler:
@@ -50,7 +58,14 @@
 
         :param sock: the accepted trio socket.
         """
-        channel = CallerChannel(sock, self.state.timer, self._get_limits())
+        state = self.state
+        try:
+            channel = CallerChannel(
+                sock, state.timer, self._get_limits(), state.intake, CALLERS
+            )
+        except ChannelsFullError:
+            await send_unavailable(sock)
+            return
         channel.closing = self.state.is_draining
         self.channels.add(channel)
         try:
@@ -59,6 +74,7 @@
         except (CallerGoneError, trio.TooSlowError):
             self.state.metrics.count("channel.ended")
         finally:
+            channel.release()
             self.channels.discard(channel)
 
     def _get_limits(self):
@@ -67,10 +83,15 @@
 
     async def _serve_next(self, channel):
         """Serve the next request; return whether the channel stays open."""
+        refusal = None
         try:
             request = await channel.read_request()
-        except h11.RemoteProtocolError as error:
-            await self._reject(channel, error.error_status_hint or 400, str(error))
+        except RefusedError as error:
+            refusal = error.with_traceback(None)
+        if refusal is not None:
+            self.state.metrics.count("request.refused", label=str(refusal.status))
+            headers = self.state.platform.encode_error_headers("", refusal.retry_after)
+            await channel.refuse(refusal, headers)
             return False
         if request is None:
             return False
@@ -93,7 +114,8 @@
         if not channel.may_respond:
             return
         headers = self.state.platform.encode_error_headers(request_id, retry_after)
-        await channel.respond(status, headers, b"")
+        with trio.fail_after(REFUSAL_SECONDS):
+            await channel.respond(status, headers, b"")
 
     async def _serve_request(self, channel, wire_request):
         self.state.metrics.count("request.received")
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -400,7 +400,7 @@
     async def _forward_response(self, exchange, attempt, channel, head, metadata):
         """Forward a response to the caller; return its headers."""
         if metadata.is_not_run:
-            with self.body_budget.hold() as hold:
+            with self.body_budget.hold(exchange.channel.hold_response) as hold:
                 await channel.read_body(MAX_HELD_BODY_BYTES, hold)
             self._record_not_run(exchange, attempt, head, metadata)
             return head.fields
@@ -411,7 +411,7 @@
         is_stream = metadata.is_event_stream is not False and head.status == 200
         if is_stream and exchange.route.kind is RouteKind.STREAM:
             return await self._forward_stream(exchange, attempt, channel, head)
-        with self.body_budget.hold() as hold:
+        with self.body_budget.hold(exchange.channel.hold_response) as hold:
             body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
             if metadata.promises_not_run:
                 self._record_false_promise(attempt, head)
--- a/wasabistage/edge/_handlers.py
+++ b/wasabistage/edge/_handlers.py
@@ -3,7 +3,14 @@
 from abc import ABC, abstractmethod
 
 from wasabistage.fleet import CallerLimits
-from wasabistage.http1 import CallerChannel, serve_answers
+from wasabistage.http1 import (
+    CallerChannel,
+    ChannelsFullError,
+    send_unavailable,
+    serve_answers,
+)
+
+MAX_BODY_BYTES = 65536  # these requests need no body
 
 
 class RequestHandler(ABC):
@@ -14,16 +21,25 @@
 
     def __init__(self, state):
         self.state = state
-        self.limits = CallerLimits()
+        self.limits = CallerLimits(body_bytes=MAX_BODY_BYTES)
 
-    async def serve(self, sock):
+    async def serve(self, group, sock):
         """Serve a channel until it closes.
 
+        :param group: name of the listener.
         :param sock: the accepted trio socket.
         """
-        channel = CallerChannel(sock, self.state.timer, self.limits)
-        if not await serve_answers(channel, self.answer):
-            self.state.metrics.count("channel.ended")
+        state = self.state
+        try:
+            channel = CallerChannel(sock, state.timer, self.limits, state.intake, group)
+        except ChannelsFullError:
+            await send_unavailable(sock)
+            return
+        try:
+            if not await serve_answers(channel, self.answer):
+                state.metrics.count("channel.ended")
+        finally:
+            channel.release()
 
     @abstractmethod
     def answer(self, request):
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -17,6 +17,14 @@
 from wasabistage.edge._fleet_view import FleetView
 from wasabistage.edge._forward import Forwarder
 from wasabistage.edge._handlers import RequestHandler
+from wasabistage.edge._intake import (
+    DIRECTORY,
+    LINE_INTERVAL_SECONDS,
+    METRICS,
+    PEERS,
+    READINESS,
+    create_intake,
+)
 from wasabistage.edge._load_exchange import LoadExchange
 from wasabistage.edge._old_parts import FREE_INTERVAL_SECONDS, OldPartCleaner
 from wasabistage.edge._orders import OrderTask
@@ -98,6 +106,7 @@
         self.state.reports = ReportTask(self.state)
         self.state.snapshots = SnapshotClient(self.state)
         self.state.crash_watch = CrashWatch(self.state)
+        self.state.intake, self.refusals = create_intake(self.state)
         self.callers = CallerHandler(self.state, Forwarder(self.state))
         self.directory = DirectoryHandler(self.state)
         #: Cancelled to stop accepting channels of callers.
@@ -135,12 +144,17 @@
         state.facts.watches = {str(topic): watches[topic] for topic in SHARED_TOPICS}
         await state.reports.open()
         await self._listen(nursery, addresses.callers, self.callers.serve, True)
-        for address in dict.fromkeys((addresses.readiness, addresses.directory)):
-            await self._listen(nursery, address, self.directory.serve)
-        snapshots = SnapshotHandler(state)
-        await self._listen(nursery, addresses.peers, snapshots.serve)
         metrics_address = f"{self.settings.instance.ip}:{addresses.metrics_port}"
-        await self._listen(nursery, metrics_address, MetricsHandler(state).serve)
+        listeners = [
+            (addresses.readiness, READINESS, self.directory),
+            (addresses.directory, DIRECTORY, self.directory),
+            (addresses.peers, PEERS, SnapshotHandler(state)),
+            (metrics_address, METRICS, MetricsHandler(state)),
+        ]
+        if addresses.readiness == addresses.directory:
+            listeners.pop(0)
+        for address, group, handler in listeners:
+            await self._listen(nursery, address, partial(handler.serve, group))
         tasks = [watch.run for watch in watches.values()]
         tasks += [
             state.reports.run_receiving,
@@ -156,6 +170,7 @@
             (HEALTH_INTERVAL_SECONDS, state.crash_watch.tick),
             (SILENCE_INTERVAL_SECONDS, self._cancel_silent_attempts),
             (IDLE_CHANNELS_INTERVAL_SECONDS, self._close_idle_channels),
+            (LINE_INTERVAL_SECONDS, self.refusals.write_lines),
             (FREE_INTERVAL_SECONDS, OldPartCleaner(state).free_old_parts),
             (SETTINGS_INTERVAL_SECONDS, self._check_settings_file),
             (TOPICS_INTERVAL_SECONDS, state.snapshots.request_wanted_records),
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -102,6 +102,15 @@
     loads_at_once: int = 2
 
 
+class LimitsSection(msgspec.Struct):
+    """What the machine gives to this process."""
+
+    #: Memory of the machine, in MB.
+    memory_mb: float = 200.0
+    #: Number of file descriptors.
+    max_fds: int = 4096
+
+
 class EdgeSettings(msgspec.Struct):
     """All settings; each field is a section of the file."""
 
@@ -111,6 +120,7 @@
     peers: PeersSection = msgspec.field(default_factory=PeersSection)
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
     engines: EnginesSection = msgspec.field(default_factory=EnginesSection)
+    limits: LimitsSection = msgspec.field(default_factory=LimitsSection)
 
 
 def load_edge_settings(path):
@@ -187,7 +197,8 @@
     :param settings: an :class:`EdgeSettings`.
     :raises SettingError: if a value is invalid.
     """
-    for section in (settings.instance, settings.bounds, settings.engines):
+    sections = (settings.instance, settings.bounds, settings.engines, settings.limits)
+    for section in sections:
         for name in section.__struct_fields__:
             value = getattr(section, name)
             if isinstance(value, bool):
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -110,6 +110,8 @@
         self.facts = None
         self.snapshots = None
         self.crash_watch = None
+        #: The :class:`wasabistage.http1.Intake`; set by :class:`EdgeProcess`.
+        self.intake = None
         self.retries = WindowRetryPolicy(
             ratio=bounds.retry_ratio,
             extra=bounds.retry_extra,
--- a/wasabistage/http1/__init__.py
+++ b/wasabistage/http1/__init__.py
@@ -15,12 +15,15 @@
     open_channel,
 )
 from wasabistage.http1._client import HttpClient, Reply
+from wasabistage.http1._intake import ChannelsFullError, Intake
 from wasabistage.http1._listener import (
     Answer,
     CallerChannel,
     CallerGoneError,
+    RefusedError,
     Request,
     listen,
+    send_unavailable,
     serve_answers,
     serve_channels,
 )
@@ -35,13 +38,17 @@
     "ChannelClosedError",
     "ChannelError",
     "ChannelPool",
+    "ChannelsFullError",
     "HttpClient",
+    "Intake",
     "NotSentError",
+    "RefusedError",
     "Reply",
     "Request",
     "ResponseHead",
     "listen",
     "open_channel",
+    "send_unavailable",
     "serve_answers",
     "serve_channels",
 ]
--- a/wasabistage/http1/_budget.py
+++ b/wasabistage/http1/_budget.py
@@ -16,23 +16,31 @@
         self.held = 0
 
     @contextmanager
-    def hold(self):
-        """Return a :class:`ByteHold` whose bytes are released at the end."""
-        hold = ByteHold(self)
+    def hold(self, account=None):
+        """Return a :class:`ByteHold` whose bytes are released at the end.
+
+        :param account: function that takes a number of bytes more or, if it is
+            negative, fewer, and returns whether there is room; or ``None``.
+        """
+        hold = ByteHold(self, account)
         try:
             yield hold
         finally:
             self.held -= hold.size
+            if account is not None:
+                account(-hold.size)
 
 
 class ByteHold:
     """Bytes of one body that count towards a :class:`ByteBudget`.
 
     :param budget: the budget.
+    :param account: see :meth:`ByteBudget.hold`.
     """
 
-    def __init__(self, budget):
+    def __init__(self, budget, account=None):
         self.budget = budget
+        self.account = account
         self.size = 0
 
     def add(self, size):
@@ -45,5 +53,7 @@
             raise ChannelError(
                 f"bodies of responses take over {self.budget.limit} bytes together"
             )
+        if self.account is not None and not self.account(size):
+            raise ChannelError("there is no memory for the body of the response")
         self.budget.held += size
         self.size += size
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -6,7 +6,10 @@
 import h11
 import trio
 
+from wasabistage.http1._body import BodyBuffer
+
 READ_BYTES = 65536  # bytes a read; the largest common socket buffer
+MAX_JOINED_BYTES = 65536  # of a body that is sent together with its head
 KEEPALIVE_IDLE = 1  # seconds, the least that the system takes
 KEEPALIVE_INTERVAL = 1  # seconds, the least that the system takes
 KEEPALIVE_PROBES = 2  # probes; one may be lost on a bad link
@@ -150,19 +153,23 @@
         :param method: bytes.
         :param target: bytes, sent as they are.
         :param headers: list of (name, value) pairs of bytes, framing included.
-        :param body: bytes.
+        :param body: bytes-like, of the length that ``headers`` give.
         :raises ChannelError: if the channel broke.
         """
         self.used += 1
         self.received_bytes = self.skipped_bytes = 0
         self.sent_all = False
         self.request = h11.Request(method=method, target=target, headers=headers)
-        data = self.connection.send(self.request)
+        pieces = [self.connection.send(self.request)]
         if body:
-            data += self.connection.send(h11.Data(data=body))
-        data += self.connection.send(h11.EndOfMessage())
+            # The body itself, without a copy.
+            pieces += self.connection.send_with_data_passthrough(h11.Data(data=body))
+        pieces.append(self.connection.send(h11.EndOfMessage()))
+        if len(body) <= MAX_JOINED_BYTES:
+            pieces = [b"".join(pieces)]
         try:
-            await self._send_all(data)
+            for piece in pieces:
+                await self._send_all(piece)
         except OSError as error:
             raise ChannelError(f"send failed: {error}") from error
         self.sent_all = True
@@ -238,21 +245,24 @@
                 raise ChannelClosedError("the body broke off")
 
     async def read_body(self, limit, hold=None):
-        """Return the whole body.
+        """Return the whole body, ``bytes`` or, if it is large, a ``memoryview``.
 
         :param limit: most bytes.
         :param hold: a :class:`wasabistage.http1.ByteHold` that the bytes are added to,
             or ``None``.
         :raises ChannelError: if it breaks off or is larger, or the budget is used up.
         """
-        body = bytearray()
-        while piece := await self.read_piece():
-            if hold is not None:
-                hold.add(len(piece))
-            body += piece
-            if len(body) > limit:
-                raise ChannelError(f"the body is larger than {limit} bytes")
-        return bytes(body)
+        body = BodyBuffer(0, limit)
+        try:
+            while piece := await self.read_piece():
+                if hold is not None:
+                    hold.add(len(piece))
+                if body.size + len(piece) > limit:
+                    raise ChannelError(f"the body is larger than {limit} bytes")
+                body.add(piece)
+            return body.take()
+        finally:
+            body.clear()
 
     async def skip_response(self):
         """Pass over a whole response that answers an earlier request.
--- a/wasabistage/http1/_client.py
+++ b/wasabistage/http1/_client.py
@@ -68,7 +68,7 @@
                 framing.append((b"Content-Length", b"%d" % len(body)))
             await channel.send_request(method, target, [*framing, *headers], body)
             head = await channel.read_head()
-            data = await channel.read_body(self.max_reply_bytes)
+            data = bytes(await channel.read_body(self.max_reply_bytes))
             self.pool.give_back(channel, head.fields, self.timer.now())
             kept = True
             return Reply(status=head.status, fields=head.fields, body=data)
--- a/wasabistage/platform/tests/test_excess_clients.py
+++ b/wasabistage/platform/tests/test_excess_clients.py
@@ -7,6 +7,7 @@
 
 import os
 import re
+import socket
 import tempfile
 import unittest
 from contextlib import closing
@@ -14,9 +15,8 @@
 
 import trio
 
-from standins.edge_program import EdgeProgram
+from standins.edge_program import HOSTS_PER_NETWORK, EdgeProgram
 from standins.users_platform import Behaviour, StandinPlatform
-from wasabistage.edge._settings import EdgeSettings
 from wasabistage.http1 import ChannelError, HttpClient
 from wasabistage.platform.tests import client_crowds as crowds
 from wasabistage.platform.tests.edge_case import HEADERS, PORTS
@@ -34,12 +34,29 @@
     b"HTTP/1.1 200 OK\r\nWasabistage-Request-Id: ID\r\nWasabistage-Response-Seal: s\r\n"
     b"Content-Length: %d\r\n\r\n" % ANSWER_BYTES
 ) + b"x" * ANSWER_BYTES
+FIRST_NETWORK, NETWORKS = 60, 60  # loopback networks, one for each test process
+STANDINS = 6  # listeners of the platform's stand-ins
 ORDINARY_PATH = b"/read/x"
 
 
+def find_free_port():
+    """Return the first of some ports that no other process on this machine uses."""
+    for port in PORTS:
+        try:
+            for offset in range(STANDINS):
+                with socket.socket() as sock:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    sock.bind(("127.0.0.1", port + offset))
+        except OSError:
+            continue
+        return port
+
+
 class ExcessCase(unittest.TestCase):
     """Runs a platform and one process with lowered limits around each test."""
 
+    program = None
+
     def play(self, crowd, listener="callers", behaviour=None):
         """Play a crowd and check the process during and after it.
 
@@ -59,19 +76,21 @@
             try:
                 trio.run(run)
             finally:
-                self.program.process.kill()
-                self.program.process.wait()
+                if self.program is not None:
+                    self.program.process.kill()
+                    self.program.process.wait()
 
     async def _play(self, nursery, crowd, listener, behaviour):
-        platform = StandinPlatform(next(PORTS))
+        platform = StandinPlatform(find_free_port())
         await platform.start(nursery)
         limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+        high, low = divmod(os.getpid(), NETWORKS)
         self.program = EdgeProgram(
-            0,
-            f"127.{60 + os.getpid() % 60}",
+            high % NETWORKS * HOSTS_PER_NETWORK,
+            f"127.{FIRST_NETWORK + low}",
             platform.store.address,
             self.folder,
-            limits=limits if "limits" in EdgeSettings.__struct_fields__ else None,
+            limits=limits,
         )
         self.program.start()
         await self._wait_until_answered()
