--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -417,7 +417,7 @@
     async def _forward_response(self, exchange, attempt, channel, head, metadata):
         """Forward a response to the caller; return its headers."""
         if metadata.is_not_run:
-            with self.body_budget.hold() as hold:
+            with self.body_budget.hold(exchange.channel.hold_response) as hold:
                 await self._read_body(exchange, attempt, channel, hold)
             self._record_not_run(exchange, attempt, head, metadata)
             return head.fields
@@ -428,7 +428,7 @@
         is_stream = metadata.is_event_stream is not False and head.status == 200
         if is_stream and exchange.route.kind is RouteKind.STREAM:
             return await self._forward_stream(exchange, attempt, channel, head)
-        with self.body_budget.hold() as hold:
+        with self.body_budget.hold(exchange.channel.hold_response) as hold:
             body = await self._read_body(exchange, attempt, channel, hold)
             if metadata.promises_not_run:
                 self._record_false_promise(attempt, head)
