--- a/wasabistage/topology/__init__.py
+++ b/wasabistage/topology/__init__.py
@@ -32,7 +32,7 @@
             "subtract_loads",
         ),
         "_members": ("FleetMember", "FleetMemberTable"),
-        "_ranking": ("rank_members",),
+        "_ranking": ("get_rank", "rank_members"),
         "_readers": ("ReadQuery", "ReaderPolicy"),
         "_relay_choice": ("RelayChoice", "RelayQuery", "RelayReported"),
         "_roles": ("RoleQuery", "Roles", "RolePlan"),
--- a/wasabistage/topology/_ranking.py
+++ b/wasabistage/topology/_ranking.py
@@ -25,3 +25,21 @@
         return math.log(uniform) / max(member.weight, MIN_WEIGHT), member.name
 
     return sorted(members, key=get_score, reverse=True)
+
+
+def get_rank(name, names, role):
+    """Return the rank of one entry for a role, by hashing without weights.
+
+    It never falls when a name is added.
+
+    :param name: name of the entry.
+    :param names: names of all entries.
+    :param role: name of the role.
+    :return: number of the other entries that come first.
+    """
+
+    def get_key(other):
+        return hashlib.blake2b(f"{role}\0{other}".encode()).digest(), other
+
+    own_key = get_key(name)
+    return sum(get_key(other) < own_key for other in names if other != name)
--- a/wasabistage/topology/_sharers.py
+++ b/wasabistage/topology/_sharers.py
@@ -18,6 +18,7 @@
     def __init__(self, *, hold=600.0):
         self.hold = hold
         self._seen_at = {}
+        self._names = frozenset()
 
     def observe(self, names, now):
         """Record entries that run now, as far as is known.
@@ -36,6 +37,12 @@
             if now - seen_at > self.hold:
                 del self._seen_at[name]
 
+    def get_names(self):
+        """Return the names, the same frozenset until an entry is added or removed."""
+        if self._names != self._seen_at.keys():
+            self._names = frozenset(self._seen_at)
+        return self._names
+
     def count(self):
         """Return the number of entries, at least 1."""
         return max(1, len(self._seen_at))
