Edge: limit the requests to cold servers

Decoded: coldS and coldPerS of a service, coldLeftMs of a server's record, the header with a server's cold time. A record whose cold time is no number is used all the same; before, Infinity or 1e999 in it made the whole record unreadable. The allowance is taken in the step of the choice and checked again before the first byte is written. A request without an allowed server waits, or is refused at once with a Retry-After.

The topic of entries is read every 1.4 s instead of 20 s where a limit is in force, since a share needs a list that was confirmed within 10 s. Without the settings nothing changes but two dictionary look-ups per request.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -256,6 +256,8 @@
         self.fencing = 0
         self.orders = 0
         self.runs = []
+        #: Times at which requests arrived that were meant for it, trio's clock.
+        self.arrivals = []
         self.behaviour = Behaviour()
         self.parts = {}
         self.born = 1
@@ -347,6 +349,7 @@
         if expected != self.server.encode() or int(version) != self.version:
             await self._refuse(channel, 421, [echo, named, not_run])
             return
+        self.arrivals.append(trio.current_time())
         is_first = channel not in self.refusals
         if self.behaviour.is_full or (self.behaviour.refuses_first and is_first):
             await self._refuse(channel, 503, [echo, not_run])
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wasabistage.cache import part_cache_key
+from wasabistage.edge._cold_servers import get_cold_limit, select_allowed
 from wasabistage.fleet import RouteKind, ServerRecord
 from wasabistage.routing import (
     NO_SERVER,
@@ -108,8 +109,8 @@
     :param service: name of the service.
     :param excluded: ids of the servers that already failed the request.
     :param now: monotonic time, in seconds.
-    :return: a :class:`Choice`, an :class:`AllResting`, or a sentinel such as
-        ``NO_SERVER``.
+    :return: a :class:`Choice`, an :class:`AllResting`, an :class:`AllCold`, or a
+        sentinel such as ``NO_SERVER``.
     """
     weights = {
         item.server: item.weight / state.pace.decide(PaceQuery(server=item.server), now)
@@ -136,6 +137,10 @@
     if not records:
         return NO_SERVER.with_reason("no backend server of the service is usable now")
     service_config = state.routes.configuration.services.get(service)
+    limit = get_cold_limit(state, service_config)
+    records = select_allowed(state, records, limit, now)
+    if not records:
+        return records
     if (
         request.prompt is not None
         and service_config is not None
--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -8,12 +8,19 @@
     get_patience,
     select_server,
 )
+from wasabistage.edge._cold_servers import AllCold
 from wasabistage.edge._peers import PEER_REPORT_INTERVAL_SECONDS
 from wasabistage.routing import TOO_LATE, RoomQuery, WaitEnded
 
 GATE_INTERVAL_SECONDS = 0.015  # pause between two queries to a gate without room
 #: The same in a fleet with followers, where room is known from reports.
 FLEET_GATE_INTERVAL_SECONDS = 0.05
+#: Longest pause until a request that waits for a cold server looks for one again. The
+#: server may have become warm, or another one may have appeared.
+MAX_COLD_PAUSE_SECONDS = 0.25
+#: Longest time after which a request that no cold server takes is to be sent again:
+#: another entry may have an allowance.
+MAX_COLD_RETRY_SECONDS = 2.0
 #: Time over which the requests that wait for a server's rest are spread at its end.
 REST_JITTER_SECONDS = 0.05
 
@@ -26,6 +33,8 @@
 
     def __init__(self, state):
         self.state = state
+        #: Requests that wait for cold servers, by service.
+        self.cold_waiting = {}
 
     async def select(self, exchange, excluded):
         """Return a :class:`Choice` that the gate admits, or a sentinel with the reason.
@@ -55,6 +64,11 @@
                     jitter = REST_JITTER_SECONDS * self.state.random.random()
                     await trio.sleep(choice.seconds + jitter)
                     continue
+                if isinstance(choice, AllCold):
+                    if not self._may_wait_for_cold_server(exchange, choice, now):
+                        return choice
+                    await self._wait_for_cold_server(exchange, choice)
+                    continue
                 exchange.rest_seconds = 0.0
                 if not choice or choice.plan is None:
                     return choice
@@ -79,6 +93,33 @@
         patience = get_patience(route, exchange.deadline_at - exchange.request.begun_at)
         return now + needed < exchange.request.begun_at + patience
 
+    def _may_wait_for_cold_server(self, exchange, choice, now):
+        """Return whether a cold server may take a request in time for its answer.
+
+        Those that wait already go first.
+        """
+        waiting = self.cold_waiting.get(exchange.service, 0)
+        seconds = choice.seconds
+        if waiting and choice.rate:
+            seconds = max(seconds, waiting / choice.rate)
+        exchange.rest_seconds = min(seconds, MAX_COLD_RETRY_SECONDS)
+        route, begun_at = exchange.route, exchange.request.begun_at
+        patience = get_patience(route, exchange.deadline_at - begun_at)
+        return now + seconds + route.objective < begun_at + patience
+
+    async def _wait_for_cold_server(self, exchange, choice):
+        service, waiting = exchange.service, self.cold_waiting
+        exchange.gate_waits += 1
+        self.state.metrics.count("request.waited_cold")
+        waiting[service] = waiting.get(service, 0) + 1
+        try:
+            pause = min(
+                max(choice.seconds, GATE_INTERVAL_SECONDS), MAX_COLD_PAUSE_SECONDS
+            )
+            await trio.sleep(pause * (0.75 + 0.25 * self.state.random.random()))
+        finally:
+            waiting[service] -= 1
+
     def _is_admitted(self, exchange, choice, now):
         """Return whether a prompt that the gate admits is sent now.
 
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -30,6 +30,8 @@
     :param is_version_mismatch: whether the server runs another weight version than
         was expected.
     :param is_server_replaced: whether another server now has the address.
+    :param is_deferred: whether it was not sent, since the server must not get it now.
+    :param cold_limit: the :class:`ColdLimit` under which it counts, or ``None``.
     """
 
     choice: object
@@ -45,6 +47,8 @@
     is_withdrawn: bool = False
     is_version_mismatch: bool = False
     is_server_replaced: bool = False
+    is_deferred: bool = False
+    cold_limit: object = None
 
 
 @dataclass
--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -13,6 +13,7 @@
     RolePlan,
     RoleQuery,
     SharerTable,
+    get_rank,
 )
 
 FOLLOWER_TIMEOUT_SECONDS = 1.8  # a follower without a report is no member
@@ -38,6 +39,13 @@
 #: Time after the first start of a fleet within which its entries find each other.
 FIRST_START_SECONDS = 3.0
 STORE_SUCCESS_SECONDS = 3.0  # time for which a read shows that the store is reached
+#: Time from which the record of an entry is in the store until the entry sends anything
+#: to cold servers. Each other entry that does so has read the entries within this time,
+#: so it knows the record. A report takes some seconds to confirm a topic.
+COLD_HOLD_BACK_SECONDS = 10.0
+#: Time for which a silent entry keeps its share of the requests to cold servers.
+#: Regions lose each other for an hour now and then, and their entries run on.
+COLD_SHARER_HOLD_SECONDS = 7200.0
 
 
 class FleetView:
@@ -68,6 +76,12 @@
         self._has_store = False
         self.store_read_at = float("-inf")
         self.sharers = SharerTable()
+        self.cold_sharers = SharerTable(hold=COLD_SHARER_HOLD_SECONDS)
+        #: Ranks of this entry by server, among ``ranked_names``.
+        self.cold_ranks = {}
+        self.ranked_names = frozenset()
+        #: Time at which the record of this entry was known to be in the store.
+        self.registered_at = None
         self.started_at = state.timer.now()
 
     @property
@@ -92,6 +106,7 @@
         :param entry: its :class:`PeerEntry`.
         :return: whether it is new or has changed.
         """
+        self.cold_sharers.observe([name], self.state.timer.now())
         known = self.known_entries.get(name)
         if known is not None and known.ip == entry.ip:
             return False
@@ -146,6 +161,41 @@
             return None
         return self.sharers.count()
 
+    def record_registration(self):
+        """Record that the record of this entry is in the store."""
+        if self.registered_at is None:
+            self.registered_at = self.state.timer.now()
+
+    def get_cold_rank(self, server):
+        """Return the rank of this entry for the requests to a cold server.
+
+        :param server: id of the server.
+        :return: tuple of the rank and the number of entries. The rank is ``None`` while
+            others may not know this entry, or this entry may not know others, or this
+            process may have sent requests shortly before it was restarted.
+        """
+        names = self.cold_sharers.get_names()
+        own = self.state.settings.instance.name
+        if not self._may_send_to_cold_servers() or own not in names:
+            return None, len(names)
+        if names is not self.ranked_names:
+            self.ranked_names, self.cold_ranks = names, {}
+        rank = self.cold_ranks.get(server)
+        if rank is None:
+            rank = self.cold_ranks[server] = get_rank(own, names, server)
+        return rank, len(names)
+
+    def _may_send_to_cold_servers(self):
+        now, instance = self.state.timer.now(), self.state.settings.instance
+        watch = self.state.facts.watches.get(str(Topic.ENTRIES))
+        if watch is None or not watch.is_known or self.registered_at is None:
+            return False
+        if now - watch.confirmed_at >= COLD_HOLD_BACK_SECONDS:
+            return False
+        if instance.first_start:
+            return now - self.started_at >= self._get_hold_back_seconds()
+        return now - self.registered_at >= COLD_HOLD_BACK_SECONDS
+
     def _get_hold_back_seconds(self):
         settings = self.state.settings
         if not settings.instance.first_start:
@@ -174,8 +224,9 @@
         """Compute the roles from the entries that are live now, and return them."""
         now = self.state.timer.now()
         members = self.get_members()
-        self.sharers.observe(members, now)
-        self.sharers.tick(now)
+        for sharers in (self.sharers, self.cold_sharers):
+            sharers.observe(members, now)
+            sharers.tick(now)
         for name, until in list(self.assumed_until.items()):
             if now > until:
                 del self.assumed_until[name]
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -5,6 +5,13 @@
 import trio
 
 from wasabistage.edge._choice import get_request_rank
+from wasabistage.edge._cold_servers import (
+    is_beyond_allowance,
+    record_answer,
+    record_lost_connection,
+    record_progress,
+    record_taken,
+)
 from wasabistage.edge._engine_wait import EngineWait
 from wasabistage.edge._exchange import Attempt
 from wasabistage.edge._messages import Dispatch
@@ -29,8 +36,12 @@
     MemoryReleased,
     MemoryReserved,
     PaceReported,
+    RequestArrived,
+    RequestDropped,
     RequestEnded,
+    RequestOver,
     RequestSent,
+    RequestWritten,
     RestRequested,
     ServerLeaving,
     ServerRemoved,
@@ -77,7 +88,7 @@
             self._log_attempt(exchange, attempt)
             if attempt.failure is None:
                 return
-            if not attempt.is_version_mismatch:
+            if not (attempt.is_version_mismatch or attempt.is_deferred):
                 excluded.add(choice.record.server)
             retry = self._decide_retry(exchange, attempt)
             if not retry:
@@ -175,6 +186,7 @@
         exchange.attempts.append(attempt)
         server = choice.record.server
         state.health.observe(CallStarted(server=server), now)
+        record_taken(state, attempt)
         self._record_start(exchange, attempt, now)
         error = None
         try:
@@ -188,11 +200,16 @@
                 raise ChannelError("the server sent no bytes for too long")
         except NotSentError as caught:
             attempt.failure, attempt.reason = Failure.NOT_SENT, str(caught)
+            record_progress(state, attempt, RequestDropped)
+            if not attempt.is_deferred:
+                record_lost_connection(state, attempt)
         except ChannelError as caught:
             error = caught
             attempt.failure, attempt.reason = Failure.LOST, str(caught)
             exchange.may_have_run = True
             exchange.splitter.discard_incomplete()
+            if is_connection_lost(caught, attempt, scope):
+                record_lost_connection(state, attempt)
         finally:
             self._record_end(exchange, attempt, now)
             state.crash_watch.record_end(attempt, error)
@@ -244,6 +261,7 @@
     def _record_end(self, exchange, attempt, begun_at):
         state, now = self.state, self.state.timer.now()
         server = attempt.choice.record.server
+        record_progress(state, attempt, RequestOver)
         state.silence.observe(
             RequestEnded(server=server, request=attempt.attempt_id), now
         )
@@ -255,6 +273,7 @@
             state.part_router.observe(MemoryReleased(request=attempt.attempt_id), now)
         is_server_failure = attempt.failure in (Failure.NOT_SENT, Failure.LOST)
         is_server_failure = is_server_failure and not attempt.is_withdrawn
+        is_server_failure = is_server_failure and not attempt.is_deferred
         event = CallEnded(
             server=server, ok=not is_server_failure, seconds=now - begun_at
         )
@@ -265,12 +284,18 @@
         state, record = self.state, attempt.choice.record
         pool = self._get_pool(record.address)
         request_id = exchange.request.request_id
+        closed_early = pool.closed_early
         channel = await pool.take(state.timer.now(), request_id)
+        if pool.closed_early > closed_early:
+            record_lost_connection(state, attempt)
         kept = False
         try:
+            self._check_still_allowed(attempt)
             dispatch = self._build_dispatch(exchange, attempt)
             headers = state.platform.encode_request_headers(exchange.request, dispatch)
             await self._send(exchange, channel, headers)
+            if channel.sent_all:
+                record_progress(state, attempt, RequestWritten)
             head, metadata = await self._read_head(exchange, attempt, channel)
             if metadata.is_not_run:
                 channel.refused_ids.add(request_id)
@@ -286,6 +311,16 @@
             if not kept:
                 channel.close()
 
+    def _check_still_allowed(self, attempt):
+        """Check that the server may still get a request that was meant for it.
+
+        :raises NotSentError: if it may not.
+        """
+        if is_beyond_allowance(self.state, attempt):
+            attempt.is_deferred = True
+            self.state.metrics.count("request.deferred_cold")
+            raise NotSentError("the server has become cold and has its requests")
+
     async def _send(self, exchange, channel, headers):
         request = exchange.request
         message = (request.method, request.target, headers, request.body)
@@ -343,6 +378,7 @@
             if metadata.is_leaving:
                 self._record_leaving(attempt, metadata)
             if metadata.request_id == request_id:
+                record_progress(self.state, attempt, RequestArrived)
                 return head, metadata
             if not metadata.request_id:
                 if channel.used > 1:
@@ -367,6 +403,7 @@
         """Record what a response reports of its server."""
         state, now = self.state, self.state.timer.now()
         record, plan = attempt.choice.record, attempt.choice.plan
+        record_answer(state, attempt, metadata.cold_left)
         if head.status == 503 and metadata.retry_after is not None:
             rest = RestRequested(
                 server=record.server,
@@ -447,6 +484,8 @@
         attempt.retry_after = metadata.retry_after
         server, plan = attempt.choice.record.server, attempt.choice.plan
         # Status 421: another server has the address, or this one runs another version.
+        if head.status == 421:
+            record_progress(state, attempt, RequestDropped)
         if head.status != 421 or self._check_replaced(attempt, metadata, now):
             return
         if plan is None:
@@ -584,6 +623,18 @@
         self.state.log.write("attempt", **fields)
 
 
+def is_connection_lost(error, attempt, scope):
+    """Return whether the server of a failed attempt may have started again.
+
+    :param error: the :class:`wasabistage.http1.ChannelError`.
+    :param attempt: the :class:`Attempt`.
+    :param scope: its cancel scope, cancelled if the server was silent.
+    """
+    if scope.cancelled_caught:
+        return not attempt.is_withdrawn
+    return isinstance(error, ChannelClosedError) or isinstance(error.__cause__, OSError)
+
+
 async def send_ignoring_errors(channel, *message):
     """Send a request and ignore errors: the read of the response reports them."""
     try:
--- a/wasabistage/edge/_messages.py
+++ b/wasabistage/edge/_messages.py
@@ -145,6 +145,8 @@
     :param load: a :class:`ServerLoad`, or ``None``.
     :param retry_after: time after which to retry, in seconds, or ``None``.
     :param server: id of the server, or ``""``.
+    :param cold_left: time for which the server stays cold, in seconds, or ``None`` if
+        the response doesn't tell.
     """
 
     request_id: str = ""
@@ -158,6 +160,7 @@
     load: ServerLoad | None = None
     retry_after: float | None = None
     server: str = ""
+    cold_left: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -12,6 +12,7 @@
 
 from wasabistage.edge._caches import CacheWatcher
 from wasabistage.edge._callers import CallerHandler, DirectoryHandler
+from wasabistage.edge._cold_servers import count_cold_servers
 from wasabistage.edge._crash_watch import CrashWatch
 from wasabistage.edge._facts import SHARED_TOPICS, FactExchange
 from wasabistage.edge._fleet_view import FleetView
@@ -204,6 +205,7 @@
         while True:
             try:
                 await self.store.append(Topic.ENTRIES, value, key=instance.name)
+                self.state.view.record_registration()
                 return
             except StoreError as error:
                 self.state.log.write("registration_failed", reason=str(error))
@@ -215,6 +217,8 @@
             self.state.log.write("server_lapsed", server=server)
             self.state.health.observe(ServerRemoved(server=server), now)
         self.state.pace.tick(now)
+        self.state.cold_allowance.tick(now)
+        self.state.metrics.gauge("servers.cold", count_cold_servers(self.state, now))
         self.state.metrics.gauge("fleet.entries", self.state.entry_count or 0)
         for change in self.state.health.tick(now):
             self.state.log.write(
--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -52,6 +52,10 @@
         #: read of this entry alone; monotonic seconds.
         self.confirmed_at = float("-inf")
         self.read_at = float("-inf")
+        #: Time after which a record that is new now was written, monotonic seconds: the
+        #: last time at which this entry has read the topic itself. Other entries don't
+        #: tell records that change nothing, so ``confirmed_at`` would be too late.
+        self.known_before = float("-inf")
 
     async def run(self):
         """Follow the topic until cancelled."""
@@ -163,6 +167,7 @@
 
         :param record: a :class:`wasabistage.fleet.StoredRecord`.
         """
+        self.known_before = self.read_at
         is_new = self._apply_readable(record, self.state.timer.now())
         if is_new:
             self.newest_fact = max(self.newest_fact, record.offset)
@@ -186,7 +191,7 @@
         """
         if self.position is not None and snapshot.end < self.position:
             return
-        now = self.state.timer.now()
+        now, self.known_before = self.state.timer.now(), self.read_at
         records = tuple(
             StoredRecord(offset=offset, key=key, value=value)
             for key, offset, value in snapshot.records
@@ -222,6 +227,7 @@
         if self.is_store_lost:
             self.is_store_lost = False
             self.state.log.write("store_regained", topic=str(self.topic))
+        self.known_before = self.read_at
         self.read_at = max(self.read_at, begun_at)
         self.confirm(begun_at)
         self.handle_store_read()
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -9,6 +9,7 @@
 from wasabistage.exceptions import SettingError
 
 MILLISECONDS_PER_SECOND = 1000.0
+MAY_BE_ZERO = frozenset({"cold_slack"})
 
 
 class InstanceSection(msgspec.Struct):
@@ -88,6 +89,11 @@
     stop_s: float = 8.0
     #: Longest time for which callers may keep a list of addresses.
     address_lifetime_s: float = 5.0
+    #: Requests that a cold server may get in any second: ``cold_excess`` times the rate
+    #: that it tolerates, and ``cold_slack`` more. Without one of both, cold servers are
+    #: not limited.
+    cold_excess: float | None = None
+    cold_slack: float | None = None
 
 
 class EnginesSection(msgspec.Struct):
@@ -192,6 +198,8 @@
             value = getattr(section, name)
             if isinstance(value, bool):
                 continue
+            if name in MAY_BE_ZERO and value == 0:
+                continue
             if isinstance(value, int | float) and value <= 0:
                 raise SettingError(
                     f"{path}: {name} is {value}, not above 0",
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -14,6 +14,7 @@
 from wasabistage.rollout import OrderLease, VersionRollout
 from wasabistage.routing import (
     CandidateSelector,
+    ColdAllowance,
     FirstTokenEstimator,
     HealthPolicy,
     LeastOutstandingRouter,
@@ -23,6 +24,7 @@
     RankedGate,
     RestPolicy,
     SilenceDetector,
+    WarmthPolicy,
 )
 
 #: Fraction of ``key_removal_ms`` for which keys stay valid without a new read. Their
@@ -88,6 +90,8 @@
         ).reset()
         self.pace = PaceEstimator().reset()
         self.rests = RestPolicy().reset()
+        self.warmth = WarmthPolicy().reset()
+        self.cold_allowance = ColdAllowance().reset()
         self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
         self.quarantine = CrashQuarantine().reset()
         #: Cancel scopes of running attempts that may be retried elsewhere, by server.
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from wasabistage.edge._cold_servers import get_cold_left, get_cold_limit, has_cold_limit
 from wasabistage.edge._peer_messages import PeerEntry
 from wasabistage.edge._record_watch import RecordWatch
 from wasabistage.fleet import StoredRecord, Topic
@@ -15,7 +16,12 @@
     TopicRead,
     VersionNamed,
 )
-from wasabistage.routing import ServerAppeared, ServerLeaving, ServerRemoved
+from wasabistage.routing import (
+    ServerAppeared,
+    ServerLeaving,
+    ServerRecorded,
+    ServerRemoved,
+)
 from wasabistage.utils import UnreadableError, decode_data
 
 ENTRY_DECODER = msgspec.json.Decoder(PeerEntry)
@@ -122,11 +128,40 @@
             return is_known
         server = self.state.platform.decode_server(record)
         self.newest_records[record.key] = record
+        is_warmth_new = self._record_warmth(server, now)
         if not self.state.servers.observe(server, now):
-            return False
+            return is_warmth_new
         self._record_server(server, now)
         return True
 
+    def _record_warmth(self, server, now):
+        """Record how long a server stays cold; return whether others need to know."""
+        recorded = ServerRecorded(
+            server=server.server,
+            incarnation=server.incarnation,
+            cold_left=server.cold_left,
+            is_first=not self.is_known,
+            written_after=self.known_before,
+        )
+        service = self._get_service(server)
+        limit = get_cold_limit(self.state, service)
+        if limit is None:
+            return self.state.warmth.observe(recorded, now)
+        was_cold = get_cold_left(self.state, server.server, limit, now) > 0.0
+        is_new = self.state.warmth.observe(recorded, now)
+        cold_left = get_cold_left(self.state, server.server, limit, now)
+        if was_cold != (cold_left > 0.0):
+            self.state.log.write(
+                "server_warmth", server=server.server, cold_left=round(cold_left, 3)
+            )
+        return is_new
+
+    def _get_service(self, server):
+        configuration = self.state.routes.configuration
+        if configuration is None:
+            return None
+        return configuration.services.get(server.service)
+
     def _record_server(self, server, now):
         state = self.state
         appeared = ServerAppeared(
@@ -190,7 +225,14 @@
     """Follows the addresses of the other entries."""
 
     topic = Topic.ENTRIES
-    wait_seconds = 20.0
+
+    @property
+    def wait_seconds(self):
+        """Longest time for which a read waits for a record.
+
+        A share of the requests to cold servers needs a recent list of the entries.
+        """
+        return 1.4 if has_cold_limit(self.state) else 20.0
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
@@ -199,6 +241,8 @@
         entry = decode_data(ENTRY_DECODER, record.value)
         check_entry(entry)
         self.newest_records[record.key] = record
+        if record.key == self.state.settings.instance.name:
+            self.state.view.record_registration()
         return self.state.view.add_entry(record.key, entry)
 
 
--- a/wasabistage/fleet/_configuration.py
+++ b/wasabistage/fleet/_configuration.py
@@ -81,11 +81,17 @@
     :param max_connections: maximum number of connections that one server accepts from
         all its clients together.
     :param engine: an :class:`EngineSpec`, or ``None`` for a service without a model.
+    :param cold_seconds: time for which a server is cold after a start during traffic,
+        in seconds, or ``None`` if its servers are never cold.
+    :param cold_rate: requests per second that one cold server tolerates, or ``None``
+        if they are not limited.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineSpec | None = None
+    cold_seconds: float | None = None
+    cold_rate: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/fleet/_servers.py
+++ b/wasabistage/fleet/_servers.py
@@ -20,6 +20,9 @@
     :param slots: number of requests that it processes concurrently.
     :param is_leaving: whether it has announced that it stops.
     :param versions: dict of model name to the weight version that it has loaded.
+    :param cold_left: time for which it stays cold, in seconds, as of when the record
+        was written; ``None`` if the record doesn't tell. It is no property of the
+        server, so that records that differ in it alone are equal.
     """
 
     server: str
@@ -30,6 +33,7 @@
     slots: int = 1
     is_leaving: bool = False
     versions: dict = field(default_factory=dict)
+    cold_left: float | None = field(default=None, compare=False)
 
 
 @dataclass
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -117,6 +117,8 @@
         self.ended = False
         self.used = 0
         self.idle_until = 0.0
+        #: Whether the server has stated how long it keeps an idle channel.
+        self.has_idle_time = False
         self.heard_at = 0.0
         #: Bytes received since the last request was sent.
         self.received_bytes = 0
--- a/wasabistage/http1/_pool.py
+++ b/wasabistage/http1/_pool.py
@@ -37,6 +37,8 @@
         self.connect_timeout = connect_timeout
         self.idle = []
         self.opened = 0
+        #: Idle channels that the server closed before the idle time that it stated.
+        self.closed_early = 0
 
     async def take(self, now, request_id=""):
         """Return a channel, an idle one if there is one that still stands.
@@ -51,8 +53,10 @@
             if request_id in channel.refused_ids:
                 continue
             self.idle.remove(channel)
-            if now < channel.idle_until and channel.is_quiet():
-                return channel
+            if now < channel.idle_until:
+                if channel.is_quiet():
+                    return channel
+                self.closed_early += channel.has_idle_time
             channel.close()
         self.opened += 1
         return await open_channel(self.address, self.connect_timeout)
@@ -73,6 +77,7 @@
         stated = stated_idle_time(fields)
         idle = UNKNOWN_IDLE if stated is None else stated * IDLE_SHARE
         channel.idle_until = now + idle
+        channel.has_idle_time = stated is not None
         if idle <= 0.0:
             channel.close()
             return
--- a/wasabistage/platform/_headers.py
+++ b/wasabistage/platform/_headers.py
@@ -37,6 +37,8 @@
 RETRY_AFTER = b"retry-after"
 #: "1" in all responses of a server that is about to stop.
 SERVER_LEAVING = b"server-leaving"
+#: Milliseconds for which the server stays cold.
+COLD = b"wasabistage-cold-ms"
 
 #: Headers with this prefix are set by the system or its servers.
 SYSTEM_PREFIX = b"wasabistage-"
@@ -60,4 +62,4 @@
     }
 )
 #: Headers of a server's response that don't go on to the caller.
-INTERNAL_ANSWER = frozenset({LOAD, SERVER, NOT_RUN})
+INTERNAL_ANSWER = frozenset({LOAD, SERVER, NOT_RUN, COLD})
--- a/wasabistage/platform/_records.py
+++ b/wasabistage/platform/_records.py
@@ -1,5 +1,9 @@
 """Records that the operators and the servers write."""
 
+import json
+import math
+from typing import Any
+
 import msgspec
 
 from wasabistage.edge import NamedWeightVersion
@@ -85,6 +89,10 @@
     max_inflight: Int64 = 1
     #: The store drops nothing by itself.
     is_managed: bool = False
+    #: Seconds for which a server is cold after a start, and requests per second that a
+    #: cold server tolerates. A value that is no number above 0 counts as missing.
+    cold_s: Any = None
+    cold_per_s: Any = None
     #: Added to each transfer, in milliseconds.
     first_ms: float = msgspec.field(default=0.0, name="first_ms")
 
@@ -135,6 +143,9 @@
     zone: str = ""
     slots: Int64 = 1
     models: list[WireModel] = []
+    #: Milliseconds for which it stays cold, as of when the record was written. Whatever
+    #: it holds, the rest of the record is used.
+    cold_left_ms: Any = msgspec.field(default=None, name="coldLeftMs")
 
 
 class WireNamedVersion(msgspec.Struct):
@@ -203,7 +214,27 @@
         link_bytes_per_second=wire.engine.link_mbps * BYTES_PER_MEGABIT,
         max_event_reads=wire.engine.max_inflight,
     )
-    return Service(name=wire.name, max_connections=wire.max_conns, engine=engine)
+    return Service(
+        name=wire.name,
+        max_connections=wire.max_conns,
+        engine=engine,
+        cold_seconds=get_amount(wire.cold_s) or None,
+        cold_rate=get_amount(wire.cold_per_s) or None,
+    )
+
+
+def get_amount(value):
+    """Return a number that is not negative, infinite included; ``None`` for all else.
+
+    :param value: any decoded JSON.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    try:
+        number = float(value)
+    except OverflowError:
+        number = math.inf if value > 0 else -math.inf
+    return number if number >= 0.0 else None
 
 
 def make_store(wire):
@@ -271,7 +302,7 @@
     :return: a :class:`wasabistage.fleet.ServerRecord`.
     :raises UnreadableError: if it names no server to use.
     """
-    wire = decode_data(SERVER_DECODER, record.value)
+    wire = decode_server_value(record.value)
     if wire.state not in (READY, DRAINING):
         raise UnreadableError(f"{wire.state[:MAX_SHOWN]!r} is no state of a server")
     if not is_address(wire.address):
@@ -285,9 +316,35 @@
         slots=max(1, wire.slots),
         is_leaving=wire.state == DRAINING,
         versions={item.name: item.version for item in wire.models},
+        cold_left=to_seconds(get_amount(wire.cold_left_ms)),
     )
 
 
+def decode_server_value(value):
+    """Decode the value of a server's record.
+
+    :param value: bytes.
+    :return: a :class:`WireServer`.
+    :raises UnreadableError: if it can't be decoded.
+    """
+    try:
+        return decode_data(SERVER_DECODER, value)
+    except UnreadableError as error:
+        # A time without end may be written as Infinity or 1e999, which no strict
+        # decoder takes. The server may have started again, so the rest matters.
+        try:
+            return msgspec.convert(json.loads(value), WireServer)
+        except (ValueError, RecursionError, OverflowError):
+            raise error from None
+
+
+def to_seconds(milliseconds):
+    """Return seconds, or ``None`` for ``None``."""
+    if milliseconds is None:
+        return None
+    return milliseconds / MILLISECONDS_PER_SECOND
+
+
 def decode_named_version(record):
     """Decode a record that names a weight version.
 
--- a/wasabistage/platform/_requests.py
+++ b/wasabistage/platform/_requests.py
@@ -225,9 +225,22 @@
         load=decode_load(fields.get(names.LOAD, b"")),
         retry_after=decode_seconds(fields.get(names.RETRY_AFTER, b"")),
         server=fields.get(names.SERVER, b"").decode("latin-1"),
+        cold_left=decode_cold_time(fields.get(names.COLD)),
     )
 
 
+def decode_cold_time(value):
+    """Return the seconds for which a server stays cold, ``None`` for what is no time.
+
+    :param value: bytes, or ``None`` without the header.
+    """
+    try:
+        milliseconds = float(value) if value is not None else -1.0
+    except ValueError:
+        return None
+    return milliseconds / MILLISECONDS_PER_SECOND if milliseconds >= 0.0 else None
+
+
 def decode_is_event_stream(value):
     """Return whether a content type is that of a stream, ``None`` without a type."""
     if value is None:
