Edge: obey orders to evacuate a failure domain

A record under evacuate/ in the operators' topic keeps every request from the servers of a failure domain until it is removed. Routes that another entry tells are applied once the whole topic is known, so that no process serves before it knows the orders.

--- a/wasabistage/edge/_adapter.py
+++ b/wasabistage/edge/_adapter.py
@@ -94,6 +94,14 @@
         :return: a :class:`NamedWeightVersion`, or ``None`` if the record names none.
         """
 
+    @abstractmethod
+    def decode_evacuation(self, key):
+        """Return the failure domain that a record is an order to evacuate.
+
+        :param key: key of the record.
+        :return: name of the failure domain, or ``None`` if the record is another one.
+        """
+
     @abstractmethod
     def is_configuration(self, record):
         """Return whether a record holds the configuration.
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -1,7 +1,7 @@
 """Selects the service and backend server of a request by queries to the routers."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wasabistage.cache import part_cache_key
 from wasabistage.edge._cold_servers import get_cold_limit, select_allowed
@@ -10,6 +10,7 @@
     NO_SERVER,
     Candidate,
     CandidateQuery,
+    EvacuationQuery,
     GateQuery,
     HealthQuery,
     PaceQuery,
@@ -71,6 +72,55 @@
         return False
 
 
+@dataclass(frozen=True, kw_only=True)
+class AllEvacuated:
+    """No server is selected, since all are in failure domains that are evacuated.
+
+    :param failure_domains: sorted names of these failure domains.
+    """
+
+    failure_domains: tuple
+
+    @property
+    def reason(self):
+        """Description for the log."""
+        names = ", ".join(self.failure_domains)
+        return f"all backend servers of the service are evacuated: {names}"
+
+    def __bool__(self):
+        return False
+
+
+def is_evacuated(state, record, now):
+    """Return whether nothing is sent to a server since its failure domain is evacuated.
+
+    :param state: an :class:`EdgeState`.
+    :param record: its :class:`wasabistage.fleet.ServerRecord`.
+    :param now: monotonic time, in seconds.
+    """
+    query = EvacuationQuery(failure_domain=record.failure_domain)
+    return state.evacuation.decide(query, now)
+
+
+def find_usable_records(state, service, now):
+    """Return the listed servers of a service that may get requests at all.
+
+    :param state: an :class:`EdgeState`.
+    :param service: name of the service.
+    :param now: monotonic time, in seconds.
+    :return: list of :class:`wasabistage.fleet.ServerRecord`, or an
+        :class:`AllEvacuated`.
+    """
+    records = state.servers.find_usable(service)
+    if not state.evacuation.orders_:
+        return records
+    kept = [record for record in records if not is_evacuated(state, record, now)]
+    if records and not kept:
+        domains = sorted({record.failure_domain for record in records})
+        return AllEvacuated(failure_domains=tuple(domains))
+    return kept
+
+
 def get_rest_seconds(state, record, now):
     """Return the time for which a server wants no requests, in seconds.
 
@@ -109,17 +159,20 @@
     :param service: name of the service.
     :param excluded: ids of the servers that already failed the request.
     :param now: monotonic time, in seconds.
-    :return: a :class:`Choice`, an :class:`AllResting`, an :class:`AllCold`, or a
-        sentinel such as ``NO_SERVER``.
+    :return: a :class:`Choice`, an :class:`AllResting`, an :class:`AllCold`, an
+        :class:`AllEvacuated`, or a sentinel such as ``NO_SERVER``.
     """
     weights = {
         item.server: item.weight / state.pace.decide(PaceQuery(server=item.server), now)
         for item in state.health.decide(HealthQuery(service=service), now)
         if item.usable
     }
+    usable = find_usable_records(state, service, now)
+    if isinstance(usable, AllEvacuated):
+        return usable
     records = [
         record
-        for record in state.servers.find_usable(service)
+        for record in usable
         if record.server in weights and record.server not in excluded
     ]
     awake = [item for item in records if not get_rest_seconds(state, item, now)]
@@ -220,11 +273,32 @@
     decision = state.part_router.decide(query, now)
     if not decision:
         return decision
+    decision = save_nothing_to_evacuated_stores(state, decision, now)
     server = decision.candidate.server
     record = next(item for item in records if item.server == server)
     return Choice(record=record, plan=decision, room=count_room(state, candidates))
 
 
+def save_nothing_to_evacuated_stores(state, decision, now):
+    """Return a decision without saves to cache stores that are evacuated.
+
+    What they hold may still be read.
+
+    :param state: an :class:`EdgeState`.
+    :param decision: a :class:`wasabistage.routing.PartDecision`.
+    :param now: monotonic time, in seconds.
+    """
+    if not state.evacuation.orders_ or not any(decision.save_to):
+        return decision
+    evacuated = {
+        store.address
+        for store in state.routes.configuration.stores.values()
+        if is_evacuated(state, store, now)
+    }
+    kept = tuple("" if item in evacuated else item for item in decision.save_to)
+    return replace(decision, save_to=kept)
+
+
 def count_room(state, candidates):
     """Return the free slots of engines, as far as they are known.
 
--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -3,6 +3,7 @@
 import trio
 
 from wasabistage.edge._choice import (
+    AllEvacuated,
     AllResting,
     build_gate_query,
     get_patience,
@@ -21,6 +22,9 @@
 #: Longest time after which a request that no cold server takes is to be sent again:
 #: another entry may have an allowance.
 MAX_COLD_RETRY_SECONDS = 2.0
+#: Time after which a request to evacuated servers is to be sent again. An evacuation
+#: has no announced end.
+EVACUATED_RETRY_SECONDS = 2.0
 #: Time over which the requests that wait for a server's rest are spread at its end.
 REST_JITTER_SECONDS = 0.05
 
@@ -70,6 +74,8 @@
                     await self._wait_for_cold_server(exchange, choice)
                     continue
                 exchange.rest_seconds = 0.0
+                if isinstance(choice, AllEvacuated):
+                    exchange.rest_seconds = EVACUATED_RETRY_SECONDS
                 if not choice or choice.plan is None:
                     return choice
                 query = build_gate_query(self.state, exchange, choice)
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -292,17 +292,19 @@
         self.has_new_members = True
 
 
-def build_snapshot(records, age, end, newest):
+def build_snapshot(records, age, end, newest, read_end):
     """Return the :class:`TopicSnapshot` of records.
 
     :param records: the newest :class:`wasabistage.fleet.StoredRecord` of each key.
     :param age: time since the start of the read that confirmed them, in seconds.
     :param end: offset up to which the topic is known.
     :param newest: offset of the newest record that was told as a fact.
+    :param read_end: offset up to which keys without a record have none.
     """
     return TopicSnapshot(
         age=age,
         end=end,
         newest=newest,
+        read_end=read_end,
         records=[(record.key, record.offset, record.value) for record in records],
     )
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from wasabistage.edge._choice import get_request_rank
+from wasabistage.edge._choice import get_request_rank, is_evacuated
 from wasabistage.edge._cold_servers import (
     is_beyond_allowance,
     record_answer,
@@ -316,9 +316,13 @@
 
         :raises NotSentError: if it may not.
         """
-        if is_beyond_allowance(self.state, attempt):
+        state = self.state
+        if is_evacuated(state, attempt.choice.record, state.timer.now()):
+            attempt.is_deferred = True
+            raise NotSentError("the server is evacuated")
+        if is_beyond_allowance(state, attempt):
             attempt.is_deferred = True
-            self.state.metrics.count("request.deferred_cold")
+            state.metrics.count("request.deferred_cold")
             raise NotSentError("the server has become cold and has its requests")
 
     async def _send(self, exchange, channel, headers):
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -194,13 +194,18 @@
     :param age: time since the start of the read that confirmed them, in seconds.
     :param end: offset up to which the topic was read.
     :param newest: offset of the newest record that was told as a fact.
-    :param records: rows of key, offset, value.
+    :param records: rows of key, offset, value; the value is ``None`` if the key was
+        removed.
+    :param read_end: offset up to which every key without a row has no record, since
+        the sender, or another entry whose snapshot it has applied, has read the whole
+        topic up to there.
     """
 
     age: float
     end: int
     newest: int
-    records: list[tuple[str, int, bytes]]
+    records: list[tuple[str, int, bytes | None]]
+    read_end: int = 0
 
 
 class FleetState(msgspec.Struct, array_like=True):
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -103,6 +103,7 @@
         self.directory = DirectoryHandler(self.state)
         #: Cancelled to stop accepting channels of callers.
         self.accept_scope = trio.CancelScope()
+        self.are_evacuations_stale = False
         #: Modification time of the settings file, in nanoseconds.
         self.settings_changed_at = None
 
@@ -216,6 +217,7 @@
         for server in self.state.servers.tick(now):
             self.state.log.write("server_lapsed", server=server)
             self.state.health.observe(ServerRemoved(server=server), now)
+        self._check_evacuations_confirmed(now)
         self.state.pace.tick(now)
         self.state.cold_allowance.tick(now)
         self.state.metrics.gauge("servers.cold", count_cold_servers(self.state, now))
@@ -225,6 +227,16 @@
                 "server_health", server=change.server, state=str(change.state)
             )
 
+    def _check_evacuations_confirmed(self, now):
+        """Log when orders to evacuate may be unknown for longer than their bound."""
+        watch = self.state.facts.watches[str(Topic.CONFIGURATION)]
+        age = now - watch.confirmed_at
+        are_stale = age > self.settings.bounds.evacuate_ms / 1000.0
+        if watch.is_known and are_stale != self.are_evacuations_stale:
+            self.are_evacuations_stale = are_stale
+            event = "evacuations_unconfirmed" if are_stale else "evacuations_confirmed"
+            self.state.log.write(event, age=round(age, 3))
+
     async def _cancel_silent_attempts(self, tick):
         for server in self.state.silence.tick(self.state.timer.now()):
             scopes = self.state.repeatable_scopes.get(server, ())
--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -48,6 +48,8 @@
         self.unreadable_offsets = {}
         #: Offset of the newest record that was told as a fact, or read at the start.
         self.newest_fact = -1
+        #: Offset up to which a key without a record here has none.
+        self.read_end = 0
         #: Time at which the records were confirmed as the newest, and the same by a
         #: read of this entry alone; monotonic seconds.
         self.confirmed_at = float("-inf")
@@ -130,6 +132,7 @@
             page = await self.store.read_newest(self.topic)
             self._record_success(begun_at)
             self.reset_keys(page, self.state.timer.now())
+            self.handle_all_records(page.records, page.end, self.state.timer.now())
         else:
             # The first read doesn't wait: the end of the topic matters even without
             # new records.
@@ -147,6 +150,7 @@
             if is_new and self.is_known and self.topic in SHARED_TOPICS:
                 self.state.facts.publish_record(self.topic, record)
         self.position = page.end
+        self.read_end = max(self.read_end, page.end)
         self.is_known = True
         self.handle_page_end(page.end, now)
         if page.records and self.pause_seconds:
@@ -178,10 +182,11 @@
 
         :param now: monotonic time, in seconds.
         """
-        records = self.newest_records.values()
+        records = [*self.newest_records.values(), *self.get_shared_removals()]
         end = max((record.offset + 1 for record in records), default=0)
         end = max(end, self.position or 0)
-        return build_snapshot(records, now - self.confirmed_at, end, self.newest_fact)
+        age = now - self.confirmed_at
+        return build_snapshot(records, age, end, self.newest_fact, self.read_end)
 
     def apply_snapshot(self, snapshot, requested_at):
         """Apply the records that another entry knows, unless they are older.
@@ -199,11 +204,13 @@
         confirmed_at = requested_at - snapshot.age
         if confirmed_at >= self.confirmed_at:
             self.reset_keys(RecordPage(records=records, end=snapshot.end), now)
+        self.handle_all_records(records, snapshot.read_end, now)
         for record in records:
             if self._apply_readable(record, now):
                 self.state.facts.publish_record(self.topic, record, is_own=False)
         self.is_known = True
         self.newest_fact = max(self.newest_fact, snapshot.newest)
+        self.read_end = max(self.read_end, snapshot.read_end)
         self.handle_page_end(snapshot.end, now)
         self.confirm(confirmed_at)
 
@@ -269,6 +276,19 @@
         """
         return
 
+    def get_shared_removals(self):
+        """Return the removals that a snapshot tells, as list of ``StoredRecord``."""
+        return []
+
+    def handle_all_records(self, records, end, now):
+        """Handle that no other key has a record, before the records are applied.
+
+        :param records: iterable of :class:`wasabistage.fleet.StoredRecord`.
+        :param end: offset up to which this holds.
+        :param now: monotonic time, in seconds.
+        """
+        return
+
     def _apply_readable(self, record, now):
         """Apply one record; pass over one that can't be applied, whatever it holds.
 
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -89,6 +89,9 @@
     stop_s: float = 8.0
     #: Longest time for which callers may keep a list of addresses.
     address_lifetime_s: float = 5.0
+    #: Longest time from the order to evacuate a failure domain until none of its
+    #: servers may get a request.
+    evacuate_ms: float = 5000.0
     #: Requests that a cold server may get in any second: ``cold_excess`` times the rate
     #: that it tolerates, and ``cold_slack`` more. Without one of both, cold servers are
     #: not limited.
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -15,6 +15,7 @@
 from wasabistage.routing import (
     CandidateSelector,
     ColdAllowance,
+    EvacuationPolicy,
     FirstTokenEstimator,
     HealthPolicy,
     LeastOutstandingRouter,
@@ -90,6 +91,7 @@
         ).reset()
         self.pace = PaceEstimator().reset()
         self.rests = RestPolicy().reset()
+        self.evacuation = EvacuationPolicy().reset()
         self.warmth = WarmthPolicy().reset()
         self.cold_allowance = ColdAllowance().reset()
         self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -8,7 +8,7 @@
 
 from wasabistage.edge._cold_servers import get_cold_left, get_cold_limit, has_cold_limit
 from wasabistage.edge._peer_messages import PeerEntry
-from wasabistage.edge._record_watch import RecordWatch
+from wasabistage.edge._record_watch import MAX_LOGGED_KEY, RecordWatch
 from wasabistage.fleet import StoredRecord, Topic
 from wasabistage.rollout import (
     LeaseRecord,
@@ -17,6 +17,8 @@
     VersionNamed,
 )
 from wasabistage.routing import (
+    EvacuationOrdered,
+    EvacuationWithdrawn,
     ServerAppeared,
     ServerLeaving,
     ServerRecorded,
@@ -24,6 +26,7 @@
 )
 from wasabistage.utils import UnreadableError, decode_data
 
+MAX_LOGGED_DOMAINS = 16  # that are evacuated, in one line
 ENTRY_DECODER = msgspec.json.Decoder(PeerEntry)
 
 
@@ -39,6 +42,10 @@
         """See :meth:`RecordWatch.apply_record`."""
         if not self.is_newer(record):
             return False
+        failure_domain = self.state.platform.decode_evacuation(record.key)
+        if failure_domain is not None:
+            self._apply_evacuation(failure_domain, record, now)
+            return True
         if self.state.platform.is_configuration(record):
             self._apply_configuration(record)
             self.newest_records[record.key] = record
@@ -56,6 +63,68 @@
             )
         return True
 
+    def apply_shared(self, record):
+        """See :meth:`RecordWatch.apply_shared`.
+
+        A process learns the orders to evacuate before the routes. Until it knows the
+        whole topic, a record that another entry tells may hold the routes alone.
+        """
+        if not self.is_known and self.state.platform.is_configuration(record):
+            return False
+        return super().apply_shared(record)
+
+    def _apply_evacuation(self, failure_domain, record, now):
+        """Apply an order to evacuate a failure domain, or its withdrawal."""
+        is_order = record.value is not None
+        if is_order:
+            self.newest_records[record.key] = record
+        else:
+            self.record_removal(record.key, record.offset)
+        kind = EvacuationOrdered if is_order else EvacuationWithdrawn
+        event = kind(failure_domain=failure_domain, offset=record.offset)
+        state = self.state
+        if not state.evacuation.observe(event, now):
+            return
+        domains = state.evacuation.get_domains()
+        state.metrics.gauge("evacuation.domains", len(domains))
+        servers = [
+            known.record.server
+            for known in state.servers.servers.values()
+            if known.record.failure_domain == failure_domain
+        ]
+        state.log.write(
+            "evacuation_ordered" if is_order else "evacuation_withdrawn",
+            failure_domain=failure_domain[:MAX_LOGGED_KEY],
+            offset=record.offset,
+            servers=len(servers),
+            all=[name[:MAX_LOGGED_KEY] for name in domains[:MAX_LOGGED_DOMAINS]],
+        )
+
+    def get_shared_removals(self):
+        """See :meth:`RecordWatch.get_shared_removals`."""
+        return [
+            StoredRecord(offset=offset, key=key, value=None)
+            for key, offset in self.removed_offsets.items()
+        ]
+
+    def handle_all_records(self, records, end, now):
+        """See :meth:`RecordWatch.handle_all_records`.
+
+        An order to evacuate that is not among the records was withdrawn, unless it is
+        newer than they are, or they are those of a store that has lost its history.
+        """
+        platform = self.state.platform
+        if not any(platform.is_configuration(record) for record in records):
+            return
+        keys = {record.key for record in records}
+        for key, known in list(self.newest_records.items()):
+            failure_domain = platform.decode_evacuation(key)
+            if failure_domain is None or key in keys or end <= known.offset:
+                continue
+            removal = StoredRecord(offset=end - 1, key=key, value=None)
+            self._apply_evacuation(failure_domain, removal, now)
+            self.state.facts.publish_record(self.topic, removal)
+
     def _apply_configuration(self, record):
         try:
             configuration = self.state.platform.decode_configuration(record.value)
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -59,6 +59,10 @@
     def decode_named_version(self, record):
         return None
 
+    def decode_evacuation(self, key):
+        name = key.removeprefix("evacuate/")
+        return name if name != key else None
+
     def decode_server(self, record):
         address, leaving = record.value.decode().split(" ")
         return ServerRecord(
@@ -180,10 +184,16 @@
             watch.failures = 0
             begun_at, was_known = self.fleet.now, watch.is_known
             watch._record_success(begun_at)
-            for record in self.fleet.records[topic].values():
+            records = self.fleet.records[topic].values()
+            if not was_known:
+                # The newest records leave out the keys without a value.
+                records = [record for record in records if record.value is not None]
+            for record in records:
                 if watch.apply_record(record, begun_at) and was_known:
                     self.state.facts.publish_record(watch.topic, record)
             watch.is_known = True
+            ends = [record.offset + 1 for record in records]
+            watch.read_end = max([watch.read_end, *ends])
             watch.handle_page_end(0, begun_at)
 
     def tick(self):
--- a/wasabistage/platform/_adapter.py
+++ b/wasabistage/platform/_adapter.py
@@ -8,6 +8,7 @@
 from wasabistage.platform._records import (
     CONFIGURATION_KEY,
     decode_configuration,
+    decode_evacuation,
     decode_named_version,
     decode_server,
 )
@@ -79,6 +80,10 @@
         """See :meth:`wasabistage.edge.PlatformAdapter.decode_named_version`."""
         return decode_named_version(record)
 
+    def decode_evacuation(self, key):
+        """See :meth:`wasabistage.edge.PlatformAdapter.decode_evacuation`."""
+        return decode_evacuation(key)
+
     def is_configuration(self, record):
         """See :meth:`wasabistage.edge.PlatformAdapter.is_configuration`."""
         return record.key == CONFIGURATION_KEY and record.value is not None
--- a/wasabistage/platform/_records.py
+++ b/wasabistage/platform/_records.py
@@ -24,6 +24,7 @@
 BYTES_PER_MEGABIT = 125_000.0
 CONFIGURATION_KEY = "config"
 VERSION_PREFIX = "version/"
+EVACUATION_PREFIX = "evacuate/"
 MAX_SHOWN = 64  # characters of a wrong value that an error shows
 MAX_PORT_DIGITS = 5
 KINDS = {
@@ -357,3 +358,14 @@
         return None
     wire = decode_data(NAMED_DECODER, record.value)
     return NamedWeightVersion(model=wire.model, version=wire.version)
+
+
+def decode_evacuation(key):
+    """Return the failure domain that a record of the operators is an order to evacuate.
+
+    :param key: key of the record; whatever its value is, the order holds.
+    :return: name of the failure domain, or ``None`` if the record is another one.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_PREFIX)
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -47,6 +47,12 @@
             "UNKNOWN_SERVER",
             "get_link_name",
         ),
+        "_evacuation": (
+            "EvacuationOrdered",
+            "EvacuationPolicy",
+            "EvacuationQuery",
+            "EvacuationWithdrawn",
+        ),
         "_health": (
             "BaseHealthPolicy",
             "HealthPolicy",
