Edge: keep requests in the home regions of routes and accounts

allowedRegions of routes and accounts limit the servers of first attempts, retries and resumed streams, and the cache stores; the directory prefers entries of the caller's region, then of the regions that the host's routes allow. [regions] of the settings gives the region of each failure domain. Its keys keep their capitals; those of other sections are read in any case, as before. Without the section nothing is limited.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -9,6 +9,7 @@
 from wasabistage.edge._exchange import Exchange
 from wasabistage.edge._handlers import RequestHandler
 from wasabistage.edge._messages import BadRequestError
+from wasabistage.edge._regions import get_region
 from wasabistage.fleet import (
     NO_CONFIGURATION,
     NO_ROUTE,
@@ -256,8 +257,8 @@
         address_request = platform.decode_address_request(request)
         if address_request is None:
             return Answer(status=404)
-        _, _, failure_domain = address_request
-        addresses = self.get_addresses(failure_domain)
+        host, region, failure_domain = address_request
+        addresses = self.get_addresses(failure_domain, region, host)
         if not addresses:
             return Answer(status=503)
         lifetime = min(
@@ -269,19 +270,44 @@
             body=platform.encode_addresses(addresses, lifetime),
         )
 
-    def get_addresses(self, failure_domain=""):
+    def get_addresses(self, failure_domain="", region="", host=""):
         """Return the ``IP:PORT`` of ready entries, in random order.
 
         If the failure domain of the caller has enough of them, only those are
-        returned: others are further away, and would carry its traffic as well.
+        returned: others are further away, and would carry its traffic as well. The same
+        holds for the entries of its region, then for those of the home regions.
 
         :param failure_domain: failure domain of the caller, or ``""``.
+        :param region: region of the caller, or ``""``.
+        :param host: host that it wants to call, or ``""``.
         """
         state = self.state
         ready = [item for item in state.view.get_members().values() if item.is_ready]
         near = [item for item in ready if item.failure_domain == failure_domain]
         if len(near) >= MIN_NEAR_ADDRESSES:
             ready = near
+        elif state.settings.regions:
+            return self._get_addresses_by_region(ready, failure_domain, region, host)
         addresses = [item.callers for item in ready if item.callers]
         state.random.shuffle(addresses)
         return addresses[:MAX_ADDRESSES]
+
+    def _get_addresses_by_region(self, ready, failure_domain, region, host):
+        """Return the addresses of the nearest regions that have enough entries."""
+        state = self.state
+        own = region or get_region(state, failure_domain)
+        homes = state.routes.get_allowed_regions(host.partition(":")[0].lower())
+        tiers = ([], [], [])
+        for item in ready:
+            entry_region = get_region(state, item.failure_domain)
+            is_own = bool(own) and entry_region == own
+            tier = 0 if is_own else 1 if entry_region in homes else 2
+            if item.callers:
+                tiers[tier].append(item.callers)
+        addresses = []
+        for tier in tiers:
+            if len(addresses) >= MIN_NEAR_ADDRESSES:
+                break
+            state.random.shuffle(tier)
+            addresses += tier
+        return addresses[:MAX_ADDRESSES]
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -5,6 +5,7 @@
 
 from wasabistage.cache import part_cache_key
 from wasabistage.edge._cold_servers import get_cold_limit, select_allowed
+from wasabistage.edge._regions import get_home_regions, is_allowed
 from wasabistage.fleet import RouteKind, ServerRecord
 from wasabistage.routing import (
     NO_SERVER,
@@ -102,16 +103,19 @@
     return state.evacuation.decide(query, now)
 
 
-def find_usable_records(state, service, now):
-    """Return the listed servers of a service that may get requests at all.
+def find_usable_records(state, service, home_regions, now):
+    """Return the listed servers of a service that may get a request at all.
 
     :param state: an :class:`EdgeState`.
     :param service: name of the service.
+    :param home_regions: regions of the request, see :func:`get_home_regions`.
     :param now: monotonic time, in seconds.
     :return: list of :class:`wasabistage.fleet.ServerRecord`, or an
         :class:`AllEvacuated`.
     """
     records = state.servers.find_usable(service)
+    if home_regions:
+        records = [item for item in records if is_allowed(state, item, home_regions)]
     if not state.evacuation.orders_:
         return records
     kept = [record for record in records if not is_evacuated(state, record, now)]
@@ -167,7 +171,8 @@
         for item in state.health.decide(HealthQuery(service=service), now)
         if item.usable
     }
-    usable = find_usable_records(state, service, now)
+    home_regions = get_home_regions(state, route, account)
+    usable = find_usable_records(state, service, home_regions, now)
     if isinstance(usable, AllEvacuated):
         return usable
     records = [
@@ -188,7 +193,7 @@
     # If all servers are silent, silence doesn't distinguish them.
     records = responsive or records
     if not records:
-        return NO_SERVER.with_reason("no backend server of the service is usable now")
+        return NO_SERVER.with_reason(describe_no_server(home_regions))
     service_config = state.routes.configuration.services.get(service)
     limit = get_cold_limit(state, service_config)
     records = select_allowed(state, records, limit, now)
@@ -217,6 +222,18 @@
     return Choice(record=next(r for r in records if r.server == decision.server))
 
 
+def describe_no_server(home_regions):
+    """Return the reason for which no server is usable, for the log.
+
+    :param home_regions: regions of the request, see :func:`get_home_regions`.
+    """
+    reason = "no backend server of the service is usable now"
+    if not home_regions:
+        return reason
+    names = " and ".join(", ".join(sorted(regions)) for regions in home_regions)
+    return f"{reason} in the allowed regions {names}"
+
+
 def select_engine(
     state, request, route, account, records, weights, service_config, now
 ):
@@ -264,7 +281,7 @@
         prompt_tokens=prompt.prompt_tokens,
         output_tokens=prompt.output_tokens,
         candidates=tuple(candidates),
-        stores=build_part_stores(state),
+        stores=build_part_stores(state, get_home_regions(state, route, account)),
         token_bytes=service_config.engine.token_bytes,
         link_bytes_per_second=service_config.engine.link_bytes_per_second,
         draw=state.random.random(),
@@ -386,8 +403,12 @@
     return penalty
 
 
-def build_part_stores(state):
-    """Build the :class:`wasabistage.routing.PartStore` of each cache store."""
+def build_part_stores(state, home_regions=()):
+    """Build the :class:`wasabistage.routing.PartStore` of each cache store.
+
+    :param state: an :class:`EdgeState`.
+    :param home_regions: regions of the request, see :func:`get_home_regions`.
+    """
     return tuple(
         PartStore(
             address=store.address,
@@ -397,6 +418,7 @@
             first_byte_seconds=store.first_byte_seconds,
         )
         for store in state.routes.configuration.stores.values()
+        if is_allowed(state, store, home_regions)
     )
 
 
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -277,6 +277,7 @@
             return
         self.settings.peers = new_settings.peers
         self.settings.bounds = new_settings.bounds
+        self.settings.regions = new_settings.regions
         self.state.log.write("settings_reloaded")
 
     async def _drain(self):
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -9,6 +9,7 @@
 from wasabistage.exceptions import SettingError
 
 MILLISECONDS_PER_SECOND = 1000.0
+REGIONS = "regions"  # section whose keys are failure domains
 MAY_BE_ZERO = frozenset({"cold_slack"})
 
 
@@ -120,6 +121,8 @@
     peers: PeersSection = msgspec.field(default_factory=PeersSection)
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
     engines: EnginesSection = msgspec.field(default_factory=EnginesSection)
+    #: Region of each failure domain. Without any, everything is in one region.
+    regions: dict[str, str] = {}
 
 
 def load_edge_settings(path):
@@ -132,7 +135,9 @@
     :raises SettingError: if the file can't be read, or a section, key or value is
         invalid; the message is one line.
     """
+    # Failure domains are named as they are written; other keys in any case.
     parser = ConfigParser(interpolation=None)
+    parser.optionxform = str
     try:
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
@@ -143,7 +148,11 @@
             remedy="give the path of a readable INI file",
         ) from error
     sections = {
-        name: {key: value for key, value in parser[name].items() if value}
+        name: {
+            key if name == REGIONS else key.lower(): value
+            for key, value in parser[name].items()
+            if value
+        }
         for name in parser.sections()
     }
     check_known_names(path, sections)
@@ -167,10 +176,15 @@
     known = {
         field.name: field.type.__struct_fields__
         for field in msgspec.structs.fields(EdgeSettings)
+        if field.name != REGIONS
     }
     for name, values in sections.items():
+        if name == REGIONS:
+            continue
         if name not in known:
-            raise build_unknown_name_error(f"{path}: section [{name}]", name, known)
+            raise build_unknown_name_error(
+                f"{path}: section [{name}]", name, [*known, REGIONS]
+            )
         for key in values:
             if key not in known[name]:
                 where = f"{path}: key {key} of section [{name}]"
--- a/wasabistage/edge/tests/test_settings.py
+++ b/wasabistage/edge/tests/test_settings.py
@@ -56,6 +56,24 @@
             self.assertIn(expected, str(caught.exception))
             self.assertNotIn("\n", str(caught.exception))
 
+    # Guards against failure domains whose names lose their capitals.
+    def test_regions_keep_the_names_of_failure_domains(self):
+        text = VALID_SETTINGS + "\n[regions]\n# \nEu-1a = Eu\n# \nus-1 = us\n# \n"
+        regions = self.load(text.replace("ip =", "IP =")).regions
+        self.assertEqual(regions, {"Eu-1a": "Eu", "us-1": "us"})
+        self.assertEqual(self.load(VALID_SETTINGS).regions, {})
+        self.assertEqual(self.load(VALID_SETTINGS + "[regions]\n# ").regions, {})
+
+    # Guards against limits in deployments that name none.
+    def test_cold_servers_are_not_limited_by_default(self):
+        bounds = self.load(VALID_SETTINGS + "cold_excess =\ncold_slack =\n").bounds
+        self.assertIsNone(bounds.cold_excess)
+        self.assertIsNone(bounds.cold_slack)
+        bounds = self.load(
+            VALID_SETTINGS + "cold_excess = 1.5\ncold_slack = 0\n"
+        ).bounds
+        self.assertEqual((bounds.cold_excess, bounds.cold_slack), (1.5, 0.0))
+
     def test_missing_file_raises_setting_error(self):
         with self.assertRaises(SettingError):
             load_edge_settings("missing/edge.ini")
--- a/wasabistage/fleet/_configuration.py
+++ b/wasabistage/fleet/_configuration.py
@@ -33,6 +33,7 @@
     :param is_anonymous: whether requests need no bearer key.
     :param has_prompt: whether requests carry a prompt for a model engine.
     :param is_resumable: whether another server may continue an interrupted stream.
+    :param allowed_regions: regions to whose servers requests may be sent; all if empty.
     """
 
     name: str
@@ -47,6 +48,7 @@
     is_anonymous: bool = False
     has_prompt: bool = False
     is_resumable: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self):
@@ -128,12 +130,15 @@
     :param keys: its bearer keys.
     :param rank: rank of all its requests, or ``None`` to use the rank of each route.
     :param is_dedicated: whether it shares no KV cache with other accounts.
+    :param allowed_regions: regions to whose servers its requests may be sent; all if
+        empty.
     """
 
     name: str
     keys: frozenset[str]
     rank: int | None = None
     is_dedicated: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/fleet/_route_table.py
+++ b/wasabistage/fleet/_route_table.py
@@ -72,6 +72,14 @@
                 return route
         return NO_ROUTE
 
+    def get_allowed_regions(self, host):
+        """Return the regions that some route of a host allows by name.
+
+        :param host: host without port, in lower case.
+        """
+        routes = self.routes_by_host.get(host, ())
+        return frozenset().union(*(route.allowed_regions for route in routes))
+
     def find_caller(self, route, key):
         """Find the caller of a request by its bearer key.
 
--- a/wasabistage/platform/_records.py
+++ b/wasabistage/platform/_records.py
@@ -63,6 +63,8 @@
     #: Requests carry a prompt whose parts servers may have cached.
     sticky: bool = False
     resumable: bool = False
+    #: An empty list allows every region.
+    allowed_regions: list[str] | None = None
 
 
 class WireEngine(msgspec.Struct, rename="camel"):
@@ -114,6 +116,9 @@
     keys: list[str] = []
     priority: Int64 | None = None
     dedicated: bool = False
+    allowed_regions: list[str] | None = msgspec.field(
+        default=None, name="allowedRegions"
+    )
 
 
 class WireConfiguration(msgspec.Struct):
@@ -203,6 +208,7 @@
         is_anonymous=wire.anonymous,
         has_prompt=wire.sticky,
         is_resumable=wire.resumable,
+        allowed_regions=frozenset(wire.allowed_regions or ()),
     )
 
 
@@ -266,6 +272,7 @@
         keys=frozenset(wire.keys),
         rank=wire.priority,
         is_dedicated=wire.dedicated,
+        allowed_regions=frozenset(wire.allowed_regions or ()),
     )
 
 
--- a/wasabistage/platform/tests/test_evacuation.py
+++ b/wasabistage/platform/tests/test_evacuation.py
@@ -119,9 +119,9 @@
                 self.assertEqual(reply.status, 503)
                 self.assertGreater(float(reply.fields[b"retry-after"]), 0.0)
                 self.assertLess(self.timer.now() - begun_at, 1.0)
-            self.assertIn(
-                "evacuated: a, x", self.events("request_given_up")[-1]["reason"]
-            )
+            await self.until(lambda: len(self.events("request_given_up")) == 2)
+            for line in self.events("request_given_up"):
+                self.assertIn("evacuated: a, x", line["reason"])
             for server in self.platform.servers:
                 self.assertEqual(server.arrivals, [])
 
