Edge: servers that have become warm take their work within two seconds

The limit of cold servers ends for all entries at the same moment, and a server that was limited has fewer requests than all others, so the entries would turn to it together. It has half its weight at first and all of it after 2 s; statements that repeat that a server is warm don't begin that time again.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, replace
 
 from wasabistage.cache import part_cache_key
-from wasabistage.edge._cold_servers import get_cold_limit, select_allowed
+from wasabistage.edge._cold_servers import (
+    get_cold_limit,
+    get_warm_weight,
+    select_allowed,
+)
 from wasabistage.edge._regions import get_home_regions, is_allowed
 from wasabistage.fleet import RouteKind, ServerRecord
 from wasabistage.routing import (
@@ -199,6 +203,9 @@
     records = select_allowed(state, records, limit, now)
     if not records:
         return records
+    if limit is not None:
+        for record in records:
+            weights[record.server] *= get_warm_weight(state, record.server, limit, now)
     if (
         request.prompt is not None
         and service_config is not None
--- a/wasabistage/edge/_cold_servers.py
+++ b/wasabistage/edge/_cold_servers.py
@@ -97,6 +97,18 @@
     return state.warmth.decide(query, now)
 
 
+def get_warm_weight(state, server, limit, now):
+    """Return the fraction of its share of work that a server takes.
+
+    :param state: an :class:`EdgeState`.
+    :param server: id of the server.
+    :param limit: its :class:`ColdLimit`.
+    :param now: monotonic time, in seconds.
+    """
+    query = WarmthQuery(server=server, cold_seconds=limit.cold_seconds)
+    return state.warmth.get_weight(query, now)
+
+
 def get_allowance(state, server, limit, now):
     """Return the :class:`wasabistage.routing.Allowance` of a cold server.
 
--- a/wasabistage/routing/_warmth.py
+++ b/wasabistage/routing/_warmth.py
@@ -92,18 +92,28 @@
     response states. A server that closed or refused a connection may have started again
     under its id; it counts as cold until a statement that is newer than that.
 
+    A server that has become warm gets its full share of work over ``ramp``, so that the
+    entries don't all turn to an idle server at the same moment.
+
     :param max_servers: number of servers that are remembered.
+    :param ramp: time after its end in which a server takes less work, in seconds.
+    :param first_weight: fraction of its share of work at the start of that time.
     """
 
-    def __init__(self, *, max_servers=4096):
+    def __init__(self, *, max_servers=4096, ramp=2.0, first_weight=0.5):
         self.max_servers = max_servers
+        self.ramp = ramp
+        self.first_weight = first_weight
 
     def reset(self):
         """Check the arguments and clear all servers."""
-        if self.max_servers < 1:
+        if self.max_servers < 1 or self.ramp <= 0 or not 0 < self.first_weight <= 1:
             raise SettingError(
-                f"max_servers is {self.max_servers!r}, but must be 1 or more",
-                remedy="set max_servers to 1 or more",
+                f"max_servers is {self.max_servers!r}, ramp {self.ramp!r} and "
+                f"first_weight {self.first_weight!r}, but must be 1 or more, above 0, "
+                "and above 0 and at most 1",
+                remedy="set max_servers to 1 or more, ramp above 0 and first_weight to "
+                "(0, 1]",
             )
         self.servers_ = {}
         return self
@@ -157,9 +167,13 @@
         return warmth
 
     def _record_statement(self, warmth, cold_left, made_after, now):
-        warmth.stated_at, warmth.stated_until = now, now + cold_left
+        is_after_loss = made_after > warmth.lost_at
+        sign_at = max(warmth.started_at, warmth.lost_at if is_after_loss else NEVER)
+        # Repeated statements that a server is warm don't begin its ramp again.
+        if cold_left > 0.0 or warmth.stated_until > now or sign_at > NEVER:
+            warmth.stated_at, warmth.stated_until = now, now + cold_left
         warmth.started_at = NEVER
-        if made_after > warmth.lost_at:
+        if is_after_loss:
             warmth.lost_at = NEVER
 
     def decide(self, query, now):
@@ -169,13 +183,30 @@
         :param now: monotonic time, in seconds.
         :return: seconds for which the server counts as cold, 0 for a warm one.
         """
+        return max(0.0, self._get_end(query) - now)
+
+    def get_weight(self, query, now):
+        """Return the fraction of its share of work that a server takes, at most 1.
+
+        A cold server has all of it: its allowance limits it.
+
+        :param query: a :class:`WarmthQuery`.
+        :param now: monotonic time, in seconds.
+        """
+        warm_for = now - self._get_end(query)
+        if not 0.0 <= warm_for < self.ramp:
+            return 1.0
+        return self.first_weight + (1.0 - self.first_weight) * warm_for / self.ramp
+
+    def _get_end(self, query):
+        """Return the time at which a server becomes warm, or became so."""
         warmth = self.servers_.get(query.server)
         if warmth is None:
-            return 0.0
+            return NEVER
         # A statement of more than the longest time is wrong, and is made again if not.
         stated_until = min(warmth.stated_until, warmth.stated_at + query.cold_seconds)
         sign_at = max(warmth.started_at, warmth.lost_at)
-        return max(0.0, stated_until - now, sign_at + query.cold_seconds - now)
+        return max(stated_until, sign_at + query.cold_seconds)
 
 
 @dataclass(frozen=True, kw_only=True)
