Soak: failure domains that return cold, and evacuations

cold_return lets the servers of a failure domain crash and return cold at once, with records that are renewed every second; the check counts what each gets in any second. evacuate orders and withdraws an evacuation. Both are played only where they are named, since further kinds would change the schedules that known seeds draw.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -28,6 +28,9 @@
     "answer_late",
     "trim",
 )
+#: Kinds that are played only where they are named: they would change the schedules that
+#: seeds draw.
+NAMED_KINDS = ("cold_return", "evacuate")
 SETTLED_SECONDS = 8.0  # calm traffic after the last fault
 ALARMS = ("task_failed", "not_json")
 SHOWN = 12
@@ -139,6 +142,8 @@
             for service, (count, allowed, _) in find_retry_peaks(record, bounds).items()
         },
         "leavings": len(record.leavings),
+        "cold_spans": len(record.cold_spans),
+        "evacuations": len(record.evacuations),
         "statuses": dict(statuses),
         "alarms": dict(alarms),
         "violations": violations,
@@ -160,15 +165,25 @@
     parser.add_argument("--retry-extra", type=float, default=54.0)
     parser.add_argument("--drain", type=float, default=2.0, help="seconds")
     parser.add_argument("--settle", type=float, default=3.0, help="seconds")
+    parser.add_argument(
+        "--cold-rate",
+        type=float,
+        default=0.0,
+        help="requests a second that a cold server tolerates; 0 limits none",
+    )
     parser.add_argument("--isolated", type=float, default=0.0, help="0 to 1")
     parser.add_argument("--out", default="", help="file for the results, JSON lines")
     parser.add_argument("--keep", default="", help="folder in which logs are kept")
     options = parser.parse_args()
     kinds = options.kinds.split(",")
-    if unknown := set(kinds) - set(KINDS):
-        parser.error(f"unknown kinds {sorted(unknown)}; known are {list(KINDS)}")
+    known = [*KINDS, *NAMED_KINDS]
+    if unknown := set(kinds) - set(known):
+        parser.error(f"unknown kinds {sorted(unknown)}; known are {known}")
     bounds = Bounds(
-        retry_extra=options.retry_extra, drain=options.drain, settle=options.settle
+        retry_extra=options.retry_extra,
+        drain=options.drain,
+        settle=options.settle,
+        cold_rate=options.cold_rate,
     )
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+#: Time from the record of a server in the list until every entry has read it.
+LISTING_SECONDS = 2.0
 MAX_REQUEST_SECONDS = 4.0  # the time for which callers wait
 
 
@@ -18,6 +20,12 @@
     :param drain: seconds after which a leaving server gets no request.
     :param recover: seconds in which an entry that answers is ready.
     :param settle: seconds after a disturbance until an entry is judged again.
+    :param cold_seconds: seconds for which a server is cold after a start.
+    :param cold_rate: requests per second that a cold server tolerates; 0 for a
+        deployment that doesn't limit them.
+    :param cold_excess: multiple of this rate that it may get in a second.
+    :param cold_slack: requests that it may get in a second besides.
+    :param evacuate: seconds after which an evacuated server gets no request.
     """
 
     retry_ratio: float = 0.2
@@ -26,6 +34,16 @@
     drain: float = 2.0
     recover: float = 12.0
     settle: float = 3.0
+    cold_seconds: float = 8.0
+    cold_rate: float = 0.0
+    cold_excess: float = 1.5
+    cold_slack: float = 1.0
+    evacuate: float = 5.0
+
+    @property
+    def cold_requests(self):
+        """Requests that a cold server may get in a second."""
+        return self.cold_rate * self.cold_excess + self.cold_slack
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -80,6 +98,10 @@
     :param disturbances: rows of begin, end and the name of the disturbed entry, ``""``
         for the store.
     :param stops: rows of begin, end and the name of an entry of planned stops.
+    :param cold_spans: rows of begin, end and the id of a server that was listed as
+        cold.
+    :param evacuations: rows of the time at which an order was acknowledged, the time at
+        which it was withdrawn, and the ids of the servers.
     """
 
     sent: list = field(default_factory=list)
@@ -87,6 +109,8 @@
     leavings: dict = field(default_factory=dict)
     disturbances: list = field(default_factory=list)
     stops: list = field(default_factory=list)
+    cold_spans: list = field(default_factory=list)
+    evacuations: list = field(default_factory=list)
 
     def is_disturbed(self, entry, begin, end):
         """Return whether an entry or the store was disturbed in a span."""
@@ -175,6 +199,58 @@
     return found
 
 
+def find_cold_excess(record, bounds):
+    """Return the worst second of each cold span with too many requests.
+
+    A span begins ``LISTING_SECONDS`` after the server is listed: an entry that has sent
+    nothing to a server while it was down learns from the list that it is cold.
+
+    :param record: a :class:`Record`.
+    :param bounds: :class:`Bounds`.
+    """
+    found = []
+    for begin, end, server in record.cold_spans:
+        times = [
+            arrival.at
+            for arrival in record.arrivals
+            if arrival.server == server and arrival.status != 421
+        ]
+        counts = [
+            (count_between(times, at - 1.0, at), at)
+            for at in times
+            if begin + LISTING_SECONDS + 1.0 <= at <= end
+        ]
+        count, at = max(counts, default=(0, 0.0))
+        if count > bounds.cold_requests:
+            found.append(
+                f"COLD: {server} got {count} requests in a second until {at:.2f}, "
+                f"{bounds.cold_requests:.1f} allowed; cold from {begin:.2f}"
+            )
+    return found
+
+
+def find_evacuated_arrivals(record, bounds):
+    """Return the requests that reached a server long after it was evacuated.
+
+    :param record: a :class:`Record`.
+    :param bounds: :class:`Bounds`.
+    """
+    entries = {item.request_id: item.entry for item in record.sent}
+    found = []
+    for ordered_at, withdrawn_at, servers in record.evacuations:
+        for arrival in record.arrivals:
+            is_late = ordered_at + bounds.evacuate < arrival.at < withdrawn_at
+            if not is_late or arrival.server not in servers or arrival.status == 421:
+                continue
+            entry = entries.get(arrival.request_id, "")
+            if not record.is_disturbed(entry, arrival.at - bounds.settle, arrival.at):
+                found.append(
+                    f"EVACUATE: {arrival.request_id} of {entry} reached "
+                    f"{arrival.server} {arrival.at - ordered_at:.2f} s after the order"
+                )
+    return found
+
+
 def find_cut_answers(record, bounds):
     """Return the requests that a planned stop cut after a server had got them."""
     arrived = {item.request_id for item in record.arrivals if item.status == 200}
@@ -212,5 +288,7 @@
         *find_retry_excess(record, bounds),
         *find_late_arrivals(record, bounds),
         *find_cut_answers(record, bounds),
+        *find_cold_excess(record, bounds),
+        *find_evacuated_arrivals(record, bounds),
         *find_wrong_answers(record),
     ]
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -168,6 +168,54 @@
         if is_announced:
             world.store.put(server.server, None, "keyed.servers")
 
+    def _split_off_zone(self, share):
+        """Put a share of the servers of each service into a failure domain of its own.
+
+        :return: list of the servers.
+        """
+        chosen = []
+        for service in ("app", "llm"):
+            servers = [item for item in self.world.servers if item.service == service]
+            servers = [item for item in servers if not item.is_leaving]
+            chosen += servers[: max(1, round(share * len(servers)))]
+        for server in chosen:
+            server.zone = "b"
+            self.world.list_server(server)
+        return chosen
+
+    async def cold_return(self, fault):
+        """Let a failure domain lose power and return cold, all servers at once."""
+        world = self.world
+        servers = self._split_off_zone(fault.share)
+        for server in servers:
+            server.behaviour.down_seconds = fault.seconds
+            if server.life_scope is not None:
+                server.life_scope.cancel()
+        await trio.sleep(fault.seconds)
+        listed_at = world.timer.now()
+        until = listed_at + world.bounds.cold_seconds
+        for server in servers:
+            server.cold_until = until
+            world.record.cold_spans.append((listed_at, until, server.server))
+        while (now := world.timer.now()) < until:
+            for server in servers:
+                world.list_server(server)
+            await trio.sleep(min(1.0, max(0.1, until - now)))
+        for server in servers:
+            world.list_server(server)
+
+    async def evacuate(self, fault):
+        """Order the evacuation of a failure domain, and withdraw it."""
+        world = self.world
+        servers = frozenset(item.server for item in self._split_off_zone(fault.share))
+        # Long enough for every entry to know the failure domain of each server.
+        await trio.sleep(2.0)
+        world.store.put("evacuate/b", {"by": "soak"})
+        ordered_at = world.timer.now()
+        await trio.sleep(world.bounds.evacuate + fault.seconds)
+        world.record.evacuations.append((ordered_at, world.timer.now(), servers))
+        world.store.put("evacuate/b", None)
+
     async def odd_entry(self, fault):
         """Let another writer leave an entry that can't be read."""
         self.odd_count += 1
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -60,6 +60,16 @@
         self.world = world
         self.grey = Grey()
         self.is_leaving = False
+        self.zone = "a"
+        self.cold_until = None
+
+    def entry(self, **changes):
+        """See :meth:`StandinServer.entry`."""
+        own = {"zone": self.zone}
+        if self.cold_until is not None:
+            left = max(0.0, self.cold_until - self.world.timer.now())
+            own["coldLeftMs"] = int(left * 1000)
+        return super().entry(**{**own, **changes})
 
     async def answer(self, channel, request):
         """See :meth:`Standin.answer`."""
@@ -141,6 +151,10 @@
         self.server_count = 0
         self.servers = [self._build_server("app") for _ in range(plain)]
         self.servers += [self._build_server("llm", "m") for _ in range(engines)]
+        limits = {}
+        if self.bounds.cold_rate:
+            limits["cold_excess"] = self.bounds.cold_excess
+            limits["cold_slack"] = self.bounds.cold_slack
         self.programs = [
             EdgeProgram(
                 number,
@@ -151,6 +165,7 @@
                     "retry_ratio": self.bounds.retry_ratio,
                     "retry_extra": self.bounds.retry_extra,
                     "retry_window_s": self.bounds.retry_window,
+                    **limits,
                 },
                 is_isolated=number < isolated * entries,
             )
@@ -192,10 +207,17 @@
             {**chat, "resumable": True},
         ]
         engine = {"slots": 64, "kvCapacity": 80000, "kvTokenBytes": 1000}
+        services = [{"name": "app"}, {"name": "llm", "engine": engine}]
+        if self.bounds.cold_rate:
+            cold = {
+                "coldS": self.bounds.cold_seconds,
+                "coldPerS": self.bounds.cold_rate,
+            }
+            services = [{**service, **cold} for service in services]
         value = {
             "version": version,
             "routes": routes,
-            "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
+            "services": services,
             "tenants": [{"name": "small", "keys": ["k1"]}],
         }
         self.store.put("config", value)
--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -7,7 +7,9 @@
     Bounds,
     Record,
     Sent,
+    find_cold_excess,
     find_cut_answers,
+    find_evacuated_arrivals,
     find_late_arrivals,
     find_retry_excess,
     find_wrong_answers,
@@ -58,6 +60,27 @@
     def test_planned_stops_cut_no_request(self):
         self.play("0.5:slow:12:1.0,1:restart_in_turn:1:0.3,2:restart_in_turn:1:0.3")
 
+    # Guards against more requests to cold servers than they tolerate, by entries that
+    # hear nobody and are killed in between.
+    def test_failure_domain_returns_cold_twice_before_isolated_entries(self):
+        result = self.play(
+            "4:cold_return:1:0.5,10:kill:0.5:0.3,18:cold_return:1:0.5",
+            isolated=1.0,
+            seconds=30.0,
+            rate=60.0,
+            bounds=Bounds(cold_rate=2.0),
+        )
+        self.assertGreater(result["cold_spans"], 0)
+
+    # Guards against requests to an evacuated failure domain while the store is late,
+    # entries restart and servers crash.
+    def test_evacuation_is_obeyed_under_other_faults(self):
+        result = self.play(
+            "1:evacuate:6:0.5,6:reload:1:0.5,5:crash:1:0.5,8:restart_in_turn:1:0.3",
+            seconds=16.0,
+        )
+        self.assertEqual(result["evacuations"], 1)
+
     def test_drawn_faults_break_no_promise(self):
         self.play(seed=29, faults=8, seconds=20.0)
 
@@ -101,6 +124,22 @@
         record.disturbances.append((9.0, 9.5, "a"))
         self.assertEqual(find_late_arrivals(record, Bounds()), [])
 
+    def test_busy_second_of_a_cold_server_is_found(self):
+        bounds, record = Bounds(cold_rate=2.0), self.make_record(count=60)
+        record.cold_spans.append((9.0, 20.0, "s2"))
+        self.assertEqual(find_cold_excess(record, bounds), [])
+        record.cold_spans.append((9.0, 20.0, "s1"))
+        self.assertEqual(len(find_cold_excess(record, bounds)), 1)
+        record.cold_spans[-1] = (13.5, 20.0, "s1")
+        self.assertEqual(find_cold_excess(record, bounds), [])
+
+    def test_request_at_an_evacuated_server_is_found_unless_excused(self):
+        record = self.make_record()
+        record.evacuations.append((5.5, 30.0, frozenset({"s1"})))
+        self.assertEqual(len(find_evacuated_arrivals(record, Bounds())), 4)
+        record.disturbances.append((9.0, 9.5, "a"))
+        self.assertEqual(find_evacuated_arrivals(record, Bounds()), [])
+
     def test_request_that_a_planned_stop_cut_is_found(self):
         record = self.make_record(count=1, status=0)
         self.assertEqual(find_cut_answers(record, Bounds()), [])
