--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -1,14 +1,21 @@
 """Selects the service and backend server of a request by queries to the routers."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wasabistage.cache import part_cache_key
+from wasabistage.edge._cold_servers import (
+    get_cold_limit,
+    get_warm_weight,
+    select_allowed,
+)
+from wasabistage.edge._regions import get_home_regions, is_allowed
 from wasabistage.fleet import RouteKind, ServerRecord
 from wasabistage.routing import (
     NO_SERVER,
     Candidate,
     CandidateQuery,
+    EvacuationQuery,
     GateQuery,
     HealthQuery,
     PaceQuery,
@@ -70,6 +77,58 @@
         return False
 
 
+@dataclass(frozen=True, kw_only=True)
+class AllEvacuated:
+    """No server is selected, since all are in failure domains that are evacuated.
+
+    :param failure_domains: sorted names of these failure domains.
+    """
+
+    failure_domains: tuple
+
+    @property
+    def reason(self):
+        """Description for the log."""
+        names = ", ".join(self.failure_domains)
+        return f"all backend servers of the service are evacuated: {names}"
+
+    def __bool__(self):
+        return False
+
+
+def is_evacuated(state, record, now):
+    """Return whether nothing is sent to a server since its failure domain is evacuated.
+
+    :param state: an :class:`EdgeState`.
+    :param record: its :class:`wasabistage.fleet.ServerRecord`.
+    :param now: monotonic time, in seconds.
+    """
+    query = EvacuationQuery(failure_domain=record.failure_domain)
+    return state.evacuation.decide(query, now)
+
+
+def find_usable_records(state, service, home_regions, now):
+    """Return the listed servers of a service that may get a request at all.
+
+    :param state: an :class:`EdgeState`.
+    :param service: name of the service.
+    :param home_regions: regions of the request, see :func:`get_home_regions`.
+    :param now: monotonic time, in seconds.
+    :return: list of :class:`wasabistage.fleet.ServerRecord`, or an
+        :class:`AllEvacuated`.
+    """
+    records = state.servers.find_usable(service)
+    if home_regions:
+        records = [item for item in records if is_allowed(state, item, home_regions)]
+    if not state.evacuation.orders_:
+        return records
+    kept = [record for record in records if not is_evacuated(state, record, now)]
+    if records and not kept:
+        domains = sorted({record.failure_domain for record in records})
+        return AllEvacuated(failure_domains=tuple(domains))
+    return kept
+
+
 def get_rest_seconds(state, record, now):
     """Return the time for which a server wants no requests, in seconds.
 
@@ -108,17 +167,21 @@
     :param service: name of the service.
     :param excluded: ids of the servers that already failed the request.
     :param now: monotonic time, in seconds.
-    :return: a :class:`Choice`, an :class:`AllResting`, or a sentinel such as
-        ``NO_SERVER``.
+    :return: a :class:`Choice`, an :class:`AllResting`, an :class:`AllCold`, an
+        :class:`AllEvacuated`, or a sentinel such as ``NO_SERVER``.
     """
     weights = {
         item.server: item.weight / state.pace.decide(PaceQuery(server=item.server), now)
         for item in state.health.decide(HealthQuery(service=service), now)
         if item.usable
     }
+    home_regions = get_home_regions(state, route, account)
+    usable = find_usable_records(state, service, home_regions, now)
+    if isinstance(usable, AllEvacuated):
+        return usable
     records = [
         record
-        for record in state.servers.find_usable(service)
+        for record in usable
         if record.server in weights and record.server not in excluded
     ]
     awake = [item for item in records if not get_rest_seconds(state, item, now)]
@@ -134,8 +197,15 @@
     # If all servers are silent, silence doesn't distinguish them.
     records = responsive or records
     if not records:
-        return NO_SERVER.with_reason("no backend server of the service is usable now")
+        return NO_SERVER.with_reason(describe_no_server(home_regions))
     service_config = state.routes.configuration.services.get(service)
+    limit = get_cold_limit(state, service_config)
+    records = select_allowed(state, records, limit, now)
+    if not records:
+        return records
+    if limit is not None:
+        for record in records:
+            weights[record.server] *= get_warm_weight(state, record.server, limit, now)
     if (
         request.prompt is not None
         and service_config is not None
@@ -159,6 +229,18 @@
     return Choice(record=next(r for r in records if r.server == decision.server))
 
 
+def describe_no_server(home_regions):
+    """Return the reason for which no server is usable, for the log.
+
+    :param home_regions: regions of the request, see :func:`get_home_regions`.
+    """
+    reason = "no backend server of the service is usable now"
+    if not home_regions:
+        return reason
+    names = " and ".join(", ".join(sorted(regions)) for regions in home_regions)
+    return f"{reason} in the allowed regions {names}"
+
+
 def select_engine(
     state, request, route, account, records, weights, service_config, now
 ):
@@ -206,7 +288,7 @@
         prompt_tokens=prompt.prompt_tokens,
         output_tokens=prompt.output_tokens,
         candidates=tuple(candidates),
-        stores=build_part_stores(state),
+        stores=build_part_stores(state, get_home_regions(state, route, account)),
         token_bytes=service_config.engine.token_bytes,
         link_bytes_per_second=service_config.engine.link_bytes_per_second,
         draw=state.random.random(),
@@ -215,11 +297,32 @@
     decision = state.part_router.decide(query, now)
     if not decision:
         return decision
+    decision = save_nothing_to_evacuated_stores(state, decision, now)
     server = decision.candidate.server
     record = next(item for item in records if item.server == server)
     return Choice(record=record, plan=decision, room=count_room(state, candidates))
 
 
+def save_nothing_to_evacuated_stores(state, decision, now):
+    """Return a decision without saves to cache stores that are evacuated.
+
+    What they hold may still be read.
+
+    :param state: an :class:`EdgeState`.
+    :param decision: a :class:`wasabistage.routing.PartDecision`.
+    :param now: monotonic time, in seconds.
+    """
+    if not state.evacuation.orders_ or not any(decision.save_to):
+        return decision
+    evacuated = {
+        store.address
+        for store in state.routes.configuration.stores.values()
+        if is_evacuated(state, store, now)
+    }
+    kept = tuple("" if item in evacuated else item for item in decision.save_to)
+    return replace(decision, save_to=kept)
+
+
 def count_room(state, candidates):
     """Return the free slots of engines, as far as they are known.
 
@@ -307,8 +410,12 @@
     return penalty
 
 
-def build_part_stores(state):
-    """Build the :class:`wasabistage.routing.PartStore` of each cache store."""
+def build_part_stores(state, home_regions=()):
+    """Build the :class:`wasabistage.routing.PartStore` of each cache store.
+
+    :param state: an :class:`EdgeState`.
+    :param home_regions: regions of the request, see :func:`get_home_regions`.
+    """
     return tuple(
         PartStore(
             address=store.address,
@@ -318,6 +425,7 @@
             first_byte_seconds=store.first_byte_seconds,
         )
         for store in state.routes.configuration.stores.values()
+        if is_allowed(state, store, home_regions)
     )
 
 
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -12,6 +12,7 @@
 
 from wasabistage.edge._caches import CacheWatcher
 from wasabistage.edge._callers import CallerHandler, DirectoryHandler
+from wasabistage.edge._cold_servers import count_cold_servers
 from wasabistage.edge._crash_watch import CrashWatch
 from wasabistage.edge._facts import SHARED_TOPICS, FactExchange
 from wasabistage.edge._fleet_view import FleetView
@@ -111,6 +112,7 @@
         self.directory = DirectoryHandler(self.state)
         #: Cancelled to stop accepting channels of callers.
         self.accept_scope = trio.CancelScope()
+        self.are_evacuations_stale = False
         #: Modification time of the settings file, in nanoseconds.
         self.settings_changed_at = None
 
@@ -219,6 +221,7 @@
         while True:
             try:
                 await self.store.append(Topic.ENTRIES, value, key=instance.name)
+                self.state.view.record_registration()
                 return
             except StoreError as error:
                 self.state.log.write("registration_failed", reason=str(error))
@@ -229,13 +232,26 @@
         for server in self.state.servers.tick(now):
             self.state.log.write("server_lapsed", server=server)
             self.state.health.observe(ServerRemoved(server=server), now)
+        self._check_evacuations_confirmed(now)
         self.state.pace.tick(now)
+        self.state.cold_allowance.tick(now)
+        self.state.metrics.gauge("servers.cold", count_cold_servers(self.state, now))
         self.state.metrics.gauge("fleet.entries", self.state.entry_count or 0)
         for change in self.state.health.tick(now):
             self.state.log.write(
                 "server_health", server=change.server, state=str(change.state)
             )
 
+    def _check_evacuations_confirmed(self, now):
+        """Log when orders to evacuate may be unknown for longer than their bound."""
+        watch = self.state.facts.watches[str(Topic.CONFIGURATION)]
+        age = now - watch.confirmed_at
+        are_stale = age > self.settings.bounds.evacuate_ms / 1000.0
+        if watch.is_known and are_stale != self.are_evacuations_stale:
+            self.are_evacuations_stale = are_stale
+            event = "evacuations_unconfirmed" if are_stale else "evacuations_confirmed"
+            self.state.log.write(event, age=round(age, 3))
+
     async def _cancel_silent_attempts(self, tick):
         now = trio.current_time()
         for server in self.state.silence.tick(self.state.timer.now()):
@@ -278,6 +294,7 @@
             return
         self.settings.peers = new_settings.peers
         self.settings.bounds = new_settings.bounds
+        self.settings.regions = new_settings.regions
         self.state.log.write("settings_reloaded")
 
     async def _drain(self):
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -11,6 +11,8 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_PORT_DIGITS = 5  # of 65535
+REGIONS = "regions"  # section whose keys are failure domains
+MAY_BE_ZERO = frozenset({"cold_slack"})
 
 
 class InstanceSection(msgspec.Struct):
@@ -90,6 +92,14 @@
     stop_s: float = 8.0
     #: Longest time for which callers may keep a list of addresses.
     address_lifetime_s: float = 5.0
+    #: Longest time from the order to evacuate a failure domain until none of its
+    #: servers may get a request.
+    evacuate_ms: float = 5000.0
+    #: Requests that a cold server may get in any second: ``cold_excess`` times the rate
+    #: that it tolerates, and ``cold_slack`` more. Without one of both, cold servers are
+    #: not limited.
+    cold_excess: float | None = None
+    cold_slack: float | None = None
 
 
 class EnginesSection(msgspec.Struct):
@@ -123,6 +133,8 @@
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
     engines: EnginesSection = msgspec.field(default_factory=EnginesSection)
     limits: LimitsSection = msgspec.field(default_factory=LimitsSection)
+    #: Region of each failure domain. Without any, everything is in one region.
+    regions: dict[str, str] = {}
 
 
 def load_edge_settings(path):
@@ -135,7 +147,9 @@
     :raises SettingError: if the file can't be read, or a section, key or value is
         invalid; the message is one line.
     """
+    # Failure domains are named as they are written; other keys in any case.
     parser = ConfigParser(interpolation=None)
+    parser.optionxform = str
     try:
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
@@ -146,7 +160,11 @@
             remedy="give the path of a readable INI file",
         ) from error
     sections = {
-        name: {key: value for key, value in parser[name].items() if value}
+        name: {
+            key if name == REGIONS else key.lower(): value
+            for key, value in parser[name].items()
+            if value
+        }
         for name in parser.sections()
     }
     check_known_names(path, sections)
@@ -170,10 +188,15 @@
     known = {
         field.name: field.type.__struct_fields__
         for field in msgspec.structs.fields(EdgeSettings)
+        if field.name != REGIONS
     }
     for name, values in sections.items():
+        if name == REGIONS:
+            continue
         if name not in known:
-            raise build_unknown_name_error(f"{path}: section [{name}]", name, known)
+            raise build_unknown_name_error(
+                f"{path}: section [{name}]", name, [*known, REGIONS]
+            )
         for key in values:
             if key not in known[name]:
                 where = f"{path}: key {key} of section [{name}]"
@@ -205,6 +228,8 @@
             value = getattr(section, name)
             if isinstance(value, bool):
                 continue
+            if name in MAY_BE_ZERO and value == 0:
+                continue
             if isinstance(value, int | float) and not 0 < value < math.inf:
                 raise SettingError(
                     f"{path}: {name} is {value}, not above 0 and finite",
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -14,6 +14,8 @@
 from wasabistage.rollout import OrderLease, VersionRollout
 from wasabistage.routing import (
     CandidateSelector,
+    ColdAllowance,
+    EvacuationPolicy,
     FirstTokenEstimator,
     HealthPolicy,
     LeastOutstandingRouter,
@@ -23,6 +25,7 @@
     RankedGate,
     RestPolicy,
     SilenceDetector,
+    WarmthPolicy,
 )
 
 #: Fraction of ``key_removal_ms`` for which keys stay valid without a new read. Their
@@ -88,6 +91,9 @@
         ).reset()
         self.pace = PaceEstimator().reset()
         self.rests = RestPolicy().reset()
+        self.evacuation = EvacuationPolicy().reset()
+        self.warmth = WarmthPolicy().reset()
+        self.cold_allowance = ColdAllowance().reset()
         self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
         self.quarantine = CrashQuarantine().reset()
         #: The :class:`ServerWait` of each attempt that waits for its server and may be
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -6,8 +6,9 @@
 import msgspec
 import trio
 
+from wasabistage.edge._cold_servers import get_cold_left, get_cold_limit, has_cold_limit
 from wasabistage.edge._peer_messages import PeerEntry
-from wasabistage.edge._record_watch import RecordWatch
+from wasabistage.edge._record_watch import MAX_LOGGED_KEY, RecordWatch
 from wasabistage.fleet import StoredRecord, Topic
 from wasabistage.rollout import (
     LeaseRecord,
@@ -15,9 +16,17 @@
     TopicRead,
     VersionNamed,
 )
-from wasabistage.routing import ServerAppeared, ServerLeaving, ServerRemoved
+from wasabistage.routing import (
+    EvacuationOrdered,
+    EvacuationWithdrawn,
+    ServerAppeared,
+    ServerLeaving,
+    ServerRecorded,
+    ServerRemoved,
+)
 from wasabistage.utils import UnreadableError, decode_data
 
+MAX_LOGGED_DOMAINS = 16  # that are evacuated, in one line
 ENTRY_DECODER = msgspec.json.Decoder(PeerEntry)
 
 
@@ -33,6 +42,10 @@
         """See :meth:`RecordWatch.apply_record`."""
         if not self.is_newer(record):
             return False
+        failure_domain = self.state.platform.decode_evacuation(record.key)
+        if failure_domain is not None:
+            self._apply_evacuation(failure_domain, record, now)
+            return True
         if self.state.platform.is_configuration(record):
             self._apply_configuration(record)
             self.newest_records[record.key] = record
@@ -50,6 +63,68 @@
             )
         return True
 
+    def apply_shared(self, record):
+        """See :meth:`RecordWatch.apply_shared`.
+
+        A process learns the orders to evacuate before the routes. Until it knows the
+        whole topic, a record that another entry tells may hold the routes alone.
+        """
+        if not self.is_known and self.state.platform.is_configuration(record):
+            return False
+        return super().apply_shared(record)
+
+    def _apply_evacuation(self, failure_domain, record, now):
+        """Apply an order to evacuate a failure domain, or its withdrawal."""
+        is_order = record.value is not None
+        if is_order:
+            self.newest_records[record.key] = record
+        else:
+            self.record_removal(record.key, record.offset)
+        kind = EvacuationOrdered if is_order else EvacuationWithdrawn
+        event = kind(failure_domain=failure_domain, offset=record.offset)
+        state = self.state
+        if not state.evacuation.observe(event, now):
+            return
+        domains = state.evacuation.get_domains()
+        state.metrics.gauge("evacuation.domains", len(domains))
+        servers = [
+            known.record.server
+            for known in state.servers.servers.values()
+            if known.record.failure_domain == failure_domain
+        ]
+        state.log.write(
+            "evacuation_ordered" if is_order else "evacuation_withdrawn",
+            failure_domain=failure_domain[:MAX_LOGGED_KEY],
+            offset=record.offset,
+            servers=len(servers),
+            all=[name[:MAX_LOGGED_KEY] for name in domains[:MAX_LOGGED_DOMAINS]],
+        )
+
+    def get_shared_removals(self):
+        """See :meth:`RecordWatch.get_shared_removals`."""
+        return [
+            StoredRecord(offset=offset, key=key, value=None)
+            for key, offset in self.removed_offsets.items()
+        ]
+
+    def handle_all_records(self, records, end, now):
+        """See :meth:`RecordWatch.handle_all_records`.
+
+        An order to evacuate that is not among the records was withdrawn, unless it is
+        newer than they are, or they are those of a store that has lost its history.
+        """
+        platform = self.state.platform
+        if not any(platform.is_configuration(record) for record in records):
+            return
+        keys = {record.key for record in records}
+        for key, known in list(self.newest_records.items()):
+            failure_domain = platform.decode_evacuation(key)
+            if failure_domain is None or key in keys or end <= known.offset:
+                continue
+            removal = StoredRecord(offset=end - 1, key=key, value=None)
+            self._apply_evacuation(failure_domain, removal, now)
+            self.state.facts.publish_record(self.topic, removal)
+
     def _apply_configuration(self, record):
         try:
             configuration = self.state.platform.decode_configuration(record.value)
@@ -122,11 +197,40 @@
             return is_known
         server = self.state.platform.decode_server(record)
         self.newest_records[record.key] = record
+        is_warmth_new = self._record_warmth(server, now)
         if not self.state.servers.observe(server, now):
-            return False
+            return is_warmth_new
         self._record_server(server, now)
         return True
 
+    def _record_warmth(self, server, now):
+        """Record how long a server stays cold; return whether others need to know."""
+        recorded = ServerRecorded(
+            server=server.server,
+            incarnation=server.incarnation,
+            cold_left=server.cold_left,
+            is_first=not self.is_known,
+            written_after=self.known_before,
+        )
+        service = self._get_service(server)
+        limit = get_cold_limit(self.state, service)
+        if limit is None:
+            return self.state.warmth.observe(recorded, now)
+        was_cold = get_cold_left(self.state, server.server, limit, now) > 0.0
+        is_new = self.state.warmth.observe(recorded, now)
+        cold_left = get_cold_left(self.state, server.server, limit, now)
+        if was_cold != (cold_left > 0.0):
+            self.state.log.write(
+                "server_warmth", server=server.server, cold_left=round(cold_left, 3)
+            )
+        return is_new
+
+    def _get_service(self, server):
+        configuration = self.state.routes.configuration
+        if configuration is None:
+            return None
+        return configuration.services.get(server.service)
+
     def _record_server(self, server, now):
         state = self.state
         appeared = ServerAppeared(
@@ -190,7 +294,14 @@
     """Follows the addresses of the other entries."""
 
     topic = Topic.ENTRIES
-    wait_seconds = 20.0
+
+    @property
+    def wait_seconds(self):
+        """Longest time for which a read waits for a record.
+
+        A share of the requests to cold servers needs a recent list of the entries.
+        """
+        return 1.4 if has_cold_limit(self.state) else 20.0
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
@@ -199,6 +310,8 @@
         entry = decode_data(ENTRY_DECODER, record.value)
         check_entry(entry)
         self.newest_records[record.key] = record
+        if record.key == self.state.settings.instance.name:
+            self.state.view.record_registration()
         return self.state.view.add_entry(record.key, entry)
 
 
--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -122,6 +122,8 @@
         self.idle_until = 0.0
         #: Time of the last received byte, seconds of trio's clock.
         self.heard_at = float("-inf")
+        #: Whether the server has stated how long it keeps an idle channel.
+        self.has_idle_time = False
         #: Bytes received since the last request was sent.
         self.received_bytes = 0
         self.skipped_bytes = 0
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -47,6 +47,12 @@
             "UNKNOWN_SERVER",
             "get_link_name",
         ),
+        "_evacuation": (
+            "EvacuationOrdered",
+            "EvacuationPolicy",
+            "EvacuationQuery",
+            "EvacuationWithdrawn",
+        ),
         "_health": (
             "BaseHealthPolicy",
             "HealthPolicy",
@@ -130,5 +136,20 @@
             "ProbabilisticAdmission",
             "RoomQuery",
         ),
+        "_warmth": (
+            "Allowance",
+            "AllowanceQuery",
+            "ColdAllowance",
+            "ConnectionLost",
+            "RequestArrived",
+            "RequestDropped",
+            "RequestOver",
+            "RequestTaken",
+            "RequestWritten",
+            "ServerAnswered",
+            "ServerRecorded",
+            "WarmthPolicy",
+            "WarmthQuery",
+        ),
     },
 )
