Name entries to callers in proportion to their capacity

Cause: callers open each channel to a random address of the last response, so that an entry with half a core and 5 Mbit/s gets as many channels as one with 2.15 cores and 100 Mbit/s.

Change: the settings take cores, cpu_share and max_fds; an entry tells its capacity as the last, optional field of its record, report and member fact, and lowers it while its tasks run late. Where the capacities of all ready entries are known and differ by more than 1.25, and 64 caller IPs have been heard, EntrySelector names each caller a subset by weighted hashing of its IP and the entry, the same in every response of every entry. Otherwise all are named, as before.

Whether callers of a deployment have them is not known here.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -1,6 +1,7 @@
 """Handlers of callers' requests, address requests and readiness probes."""
 
 from contextlib import contextmanager
+from contextvars import ContextVar
 
 import h11
 import trio
@@ -17,6 +18,7 @@
     RouteKind,
 )
 from wasabistage.http1 import Answer, CallerChannel, CallerGoneError
+from wasabistage.topology import AddressQuery, AddressRequested, EntrySelector
 
 MAX_ADDRESS_LIFETIME_SECONDS = 2.0  # bounds how long callers try a lost entry
 MIN_NEAR_ADDRESSES = 8  # entries that share the callers of a failure domain
@@ -29,6 +31,8 @@
 MIN_STREAM_TIME_FRACTION = 0.63
 #: Time for the final response of a request that times out while the process stops.
 STOP_MARGIN_SECONDS = 0.2
+#: IP of the caller whose channel the current task serves.
+CALLER_IP = ContextVar("CALLER_IP", default="")
 
 
 class CallerHandler:
@@ -248,6 +252,20 @@
     :param state: an :class:`EdgeState`.
     """
 
+    def __init__(self, state):
+        super().__init__(state)
+        self.selector = EntrySelector(
+            min_near=MIN_NEAR_ADDRESSES, limit=MAX_ADDRESSES
+        ).reset()
+
+    async def serve(self, sock):
+        """See :meth:`RequestHandler.serve`."""
+        try:
+            CALLER_IP.set(sock.getpeername()[0])
+        except OSError:
+            return  # the caller has closed the channel already
+        await super().serve(sock)
+
     def answer(self, request):
         """See :meth:`RequestHandler.answer`."""
         platform = self.state.platform
@@ -257,7 +275,9 @@
         if address_request is None:
             return Answer(status=404)
         _, _, failure_domain = address_request
-        addresses = self.get_addresses(failure_domain)
+        caller, now = CALLER_IP.get(), self.state.timer.now()
+        self._record_caller(caller, now)
+        addresses = self.get_addresses(failure_domain, caller, now)
         if not addresses:
             return Answer(status=503)
         lifetime = min(
@@ -269,19 +289,34 @@
             body=platform.encode_addresses(addresses, lifetime),
         )
 
-    def get_addresses(self, failure_domain=""):
+    def _record_caller(self, caller, now):
+        """Record who requests addresses, and whether each caller gets its own."""
+        was_weighted = self.selector.is_weighted_
+        self.selector.observe(AddressRequested(caller=caller), now)
+        if self.selector.is_weighted_ != was_weighted:
+            self.state.log.write(
+                "address_weighting",
+                on=self.selector.is_weighted_,
+                callers=len(self.selector.callers_),
+            )
+        self.state.metrics.gauge("directory.callers", len(self.selector.callers_))
+
+    def get_addresses(self, failure_domain="", caller="", now=0.0):
         """Return the ``IP:PORT`` of ready entries, in random order.
 
         If the failure domain of the caller has enough of them, only those are
         returned: others are further away, and would carry its traffic as well.
 
         :param failure_domain: failure domain of the caller, or ``""``.
+        :param caller: IP of the caller, or ``""``.
+        :param now: monotonic time, in seconds.
         """
         state = self.state
-        ready = [item for item in state.view.get_members().values() if item.is_ready]
-        near = [item for item in ready if item.failure_domain == failure_domain]
-        if len(near) >= MIN_NEAR_ADDRESSES:
-            ready = near
-        addresses = [item.callers for item in ready if item.callers]
-        state.random.shuffle(addresses)
-        return addresses[:MAX_ADDRESSES]
+        members = tuple(state.view.get_members().values())
+        query = AddressQuery(
+            members=members,
+            failure_domain=failure_domain,
+            caller=caller,
+            draws=tuple(state.random.random() for _ in members),
+        )
+        return [item.callers for item in self.selector.decide(query, now)]
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -30,6 +30,7 @@
         member.callers,
         member.weight,
         member.is_ready,
+        member.capacity,
     )
 
 
@@ -42,6 +43,7 @@
         callers=row.callers,
         weight=row.weight,
         is_ready=row.is_ready,
+        capacity=row.capacity,
     )
 
 
--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -3,8 +3,10 @@
 from wasabistage.edge._facts import to_member
 from wasabistage.fleet import Topic
 from wasabistage.topology import (
+    EntryCapacity,
     FleetMember,
     FleetMemberTable,
+    IntervalPassed,
     ReaderPolicy,
     ReadQuery,
     RelayChoice,
@@ -69,6 +71,9 @@
         self.store_read_at = float("-inf")
         self.sharers = SharerTable()
         self.started_at = state.timer.now()
+        self.capacity = EntryCapacity(state.settings.instance.capacity).reset()
+        #: Time of the last call of :meth:`update_roles`, monotonic seconds.
+        self.updated_at = None
 
     @property
     def has_store(self):
@@ -104,6 +109,7 @@
             failure_domain=entry.failure_domain,
             ip=entry.ip,
             weight=entry.weight,
+            capacity=entry.capacity,
         )
         self.assumed_until[name] = self.state.timer.now() + NEW_ENTRY_SECONDS
         self.sharers.observe([name], self.state.timer.now())
@@ -129,6 +135,7 @@
             callers=settings.listen.callers,
             weight=weight,
             is_ready=state.is_ready,
+            capacity=self.capacity.decide(None, state.timer.now()),
         )
 
     def get_members(self):
@@ -173,6 +180,7 @@
     def update_roles(self):
         """Compute the roles from the entries that are live now, and return them."""
         now = self.state.timer.now()
+        self._record_interval(now)
         members = self.get_members()
         self.sharers.observe(members, now)
         self.sharers.tick(now)
@@ -209,6 +217,18 @@
                 )
         return self.roles
 
+    def _record_interval(self, now):
+        """Record the time since the last update, which shows whether this is slow."""
+        if self.updated_at is not None:
+            event = IntervalPassed(seconds=now - self.updated_at)
+            before = self.capacity.share_
+            self.capacity.observe(event, now)
+            share = self.capacity.share_
+            if share != before:
+                self.state.log.write("entry_pace", share=share, before=before)
+                self.state.metrics.gauge("entry.capacity_share", share)
+        self.updated_at = now
+
     def get_followers(self):
         """Return the peers that follow this entry, as dict of name to ``Peer``."""
         own = self.state.settings.instance.name
@@ -349,4 +369,5 @@
         callers=report.callers,
         weight=report.weight,
         is_ready=report.is_ready,
+        capacity=report.capacity,
     )
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -11,11 +11,13 @@
     :param ip: IP at which its peers reach it.
     :param failure_domain: failure domain that it runs in.
     :param weight: capacity to carry the facts of others.
+    :param capacity: capacity to serve callers; 0 if it is unknown.
     """
 
     ip: str
     failure_domain: str = ""
     weight: float = 1.0
+    capacity: float = 0.0
 
 
 class MemberRow(msgspec.Struct, array_like=True, frozen=True):
@@ -27,6 +29,7 @@
     callers: str
     weight: float
     is_ready: bool
+    capacity: float = 0.0
 
 
 class EvidenceRow(msgspec.Struct, array_like=True):
@@ -86,6 +89,7 @@
     :param members: the sender's followers and itself, if it is a relay.
     :param suspects: suspected parts of prompts; those of a relay are all with crashes,
         as far as they fit.
+    :param capacity: the sender's capacity to serve callers; 0 if it is unknown.
     """
 
     name: str
@@ -113,6 +117,7 @@
     fleet_size: int = 0
     members: list[MemberRow] = []
     suspects: list[EvidenceRow] = []
+    capacity: float = 0.0
 
 
 class ReportDatagram(msgspec.Struct, array_like=True):
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -285,6 +285,7 @@
             failure_domain=own.failure_domain,
             weight=own.weight,
             is_ready=own.is_ready,
+            capacity=own.capacity,
             clock=clock,
             loads=select_busiest(loads, MAX_LOAD_ROWS),
             **{**common, **fields},
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -199,6 +199,7 @@
             ip=instance.ip,
             failure_domain=instance.failure_domain,
             weight=instance.weight,
+            capacity=instance.capacity,
         )
         value = msgspec.json.encode(entry)
         while True:
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from wasabistage.exceptions import SettingError
+from wasabistage.topology import compute_capacity
 
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -22,6 +23,13 @@
     ip: str
     #: Bandwidth of its link. Entries with fast links carry the facts of others.
     link_mbps: float = 1000.0
+    #: Processor cores of its machine. Callers are directed to the entries in proportion
+    #: to their capacity if all of them have this key.
+    cores: float | None = None
+    #: Fraction of the cores that this process may use.
+    cpu_share: float = 1.0
+    #: File descriptors that this process may have open.
+    max_fds: int | None = None
     #: The whole fleet starts for the first time. A restarted process doesn't know what
     #: it has spent of the budgets that all entries share.
     first_start: bool = False
@@ -35,6 +43,14 @@
         """
         return self.link_mbps**2
 
+    @property
+    def capacity(self):
+        """Capacity to serve callers, relative to other entries; 0 if it is unknown."""
+        if self.cores is None:
+            return 0.0
+        cores = self.cores * self.cpu_share
+        return compute_capacity(cores, self.link_mbps, self.max_fds)
+
 
 class ListenSection(msgspec.Struct):
     """Addresses that this process listens on.
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -203,7 +203,7 @@
 
 
 def check_entry(entry):
-    """Check the address and the weight of an entry.
+    """Check the address, the weight and the capacity of an entry.
 
     :param entry: a :class:`PeerEntry`.
     :raises ValueError: if one of them can't be used.
@@ -211,6 +211,8 @@
     IPv4Address(entry.ip)
     if not 0.0 < entry.weight < math.inf:
         raise UnreadableError(f"the weight is {entry.weight}, not above 0 and finite")
+    if not 0.0 <= entry.capacity < math.inf:
+        raise UnreadableError(f"the capacity is {entry.capacity}, not finite")
 
 
 class OrderRecord(msgspec.Struct):
--- a/wasabistage/topology/__init__.py
+++ b/wasabistage/topology/__init__.py
@@ -16,6 +16,12 @@
     __name__,
     {
         "_echoes": ("SentReports",),
+        "_entry_capacity": (
+            "EntryCapacity",
+            "IntervalPassed",
+            "compute_capacity",
+        ),
+        "_entry_selection": ("AddressQuery", "AddressRequested", "EntrySelector"),
         "_fact_log": (
             "FACTS_GONE",
             "FactCursor",
--- a/wasabistage/topology/_members.py
+++ b/wasabistage/topology/_members.py
@@ -13,6 +13,8 @@
     :param callers: address for callers, ``IP:PORT``; ``""`` if unknown.
     :param weight: capacity to carry the facts of others, relative to other entries.
     :param is_ready: whether it is ready for requests of callers.
+    :param capacity: capacity to serve callers, see :func:`compute_capacity`; 0 if it is
+        unknown.
     """
 
     name: str
@@ -21,6 +23,7 @@
     callers: str = ""
     weight: float = 1.0
     is_ready: bool = False
+    capacity: float = 0.0
 
 
 class FleetMemberTable:
--- a/wasabistage/topology/_ranking.py
+++ b/wasabistage/topology/_ranking.py
@@ -7,6 +7,16 @@
 MIN_WEIGHT = 1e-6
 
 
+def draw_uniform(role, name):
+    """Return a number above 0 and below 1 that depends on a role and a name alone.
+
+    :param role: name of the role.
+    :param name: name of an entry.
+    """
+    digest = hashlib.blake2b(f"{role}\0{name}".encode(), digest_size=8).digest()
+    return (int.from_bytes(digest) + 1.0) / (HASH_RANGE + 1.0)
+
+
 def rank_members(members, role):
     """Rank entries for a role.
 
@@ -19,9 +29,7 @@
     """
 
     def get_score(member):
-        name = f"{role}\0{member.name}".encode()
-        digest = hashlib.blake2b(name, digest_size=8).digest()
-        uniform = (int.from_bytes(digest) + 1.0) / (HASH_RANGE + 1.0)
+        uniform = draw_uniform(role, member.name)
         return math.log(uniform) / max(member.weight, MIN_WEIGHT), member.name
 
     return sorted(members, key=get_score, reverse=True)
