Tell refused callers to return one after another

Cause: a refusal for lack of engine room says max(0.15 s, objective) to all, so that all callers refused together return together, and outlast a burst as a second wave.

Change: with [engines] spread_returns, SpreadReturn tells each refused caller the time that the prompts in front of it take: those that wait, and those of callers of its own and more urgent ranks that were refused before it, at the rate at which this entry sends prompts. At most a third of the time left, at least the objective, shortened at random by up to a quarter. Times of resting servers, quarantines and servers' answers are as before, and so is everything without the setting. Immediate refusals of the gate are counted as lack of room as well; they were told 0.15 s.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -8,6 +8,7 @@
 from wasabistage.edge._engine_wait import EngineWait
 from wasabistage.edge._exchange import Attempt
 from wasabistage.edge._messages import Dispatch
+from wasabistage.edge._returns import CallerReturns
 from wasabistage.fleet import RouteKind
 from wasabistage.http1 import (
     ByteBudget,
@@ -59,6 +60,7 @@
         self.attempt_count = 0
         self.body_budget = ByteBudget(MAX_HELD_BYTES)
         self.engine_wait = EngineWait(state)
+        self.returns = CallerReturns(state)
 
     async def run(self, exchange):
         """Forward one request until it is answered, with retries.
@@ -73,6 +75,7 @@
             if not choice:
                 await self._send_final_answer(exchange, str(choice.reason))
                 return
+            self.returns.record_choice(choice)
             attempt = await self._run_attempt(exchange, choice)
             self._log_attempt(exchange, attempt)
             if attempt.failure is None:
@@ -134,7 +137,7 @@
             await self._send_refusal(exchange, 502, None)
             outcome = "failed"
         else:
-            retry_after = self._get_retry_after(exchange, last)
+            retry_after = self._get_retry_after(exchange, last, reason)
             await self._send_refusal(exchange, 503, retry_after)
             outcome = "refused"
         state.metrics.count("request.failed", label=outcome.partition(" ")[0])
@@ -147,7 +150,7 @@
             time_left=round(exchange.get_time_left(state.timer.now()), 3),
         )
 
-    def _get_retry_after(self, exchange, last):
+    def _get_retry_after(self, exchange, last, reason):
         """Return the seconds after which to retry a request that was not run."""
         if exchange.rest_seconds > 0.0:
             return exchange.rest_seconds
@@ -156,6 +159,8 @@
             return quarantine_seconds
         if last is not None and last.retry_after is not None:
             return last.retry_after
+        if self.returns.is_out_of_room(exchange, reason):
+            return self.returns.get_seconds(exchange)
         if exchange.gate_waits:
             # Requests that wait now are answered or have timed out by then.
             return max(NOT_RUN_RETRY_SECONDS, exchange.route.objective)
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -116,6 +116,9 @@
     prefill_rate: float = 85000.0
     #: Number of engines that may load weights at the same time.
     loads_at_once: int = 2
+    #: Whether callers that were refused for lack of room are told to return one after
+    #: another.
+    spread_returns: bool = False
 
 
 class EdgeSettings(msgspec.Struct):
--- a/wasabistage/retries/__init__.py
+++ b/wasabistage/retries/__init__.py
@@ -50,6 +50,13 @@
             "RetryQuery",
             "RetryWithNewKey",
         ),
+        "_return_times": (
+            "CallerRefused",
+            "ConstantReturn",
+            "PromptSent",
+            "ReturnQuery",
+            "SpreadReturn",
+        ),
         "_server_retries": (
             "AlwaysRetry",
             "BaseRetryPolicy",
