Don't take a slow caller for a silent server

Cause: while a write to a caller is held up, nothing is read from the server of the stream. After 1.5 s its silence was counted as the server's: its attempts were cancelled and it was not used for a time. Whole plain responses that were being written were cancelled in the same way.

Change: a write that is held up for 0.5 s no longer counts towards the silence of its server. With [bounds] slow_reader_s, off by default, a caller of a stream that reads nothing for that long is ended, without blame of the server.

Ruled out: reading ahead (its bytes must be counted first), no detection within streams.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -9,6 +9,7 @@
 from wasabistage.edge._exchange import Attempt
 from wasabistage.edge._messages import Dispatch
 from wasabistage.edge._returns import CallerReturns
+from wasabistage.edge._slow_writes import SlowWrites
 from wasabistage.fleet import RouteKind
 from wasabistage.http1 import (
     ByteBudget,
@@ -61,6 +62,7 @@
         self.body_budget = ByteBudget(MAX_HELD_BYTES)
         self.engine_wait = EngineWait(state)
         self.returns = CallerReturns(state)
+        self.slow_writes = SlowWrites(state)
 
     async def run(self, exchange):
         """Forward one request until it is answered, with retries.
@@ -440,7 +442,8 @@
                 "the response to a resumed stream is not an event stream"
             )
         headers = self.state.platform.encode_response_headers(head)
-        await exchange.channel.respond(head.status, headers, body, head.reason)
+        with self.slow_writes.watch(attempt, has_unread=False):
+            await exchange.channel.respond(head.status, headers, body, head.reason)
         attempt.is_answer_whole = 200 <= head.status < 300 and bool(body)
         self._record_answered(exchange, attempt)
         return head.fields
@@ -501,7 +504,7 @@
                     is_first = False
                 self.state.crash_watch.record_bytes(attempt, has_events=bool(events))
                 if events:
-                    with exchange.write():
+                    with exchange.write(), self.slow_writes.watch(attempt):
                         await caller.send_piece(events)
         except EventTooLongError as error:
             splitter.discard_incomplete()
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -232,6 +232,7 @@
             )
 
     async def _cancel_silent_attempts(self, tick):
+        self.callers.forwarder.slow_writes.tick()
         for server in self.state.silence.tick(self.state.timer.now()):
             scopes = self.state.repeatable_scopes.get(server, ())
             if scopes:
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -104,6 +104,8 @@
     stop_s: float = 8.0
     #: Longest time for which callers may keep a list of addresses.
     address_lifetime_s: float = 5.0
+    #: Time after which a caller of a stream that reads nothing is ended; read at start.
+    slow_reader_s: float | None = None
 
 
 class EnginesSection(msgspec.Struct):
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -126,6 +126,13 @@
             "RequestEnded",
             "RequestSent",
         ),
+        "_slow_writes": (
+            "EndCaller",
+            "PauseSilence",
+            "SlowWritePolicy",
+            "WriteBegun",
+            "WriteEnded",
+        ),
         "_probabilistic_admission": (
             "ProbabilisticAdmission",
             "RoomQuery",
