Bound the bytes of requests that a server holds

Cause: nothing bounds the bytes of requests that are open at one server. One that reads or works slowly holds all that it is sent, and crashes if that exceeds its memory.

Change: with [bounds] server_request_mb, off by default, the bytes are divided by the entries that may run, and a server that would exceed this entry's share is no candidate for the moment. A request without others of this entry at the server is never withheld. If no server is left, the request is refused as not run. `explain` names the rule.

Ruled out: a bound of requests (bodies differ too much), bytes in reports (old, and not heard by all), waiting (holds the entry's memory); see docs/design/request_bytes.md.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -16,6 +16,7 @@
     PartDecision,
     PartQuery,
     PartStore,
+    RequestBytesQuery,
     RestQuery,
     RouteQuery,
     SilenceQuery,
@@ -81,6 +82,22 @@
     return state.rests.decide(query, now)
 
 
+def may_hold_request(state, record, request, now):
+    """Return whether a server may hold another request, by its bytes.
+
+    :param state: an :class:`EdgeState`.
+    :param record: its :class:`wasabistage.fleet.ServerRecord`.
+    :param request: a :class:`CallerRequest`.
+    :param now: monotonic time, in seconds.
+    """
+    query = RequestBytesQuery(
+        server=record.server,
+        size=request.size,
+        entries=state.view.sharers.count(),
+    )
+    return state.request_bytes.decide(query, now)
+
+
 def select_service(state, route, draw):
     """Select the service of a request among the route's weighted targets.
 
@@ -125,7 +142,11 @@
     if records and not awake and not excluded:
         seconds = min(get_rest_seconds(state, item, now) for item in records)
         return AllResting(seconds=seconds)
-    records = awake
+    records = [item for item in awake if may_hold_request(state, item, request, now)]
+    if awake and not records:
+        return NO_SERVER.with_reason(
+            "the backend servers of the service hold as many requests as they may"
+        )
     responsive = [
         record
         for record in records
--- a/wasabistage/edge/_explain.py
+++ b/wasabistage/edge/_explain.py
@@ -18,6 +18,7 @@
     get_request_rank,
     get_rest_seconds,
     get_version_time_left,
+    may_hold_request,
     select_server,
 )
 from wasabistage.edge._exchange import Exchange
@@ -475,6 +476,8 @@
         rest = get_rest_seconds(state, record, now)
         if rest:
             return "rest", f"it asked for no requests for another {rest:.2f} s"
+        if not may_hold_request(state, record, exchange.request, now):
+            return "request_bytes", "it holds as many bytes of requests as it may"
         if state.silence.decide(SilenceQuery(server=server), now):
             return "silent", "it has sent no bytes for too long"
         prompt = exchange.request.prompt
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -31,6 +31,8 @@
     MemoryReleased,
     MemoryReserved,
     PaceReported,
+    RequestBytesReleased,
+    RequestBytesSent,
     RequestEnded,
     RequestSent,
     RestRequested,
@@ -227,6 +229,9 @@
         state.silence.observe(
             RequestSent(server=server, request=attempt.attempt_id), now
         )
+        size = exchange.request.size
+        event = RequestBytesSent(request=attempt.attempt_id, server=server, size=size)
+        state.request_bytes.observe(event, now)
         if plan is None:
             event = Dispatched(request=attempt.attempt_id, server=server, tokens=0)
             state.plain_router.observe(event, now)
@@ -254,6 +259,8 @@
         state.silence.observe(
             RequestEnded(server=server, request=attempt.attempt_id), now
         )
+        released = RequestBytesReleased(request=attempt.attempt_id)
+        state.request_bytes.observe(released, now)
         ended = DispatchEnded(request=attempt.attempt_id)
         if attempt.choice.plan is None:
             state.plain_router.observe(ended, now)
--- a/wasabistage/edge/_messages.py
+++ b/wasabistage/edge/_messages.py
@@ -77,6 +77,11 @@
     body: bytes = b""
     begun_at: float = 0.0
 
+    @property
+    def size(self):
+        """Bytes of the body, which a server holds."""
+        return len(self.body)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Dispatch:
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -106,6 +106,8 @@
     address_lifetime_s: float = 5.0
     #: Time after which a caller of a stream that reads nothing is ended; read at start.
     slow_reader_s: float | None = None
+    #: Megabytes of requests that one server may hold from all entries; read at start.
+    server_request_mb: float | None = None
 
 
 class EnginesSection(msgspec.Struct):
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -21,6 +21,7 @@
     PartRouter,
     ProbabilisticAdmission,
     RankedGate,
+    RequestBytesLimiter,
     RestPolicy,
     SilenceDetector,
 )
@@ -32,6 +33,7 @@
 #: Time without a byte after which an engine with open streams counts as silent. An
 #: engine that reads long prompts sends an event of several tokens every second.
 STREAM_SILENCE_SECONDS = 1.5
+BYTES_PER_MEGABYTE = 1e6
 PREFILL_OVERHEAD_SECONDS = 0.01  # first engine step and two network hops
 
 
@@ -88,6 +90,10 @@
         ).reset()
         self.pace = PaceEstimator().reset()
         self.rests = RestPolicy().reset()
+        megabytes = bounds.server_request_mb
+        self.request_bytes = RequestBytesLimiter(
+            limit=None if megabytes is None else megabytes * BYTES_PER_MEGABYTE
+        ).reset()
         self.silence = SilenceDetector(stream_limit=STREAM_SILENCE_SECONDS).reset()
         self.quarantine = CrashQuarantine().reset()
         #: Cancel scopes of running attempts that may be retried elsewhere, by server.
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -103,6 +103,12 @@
             "PeerMemoryReserved",
             "order_stores",
         ),
+        "_request_bytes": (
+            "RequestBytesLimiter",
+            "RequestBytesQuery",
+            "RequestBytesReleased",
+            "RequestBytesSent",
+        ),
         "_rest": (
             "RestPolicy",
             "RestQuery",
