--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -1,6 +1,7 @@
 """Handlers of callers' requests, address requests and readiness probes."""
 
 from contextlib import contextmanager
+from contextvars import ContextVar
 
 import trio
 
@@ -25,6 +26,7 @@
     RefusedError,
     send_unavailable,
 )
+from wasabistage.topology import AddressQuery, AddressRequested, EntrySelector
 
 MAX_ADDRESS_LIFETIME_SECONDS = 2.0  # bounds how long callers try a lost entry
 MIN_NEAR_ADDRESSES = 8  # entries that share the callers of a failure domain
@@ -38,6 +40,8 @@
 #: Time for the final response of a request that times out while the process stops.
 STOP_MARGIN_SECONDS = 0.2
 REFUSAL_SECONDS = 1.0  # for writing a response without a body
+#: IP of the caller whose channel the current task serves.
+CALLER_IP = ContextVar("CALLER_IP", default="")
 
 
 class CallerHandler:
@@ -271,6 +275,20 @@
     :param state: an :class:`EdgeState`.
     """
 
+    def __init__(self, state):
+        super().__init__(state)
+        self.selector = EntrySelector(
+            min_near=MIN_NEAR_ADDRESSES, limit=MAX_ADDRESSES
+        ).reset()
+
+    async def serve(self, group, sock):
+        """See :meth:`RequestHandler.serve`."""
+        try:
+            CALLER_IP.set(sock.getpeername()[0])
+        except OSError:
+            return  # the caller has closed the channel already
+        await super().serve(group, sock)
+
     def answer(self, request):
         """See :meth:`RequestHandler.answer`."""
         platform = self.state.platform
@@ -280,7 +298,9 @@
         if address_request is None:
             return Answer(status=404)
         host, region, failure_domain = address_request
-        addresses = self.get_addresses(failure_domain, region, host)
+        caller, now = CALLER_IP.get(), self.state.timer.now()
+        self._record_caller(caller, now)
+        addresses = self.get_addresses(failure_domain, region, host, caller, now)
         if not addresses:
             return Answer(status=503)
         lifetime = min(
@@ -292,7 +312,19 @@
             body=platform.encode_addresses(addresses, lifetime),
         )
 
-    def get_addresses(self, failure_domain="", region="", host=""):
+    def _record_caller(self, caller, now):
+        """Record who requests addresses, and whether each caller gets its own."""
+        was_weighted = self.selector.is_weighted_
+        self.selector.observe(AddressRequested(caller=caller), now)
+        if self.selector.is_weighted_ != was_weighted:
+            self.state.log.write(
+                "address_weighting",
+                on=self.selector.is_weighted_,
+                callers=len(self.selector.callers_),
+            )
+        self.state.metrics.gauge("directory.callers", len(self.selector.callers_))
+
+    def get_addresses(self, failure_domain="", region="", host="", caller="", now=0.0):
         """Return the ``IP:PORT`` of ready entries, in random order.
 
         If the failure domain of the caller has enough of them, only those are
@@ -302,17 +334,22 @@
         :param failure_domain: failure domain of the caller, or ``""``.
         :param region: region of the caller, or ``""``.
         :param host: host that it wants to call, or ``""``.
+        :param caller: IP of the caller, or ``""``.
+        :param now: monotonic time, in seconds.
         """
         state = self.state
-        ready = [item for item in state.view.get_members().values() if item.is_ready]
+        members = tuple(state.view.get_members().values())
+        ready = [item for item in members if item.is_ready]
         near = [item for item in ready if item.failure_domain == failure_domain]
-        if len(near) >= MIN_NEAR_ADDRESSES:
-            ready = near
-        elif state.settings.regions:
+        if len(near) < MIN_NEAR_ADDRESSES and state.settings.regions:
             return self._get_addresses_by_region(ready, failure_domain, region, host)
-        addresses = [item.callers for item in ready if item.callers]
-        state.random.shuffle(addresses)
-        return addresses[:MAX_ADDRESSES]
+        query = AddressQuery(
+            members=members,
+            failure_domain=failure_domain,
+            caller=caller,
+            draws=tuple(state.random.random() for _ in members),
+        )
+        return [item.callers for item in self.selector.decide(query, now)]
 
     def _get_addresses_by_region(self, ready, failure_domain, region, host):
         """Return the addresses of the nearest regions that have enough entries."""
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -15,6 +15,8 @@
 from wasabistage.edge._engine_wait import EngineWait
 from wasabistage.edge._exchange import Attempt, ServerWait
 from wasabistage.edge._messages import Dispatch
+from wasabistage.edge._returns import CallerReturns
+from wasabistage.edge._slow_writes import SlowWrites
 from wasabistage.fleet import RouteKind
 from wasabistage.http1 import (
     ByteBudget,
@@ -38,6 +40,8 @@
     PaceQuery,
     PaceReported,
     RequestArrived,
+    RequestBytesReleased,
+    RequestBytesSent,
     RequestDropped,
     RequestEnded,
     RequestOver,
@@ -75,6 +79,8 @@
         self.attempt_count = 0
         self.body_budget = ByteBudget(MAX_HELD_BYTES)
         self.engine_wait = EngineWait(state)
+        self.returns = CallerReturns(state)
+        self.slow_writes = SlowWrites(state)
 
     async def run(self, exchange):
         """Forward one request until it is answered, with retries.
@@ -89,6 +95,7 @@
             if not choice:
                 await self._send_final_answer(exchange, str(choice.reason))
                 return
+            self.returns.record_choice(choice)
             attempt = await self._run_attempt(exchange, choice)
             self._log_attempt(exchange, attempt)
             if attempt.failure is None:
@@ -150,7 +157,7 @@
             await self._send_refusal(exchange, 502, None)
             outcome = "failed"
         else:
-            retry_after = self._get_retry_after(exchange, last)
+            retry_after = self._get_retry_after(exchange, last, reason)
             await self._send_refusal(exchange, 503, retry_after)
             outcome = "refused"
         state.metrics.count("request.failed", label=outcome.partition(" ")[0])
@@ -163,7 +170,7 @@
             time_left=round(exchange.get_time_left(state.timer.now()), 3),
         )
 
-    def _get_retry_after(self, exchange, last):
+    def _get_retry_after(self, exchange, last, reason):
         """Return the seconds after which to retry a request that was not run."""
         if exchange.rest_seconds > 0.0:
             return exchange.rest_seconds
@@ -172,6 +179,8 @@
             return quarantine_seconds
         if last is not None and last.retry_after is not None:
             return last.retry_after
+        if self.returns.is_out_of_room(exchange, reason):
+            return self.returns.get_seconds(exchange)
         if exchange.gate_waits:
             # Requests that wait now are answered or have timed out by then.
             return max(NOT_RUN_RETRY_SECONDS, exchange.route.objective)
@@ -256,6 +265,9 @@
         state.silence.observe(
             RequestSent(server=server, request=attempt.attempt_id), now
         )
+        size = exchange.request.size
+        event = RequestBytesSent(request=attempt.attempt_id, server=server, size=size)
+        state.request_bytes.observe(event, now)
         if plan is None:
             event = Dispatched(request=attempt.attempt_id, server=server, tokens=0)
             state.plain_router.observe(event, now)
@@ -284,6 +296,8 @@
         state.silence.observe(
             RequestEnded(server=server, request=attempt.attempt_id), now
         )
+        released = RequestBytesReleased(request=attempt.attempt_id)
+        state.request_bytes.observe(released, now)
         ended = DispatchEnded(request=attempt.attempt_id)
         if attempt.choice.plan is None:
             state.plain_router.observe(ended, now)
@@ -506,7 +520,8 @@
                 "the response to a resumed stream is not an event stream"
             )
         headers = self.state.platform.encode_response_headers(head)
-        await exchange.channel.respond(head.status, headers, body, head.reason)
+        with self.slow_writes.watch(attempt, has_unread=False):
+            await exchange.channel.respond(head.status, headers, body, head.reason)
         attempt.is_answer_whole = 200 <= head.status < 300 and bool(body)
         self._record_answered(exchange, attempt)
         return head.fields
@@ -569,7 +584,7 @@
                     is_first = False
                 self.state.crash_watch.record_bytes(attempt, has_events=bool(events))
                 if events:
-                    with exchange.write():
+                    with exchange.write(), self.slow_writes.watch(attempt):
                         await caller.send_piece(events)
         except EventTooLongError as error:
             splitter.discard_incomplete()
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -14,6 +14,7 @@
 from wasabistage.edge._callers import CallerHandler, DirectoryHandler
 from wasabistage.edge._cold_servers import count_cold_servers
 from wasabistage.edge._crash_watch import CrashWatch
+from wasabistage.edge._explain import Explainer
 from wasabistage.edge._facts import SHARED_TOPICS, FactExchange
 from wasabistage.edge._fleet_view import FleetView
 from wasabistage.edge._forward import Forwarder
@@ -69,13 +70,20 @@
 
 
 class MetricsHandler(RequestHandler):
-    """Answers every request with the metrics as text.
+    """Answers every request with the metrics as text, or with an explanation.
 
     :param state: an :class:`EdgeState`.
+    :param explainer: an :class:`Explainer`.
     """
 
+    def __init__(self, state, explainer):
+        super().__init__(state)
+        self.explainer = explainer
+
     def answer(self, request):
         """See :meth:`RequestHandler.answer`."""
+        if self.explainer.accepts(request):
+            return self.explainer.answer(request)
         return Answer(
             status=200,
             headers=((b"Content-Type", b"text/plain"),),
@@ -147,11 +155,12 @@
         await state.reports.open()
         await self._listen(nursery, addresses.callers, self.callers.serve, True)
         metrics_address = f"{self.settings.instance.ip}:{addresses.metrics_port}"
+        explainer = Explainer(state, self.directory.selector)
         listeners = [
             (addresses.readiness, READINESS, self.directory),
             (addresses.directory, DIRECTORY, self.directory),
             (addresses.peers, PEERS, SnapshotHandler(state)),
-            (metrics_address, METRICS, MetricsHandler(state)),
+            (metrics_address, METRICS, MetricsHandler(state, explainer)),
         ]
         if addresses.readiness == addresses.directory:
             listeners.pop(0)
@@ -216,6 +225,7 @@
             ip=instance.ip,
             failure_domain=instance.failure_domain,
             weight=instance.weight,
+            capacity=instance.capacity,
         )
         value = msgspec.json.encode(entry)
         while True:
@@ -254,6 +264,7 @@
 
     async def _cancel_silent_attempts(self, tick):
         now = trio.current_time()
+        self.callers.forwarder.slow_writes.tick()
         for server in self.state.silence.tick(self.state.timer.now()):
             waits = self.state.repeatable_waits.get(server, ())
             moved = [wait for wait in waits if wait.is_too_long(now)]
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from wasabistage.exceptions import SettingError
+from wasabistage.topology import compute_capacity
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_PORT_DIGITS = 5  # of 65535
@@ -26,6 +27,13 @@
     ip: str
     #: Bandwidth of its link. Entries with fast links carry the facts of others.
     link_mbps: float = 1000.0
+    #: Processor cores of its machine. Callers are directed to the entries in proportion
+    #: to their capacity if all of them have this key.
+    cores: float | None = None
+    #: Fraction of the cores that this process may use.
+    cpu_share: float = 1.0
+    #: File descriptors that this process may have open.
+    max_fds: int | None = None
     #: The whole fleet starts for the first time. A restarted process doesn't know what
     #: it has spent of the budgets that all entries share.
     first_start: bool = False
@@ -39,6 +47,14 @@
         """
         return self.link_mbps**2
 
+    @property
+    def capacity(self):
+        """Capacity to serve callers, relative to other entries; 0 if it is unknown."""
+        if self.cores is None:
+            return 0.0
+        cores = self.cores * self.cpu_share
+        return compute_capacity(cores, self.link_mbps, self.max_fds)
+
 
 class ListenSection(msgspec.Struct):
     """Addresses that this process listens on.
@@ -100,6 +116,10 @@
     #: not limited.
     cold_excess: float | None = None
     cold_slack: float | None = None
+    #: Time after which a caller of a stream that reads nothing is ended; read at start.
+    slow_reader_s: float | None = None
+    #: Megabytes of requests that one server may hold from all entries; read at start.
+    server_request_mb: float | None = None
 
 
 class EnginesSection(msgspec.Struct):
@@ -112,6 +132,9 @@
     prefill_rate: float = 85000.0
     #: Number of engines that may load weights at the same time.
     loads_at_once: int = 2
+    #: Whether callers that were refused for lack of room are told to return one after
+    #: another.
+    spread_returns: bool = False
 
 
 class LimitsSection(msgspec.Struct):
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -316,7 +316,7 @@
 
 
 def check_entry(entry):
-    """Check the address and the weight of an entry.
+    """Check the address, the weight and the capacity of an entry.
 
     :param entry: a :class:`PeerEntry`.
     :raises UnreadableError: if one of them can't be used.
@@ -327,6 +327,8 @@
         raise UnreadableError(str(error)) from error
     if not 0.0 < entry.weight < math.inf:
         raise UnreadableError(f"the weight is {entry.weight}, not above 0 and finite")
+    if not 0.0 <= entry.capacity < math.inf:
+        raise UnreadableError(f"the capacity is {entry.capacity}, not finite")
 
 
 class OrderRecord(msgspec.Struct):
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -109,6 +109,12 @@
             "PeerMemoryReserved",
             "order_stores",
         ),
+        "_request_bytes": (
+            "RequestBytesLimiter",
+            "RequestBytesQuery",
+            "RequestBytesReleased",
+            "RequestBytesSent",
+        ),
         "_rest": (
             "RestPolicy",
             "RestQuery",
@@ -132,6 +138,13 @@
             "RequestEnded",
             "RequestSent",
         ),
+        "_slow_writes": (
+            "EndCaller",
+            "PauseSilence",
+            "SlowWritePolicy",
+            "WriteBegun",
+            "WriteEnded",
+        ),
         "_probabilistic_admission": (
             "ProbabilisticAdmission",
             "RoomQuery",
