Let slow readers of large responses not fail the responses of others

Cause: the budget of 16 MB for responses was held until the caller had taken the response. Beside 60 clients that do not read responses of 1 MB, 523 of 600 attempts failed with "bodies of responses take over bytes together". Each counted as a failure of its server and took from the shared retry budget.

Change: the budget is released once the response is complete; from then on the account of the process holds it, where unread responses are dropped first and large ones take at most three quarters. The first 64 KiB of each body do not count in the budget. Lack of memory here is NoRoomError: it is no failure of the server and is not retried, since no other server would help.

--- a/wasabistage/clients/_holdings.py
+++ b/wasabistage/clients/_holdings.py
@@ -247,7 +247,7 @@
         excess = self.held_ + query.size - self.limit
         size = asker.size + query.size
         large_excess = 0
-        if asker.stage is Stage.RECEIVING and size > self.small_bytes:
+        if size > self.small_bytes:
             known = asker.size if asker.size > self.small_bytes else 0
             large_after = self.large_ - known + size
             large_excess = int(large_after - self.large_share * self.limit)
@@ -262,7 +262,7 @@
             only_large = freed >= excess
             if freed >= wanted or holder == query.holder:
                 break
-            if only_large and order is not DropOrder.LARGE_UNFINISHED:
+            if only_large and order > DropOrder.UNREAD:
                 break
             freed += holding.size
             dropped.append(holder)
--- a/wasabistage/clients/tests/test_holdings.py
+++ b/wasabistage/clients/tests/test_holdings.py
@@ -162,15 +162,25 @@
         world = World(make_policy())
         for number in range(100):
             world.change(f"idle-{number}", CALLERS, 24 * KIB, Stage.IDLE)
-        for number in range(36):
+        for number in range(29):
             world.change(f"slow-{number}", CALLERS, 1024 * KIB, Stage.WRITING)
         world.now = 5.0
         self.assertTrue(world.receive("call", CALLERS, 72 * KIB))
-        for number in range(20):
+        for number in range(130):
             world.change(f"run-{number}", CALLERS, 72 * KIB, Stage.RUNNING)
         idle = [holder for holder in world.open if holder.startswith("idle")]
         self.assertEqual(len(idle), 100)
 
+    # Guards against callers that get no responses while others do not read theirs.
+    def test_unread_responses_leave_room_for_small_and_later_large_ones(self):
+        world = World(make_policy())
+        for number in range(60):
+            world.change(f"slow-{number}", ATTACKER, 1024 * KIB, Stage.WRITING)
+        self.assertLessEqual(world.highest, 0.75 * LIMIT)
+        self.assertTrue(world.change("small", CALLERS, 72 * KIB, Stage.RUNNING))
+        world.now = 5.0
+        self.assertTrue(world.change("large", CALLERS, 1024 * KIB, Stage.RUNNING))
+
 
 class CountTest(unittest.TestCase):
     def test_unfinished_requests_are_bounded_by_those_of_the_busiest_client(self):
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -27,6 +27,7 @@
         forwarded to its end.
     :param is_withdrawn: whether it was cancelled since its prompt would have crashed
         the server.
+    :param is_unheld: whether this process had no memory for the response.
     :param is_version_mismatch: whether the server runs another weight version than
         was expected.
     :param is_server_replaced: whether another server now has the address.
@@ -43,6 +44,7 @@
     first_event_seconds: float | None = None
     is_answer_whole: bool = False
     is_withdrawn: bool = False
+    is_unheld: bool = False
     is_version_mismatch: bool = False
     is_server_replaced: bool = False
 
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -14,6 +14,7 @@
     ChannelClosedError,
     ChannelError,
     ChannelPool,
+    NoRoomError,
     NotSentError,
 )
 from wasabistage.retries import Failure, FirstAttemptSent, RetryQuery
@@ -40,6 +41,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_HELD_BODY_BYTES = 1 << 20  # plain responses are buffered until complete
 MAX_HELD_BYTES = 16 << 20  # of all plain responses that are being received
+SMALL_RESPONSE_BYTES = 65536  # that are received although large ones are held
 MAX_POOLS = 4096  # twice the servers of the largest deployment
 MAX_SHORT_BODY_BYTES = 16384  # fits into the send window of a new channel
 FETCH_TIMEOUT_SECONDS = 2.5  # an engine starts no transfer after a wait of 2 s
@@ -57,7 +59,7 @@
     def __init__(self, state):
         self.state = state
         self.attempt_count = 0
-        self.body_budget = ByteBudget(MAX_HELD_BYTES)
+        self.body_budget = ByteBudget(MAX_HELD_BYTES, SMALL_RESPONSE_BYTES)
         self.engine_wait = EngineWait(state)
 
     async def run(self, exchange):
@@ -77,6 +79,9 @@
             self._log_attempt(exchange, attempt)
             if attempt.failure is None:
                 return
+            if attempt.is_unheld:  # no other server would help
+                await self._send_final_answer(exchange, attempt.reason)
+                return
             if not attempt.is_version_mismatch:
                 excluded.add(choice.record.server)
             retry = self._decide_retry(exchange, attempt)
@@ -191,6 +196,7 @@
         except ChannelError as caught:
             error = caught
             attempt.failure, attempt.reason = Failure.LOST, str(caught)
+            attempt.is_unheld = isinstance(caught, NoRoomError)
             exchange.may_have_run = True
             exchange.splitter.discard_incomplete()
         finally:
@@ -254,7 +260,9 @@
             state.part_router.observe(ended, now)
             state.part_router.observe(MemoryReleased(request=attempt.attempt_id), now)
         is_server_failure = attempt.failure in (Failure.NOT_SENT, Failure.LOST)
-        is_server_failure = is_server_failure and not attempt.is_withdrawn
+        is_server_failure = is_server_failure and not (
+            attempt.is_withdrawn or attempt.is_unheld
+        )
         event = CallEnded(
             server=server, ok=not is_server_failure, seconds=now - begun_at
         )
@@ -413,6 +421,8 @@
             return await self._forward_stream(exchange, attempt, channel, head)
         with self.body_budget.hold(exchange.channel.hold_response) as hold:
             body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
+            # Callers that read slowly must not use up the budget of those to come.
+            hold.finish()
             if metadata.promises_not_run:
                 self._record_false_promise(attempt, head)
                 return head.fields
--- a/wasabistage/http1/__init__.py
+++ b/wasabistage/http1/__init__.py
@@ -5,7 +5,7 @@
 whether a channel may be used again.
 """
 
-from wasabistage.http1._budget import ByteBudget
+from wasabistage.http1._budget import ByteBudget, NoRoomError
 from wasabistage.http1._channel import (
     Channel,
     ChannelClosedError,
@@ -41,6 +41,7 @@
     "ChannelsFullError",
     "HttpClient",
     "Intake",
+    "NoRoomError",
     "NotSentError",
     "RefusedError",
     "Reply",
--- a/wasabistage/http1/_budget.py
+++ b/wasabistage/http1/_budget.py
@@ -5,14 +5,21 @@
 from wasabistage.http1._channel import ChannelError
 
 
+class NoRoomError(ChannelError):
+    """This process has no memory for the body. The server did not fail."""
+
+
 class ByteBudget:
     """Number of bytes that all bodies which are read at the same time may have.
 
     :param limit: largest sum, in bytes.
+    :param free_bytes: first bytes of each body that do not count, so that small bodies
+        are read while large ones use up the budget.
     """
 
-    def __init__(self, limit):
+    def __init__(self, limit, free_bytes=0):
         self.limit = limit
+        self.free_bytes = free_bytes
         self.held = 0
 
     @contextmanager
@@ -26,7 +33,7 @@
         try:
             yield hold
         finally:
-            self.held -= hold.size
+            hold.finish()
             if account is not None:
                 account(-hold.size)
 
@@ -42,18 +49,27 @@
         self.budget = budget
         self.account = account
         self.size = 0
+        self.counted = 0
+
+    def finish(self):
+        """Release the bytes of a complete body; the account still holds them."""
+        self.budget.held -= self.counted
+        self.counted = 0
 
     def add(self, size):
         """Add bytes of the body.
 
         :param size: number of bytes.
-        :raises ChannelError: if the budget has no room for them.
+        :raises NoRoomError: if the budget or the account has no room for them.
         """
-        if self.budget.held + size > self.budget.limit:
-            raise ChannelError(
+        counted = max(0, self.size + size - self.budget.free_bytes)
+        growth = counted - self.counted
+        if growth and self.budget.held + growth > self.budget.limit:
+            raise NoRoomError(
                 f"bodies of responses take over {self.budget.limit} bytes together"
             )
         if self.account is not None and not self.account(size):
-            raise ChannelError("there is no memory for the body of the response")
-        self.budget.held += size
+            raise NoRoomError("there is no memory for the body of the response")
+        self.budget.held += growth
+        self.counted = counted
         self.size += size
--- a/wasabistage/http1/tests/test_endless.py
+++ b/wasabistage/http1/tests/test_endless.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from wasabistage.http1 import ByteBudget, ChannelError, open_channel
+from wasabistage.http1 import ByteBudget, ChannelError, NoRoomError, open_channel
 from wasabistage.http1._channel import MAX_SKIPPED_BYTES, READ_BYTES
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -110,6 +110,21 @@
         self.play(self.read_from, server, skip)
         self.assertLess(server.sent, MAX_SENT_BYTES)
 
+    # Guards against small responses that fail while large ones use up the budget.
+    def test_small_body_is_read_while_the_budget_is_used_up(self):
+        budget = ByteBudget(1000, free_bytes=100)
+        with budget.hold() as large, budget.hold() as small:
+            large.add(1100)
+            with self.assertRaises(NoRoomError):
+                large.add(1)
+            small.add(100)
+            with self.assertRaises(NoRoomError):
+                small.add(1)
+            large.finish()
+            small.add(1)
+            self.assertEqual(budget.held, 1)
+        self.assertEqual(budget.held, 0)
+
     def test_many_bodies_share_a_budget(self):
         async def test():
             budget = ByteBudget(2 * MAX_BODY_BYTES)
