--- a/wasabistage/edge/tests/test_settings.py
+++ b/wasabistage/edge/tests/test_settings.py
@@ -37,6 +37,14 @@
         settings = self.load(VALID_SETTINGS)
         self.assertEqual(settings.listen.gossip_port, 7260)
         self.assertEqual(settings.bounds.stop_s, 8.0)
+        # Files without the section are those of machines set up before it existed.
+        self.assertEqual(settings.limits.max_fds, 4096)
+
+    def test_limits_of_the_machine_are_read(self):
+        text = VALID_SETTINGS + "[limits]\nmemory_mb = 552\nmax_fds =\n"
+        settings = self.load(text)
+        self.assertEqual(settings.limits.memory_mb, 552.0)
+        self.assertEqual(settings.limits.max_fds, 4096)
 
     def test_each_invalid_file_raises_error_with_one_line_message(self):
         cases = {
@@ -48,6 +56,7 @@
             VALID_SETTINGS.replace("ip = 127.0.0.1\n", ""): "ip",
             VALID_SETTINGS.replace("127.0.0.1:8587", "nowhere"): "IP:PORT",
             VALID_SETTINGS.replace("stop_s =", "stop_s = -1"): "stop_s above 0",
+            VALID_SETTINGS + "[limits]\nmemory_mb = 0": "memory_mb above 0",
             "no section": "can't be read",
         }
         for text, expected in cases.items():
--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -1,5 +1,6 @@
 """Channels that callers open: requests read one by one, responses written."""
 
+import re
 import socket
 from contextlib import suppress
 from dataclasses import dataclass
@@ -49,6 +50,7 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.2f\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n" % DROPPED_RETRY_SECONDS
 )
+HEAD_END = re.compile(rb"\n\r?\n")
 #: Causes of refusals by status; the others are ``malformed``.
 PROTOCOL_CAUSES = {413: "large", 431: "headers"}
 
@@ -123,9 +125,7 @@
         self.timer = timer
         self.limits = limits
         self.intake = intake or create_unbounded_intake(timer, group)
-        self.connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self.connection = create_parser(limits)
         self.pending = b""
         self.started = False
         self.idle = True
@@ -410,6 +410,9 @@
 
     async def _take_turn(self, turns):
         begun_at = trio.current_time()
+        if self.channel.holder.stage is not Stage.RECEIVING:
+            # What has been read stays while others have their turns.
+            self.channel.hold_request(READ_BYTES, Stage.RECEIVING)
         await turns.take()
         self.waited += trio.current_time() - begun_at
 
@@ -418,30 +421,40 @@
         if channel.pipelined > MAX_PIPELINED:
             await self._take_turn(self.intake.costly_turns)
         channel.pipelined += 1
-        data, pending, channel.pending = self.ahead, channel.pending, b""
-        self.ahead = b""
-        if pending:
-            self.connection.receive_data(pending)
+        data, self.ahead = self.ahead, b""
+        unfed, channel.pending = channel.pending, b""
+        is_in_parser = len(unfed) < len(data)
+        if is_in_parser and data.count(b"\n") > COSTLY_HEAD_LINES:
+            # Between two requests, a parser has no other state than these bytes.
+            self.connection = channel.connection = create_parser(self.limits)
+            unfed = data
         while True:
-            await self._check_head(data)
+            head_size = await self._check_head(data)
+            if head_size is not None and unfed:
+                self.unparsed, self.is_dense = memoryview(unfed)[head_size:], True
+                unfed = unfed[:head_size]
+            if unfed:
+                self.connection.receive_data(unfed)
             event = self.connection.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._receive(self.received)
-            self.connection.receive_data(data)
+            data = unfed = await self._receive(self.received)
 
     async def _check_head(self, data):
         """Bound the lines of a head before they are parsed.
 
         :param data: bytes that have been received.
+        :return: number of these bytes that belong to the head, if its end and many
+            lines are in them, or ``None``.
         """
-        lines = data.count(b"\n")
+        lines, head_size = data.count(b"\n"), None
         if self.head_lines + lines > COSTLY_HEAD_LINES:
             # The lines of what follows the head do not count.
-            data = self.head_end + data
-            ends = (data.find(b"\n\r\n"), data.find(b"\n\n"))
-            end = min((item for item in ends if item >= 0), default=len(data))
-            lines = data.count(b"\n", 0, end)
+            joined = self.head_end + data
+            match = HEAD_END.search(joined)
+            if match is not None:
+                head_size = match.end() - len(self.head_end)
+                lines = data.count(b"\n", 0, head_size)
         self.head_lines += lines
         self.head_end = data[-3:]
         if self.head_lines > MAX_HEAD_LINES:
@@ -449,6 +462,7 @@
             raise RefusedError(431, "headers", message)
         if self.head_lines > COSTLY_HEAD_LINES:
             await self._take_turn(self.intake.costly_turns)
+        return head_size
 
     async def _read_body(self, head, scope):
         limits, connection = self.limits, self.connection
@@ -458,6 +472,7 @@
         if connection.they_are_waiting_for_100_continue:
             await self._continue(length)
         self.body = BodyBuffer(length or 0, limits.body_bytes)
+        self.is_dense = self.is_dense and length is None
         begun_at, wire_before = trio.current_time(), self.received
         latest = begun_at + limits.header_timeout_seconds + limits.idle_timeout_seconds
         while True:
@@ -558,6 +573,14 @@
         return RefusedError(413, "large", message)
 
 
+def create_parser(limits):
+    """Return the :class:`h11.Connection` of a channel.
+
+    :param limits: see :class:`CallerChannel`.
+    """
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+
 def build_memory_refusal():
     """Return the refusal of a request for which there is no memory."""
     message = "the memory for requests is used up"
