Edge: cheaper checks of warmth; tests of the new decoders

The check of a candidate needs no query object, the names of the entries are one object until they change, and the ranks that are kept have a bound.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -4,11 +4,7 @@
 from dataclasses import dataclass, replace
 
 from wasabistage.cache import part_cache_key
-from wasabistage.edge._cold_servers import (
-    get_cold_limit,
-    get_warm_weight,
-    select_allowed,
-)
+from wasabistage.edge._cold_servers import get_cold_limit, select_allowed
 from wasabistage.edge._regions import get_home_regions, is_allowed
 from wasabistage.fleet import RouteKind, ServerRecord
 from wasabistage.routing import (
@@ -200,12 +196,9 @@
         return NO_SERVER.with_reason(describe_no_server(home_regions))
     service_config = state.routes.configuration.services.get(service)
     limit = get_cold_limit(state, service_config)
-    records = select_allowed(state, records, limit, now)
+    records = select_allowed(state, records, limit, weights, now)
     if not records:
         return records
-    if limit is not None:
-        for record in records:
-            weights[record.server] *= get_warm_weight(state, record.server, limit, now)
     if (
         request.prompt is not None
         and service_config is not None
--- a/wasabistage/edge/_cold_servers.py
+++ b/wasabistage/edge/_cold_servers.py
@@ -97,18 +97,6 @@
     return state.warmth.decide(query, now)
 
 
-def get_warm_weight(state, server, limit, now):
-    """Return the fraction of its share of work that a server takes.
-
-    :param state: an :class:`EdgeState`.
-    :param server: id of the server.
-    :param limit: its :class:`ColdLimit`.
-    :param now: monotonic time, in seconds.
-    """
-    query = WarmthQuery(server=server, cold_seconds=limit.cold_seconds)
-    return state.warmth.get_weight(query, now)
-
-
 def get_allowance(state, server, limit, now):
     """Return the :class:`wasabistage.routing.Allowance` of a cold server.
 
@@ -122,28 +110,34 @@
     return state.cold_allowance.decide(query, now)
 
 
-def select_allowed(state, records, limit, now):
+def select_allowed(state, records, limit, weights, now):
     """Return the servers that are warm or may get a request of this entry.
 
     :param state: an :class:`EdgeState`.
     :param records: list of :class:`wasabistage.fleet.ServerRecord`.
     :param limit: the :class:`ColdLimit` of their service, or ``None``.
+    :param weights: dict of server to its weight, which is lowered for those that became
+        warm a moment ago.
     :param now: monotonic time, in seconds.
     :return: a list, or an :class:`AllCold` if it would be empty.
     """
     if limit is None:
         return records
-    allowed, seconds, share = [], math.inf, 0
+    warmth, allowed, seconds, share = state.warmth, [], math.inf, 0
     for record in records:
-        cold_left = get_cold_left(state, record.server, limit, now)
-        if cold_left <= 0.0:
+        server = record.server
+        # Called for each candidate of each request, so without a query.
+        end = warmth.get_end(server, limit.cold_seconds)
+        if end <= now:
             allowed.append(record)
+            if now - end < warmth.ramp:
+                weights[server] *= warmth.get_weight(end, now)
             continue
-        allowance = get_allowance(state, record.server, limit, now)
+        allowance = get_allowance(state, server, limit, now)
         if allowance:
             allowed.append(record)
         share += allowance.share
-        seconds = min(seconds, cold_left, allowance.seconds)
+        seconds = min(seconds, end - now, allowance.seconds)
     if allowed or not records:
         return allowed
     rate = share / state.cold_allowance.window
--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -43,6 +43,7 @@
 #: to cold servers. Each other entry that does so has read the entries within this time,
 #: so it knows the record. A report takes some seconds to confirm a topic.
 COLD_HOLD_BACK_SECONDS = 10.0
+MAX_COLD_RANKS = 4096  # twice the servers of the largest deployment
 #: Time for which a silent entry keeps its share of the requests to cold servers.
 #: Regions lose each other for an hour now and then, and their entries run on.
 COLD_SHARER_HOLD_SECONDS = 7200.0
@@ -178,7 +179,8 @@
         own = self.state.settings.instance.name
         if not self._may_send_to_cold_servers() or own not in names:
             return None, len(names)
-        if names is not self.ranked_names:
+        is_full = len(self.cold_ranks) >= MAX_COLD_RANKS
+        if names is not self.ranked_names or is_full:
             self.ranked_names, self.cold_ranks = names, {}
         rank = self.cold_ranks.get(server)
         if rank is None:
--- a/wasabistage/platform/tests/test_records.py
+++ b/wasabistage/platform/tests/test_records.py
@@ -1,4 +1,5 @@
 import json
+import math
 import unittest
 
 from hypothesis import given, settings
@@ -7,6 +8,7 @@
 from wasabistage.fleet import RouteKind, StoredRecord, StoreError
 from wasabistage.platform._records import (
     decode_configuration,
+    decode_evacuation,
     decode_named_version,
     decode_server,
 )
@@ -67,6 +69,16 @@
     "models": [{"name": "daka", "version": 3}],
 }
 
+ROUTES = CONFIGURATION["routes"]
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
 
 def record(key, value):
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -94,6 +106,29 @@
         self.assertTrue(made.accounts["t"].is_dedicated)
         self.assertEqual(made.limits.idle_timeout_seconds, 15.0)
 
+    def test_limits_of_cold_servers_are_optional(self):
+        def decode(**fields):
+            services = [{"name": "y", **fields}]
+            data = json.dumps({**CONFIGURATION, "services": services}).encode()
+            service = decode_configuration(data).services["y"]
+            return service.cold_seconds, service.cold_rate
+
+        self.assertEqual(decode(), (None, None))
+        self.assertEqual(decode(coldS=20, coldPerS=17.5), (20.0, 17.5))
+        for value in (0, -3, "17", None, [1], True):
+            self.assertEqual(decode(coldS=value, coldPerS=value), (None, None))
+
+    def test_home_regions_of_routes_and_accounts(self):
+        routes = [{**row, "allowedRegions": ["eu", "us"]} for row in ROUTES]
+        tenants = [{"name": "t", "allowedRegions": ["eu"]}, {"name": "u"}]
+        data = json.dumps({**CONFIGURATION, "routes": routes, "tenants": tenants})
+        made = decode_configuration(data.encode())
+        self.assertEqual(made.routes[0].allowed_regions, {"eu", "us"})
+        self.assertEqual(made.accounts["t"].allowed_regions, {"eu"})
+        self.assertEqual(made.accounts["u"].allowed_regions, frozenset())
+        plain = decode_configuration(json.dumps(CONFIGURATION).encode())
+        self.assertEqual(plain.routes[0].allowed_regions, frozenset())
+
     # Guards against keys that go on working once the last tenant is gone (issue 30,
     # A 4).
     def test_empty_list_of_tenants_is_not_a_missing_one(self):
@@ -118,6 +153,14 @@
             decode_server(StoredRecord(offset=0, key="i", value=value))
 
 
+class DecodeEvacuationTest(unittest.TestCase):
+    def test_key_names_the_failure_domain(self):
+        self.assertEqual(decode_evacuation("evacuate/z-1"), "z-1")
+        self.assertEqual(decode_evacuation("evacuate/a/b"), "a/b")
+        for key in ("evacuate", "version/evacuate/z", "config", ""):
+            self.assertIsNone(decode_evacuation(key))
+
+
 class DecodeServerTest(unittest.TestCase):
     def test_fields_hold_what_they_say(self):
         made = decode_server(record("i-1", SERVER))
@@ -127,6 +170,45 @@
         leaving = decode_server(record("i-1", {**SERVER, "state": "draining"}))
         self.assertTrue(leaving.is_leaving)
 
+    # Guards against a record that is passed over for its cold time: its server may have
+    # started again.
+    def test_cold_time_may_be_anything(self):
+        def decode(value):
+            data = json.dumps({**SERVER, "coldLeftMs": value}).encode()
+            return decode_server(record("i-1", data)).cold_left
+
+        self.assertIsNone(decode_server(record("i-1", SERVER)).cold_left)
+        for value, expected in (
+            (0, 0.0),
+            (2500, 2.5),
+            (float("inf"), float("inf")),
+            (10**400, float("inf")),
+        ):
+            self.assertEqual(decode(value), expected)
+        for value in (
+            -1,
+            -(10**400),
+            float("-inf"),
+            float("nan"),
+            "soon",
+            True,
+            [],
+            {},
+        ):
+            self.assertIsNone(decode(value))
+        data = json.dumps({**SERVER, "coldLeftMs": 1}).replace(": 1}", ": 1e999}")
+        self.assertEqual(
+            decode_server(record("i-1", data.encode())).cold_left, math.inf
+        )
+
+    @given(JSON_VALUES)
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    def test_any_cold_time_yields_a_time_or_none(self, value):
+        data = json.dumps({**SERVER, "coldLeftMs": value}).encode()
+        made = decode_server(record("i-1", data))
+        self.assertEqual(made.incarnation, 1700)
+        self.assertTrue(made.cold_left is None or made.cold_left >= 0.0)
+
     def test_entries_of_other_writers_name_no_server(self):
         for change in (
             {"state": "unheard"},
--- a/wasabistage/platform/tests/test_requests.py
+++ b/wasabistage/platform/tests/test_requests.py
@@ -1,5 +1,8 @@
 import unittest
 
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
 from wasabistage.edge import BadRequestError, Dispatch
 from wasabistage.http1 import Request, ResponseHead
 from wasabistage.platform._requests import (
@@ -158,6 +161,22 @@
         self.assertEqual(facts.weight_version, 4)
         self.assertIsNone(decode_response(head(200, Wasabistage_Server_Load=b"x")).load)
 
+    @given(st.binary(max_size=12))
+    @example(b"inf")
+    @example(b"1e999")
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    def test_any_cold_time_yields_a_time_or_none(self, value):
+        fields = {b"wasabistage-cold-ms": value}
+        head = ResponseHead(status=200, reason=b"", headers=[], fields=fields)
+        cold_left = decode_response(head).cold_left
+        self.assertTrue(cold_left is None or cold_left >= 0.0)
+
+    def test_cold_time_is_in_milliseconds(self):
+        for value, expected in ((b"1500", 1.5), (b"0", 0.0), (b"-1", None)):
+            fields = {b"wasabistage-cold-ms": value}
+            head = ResponseHead(status=200, reason=b"", headers=[], fields=fields)
+            self.assertEqual(decode_response(head).cold_left, expected)
+
     def test_duration_of_work_is_optional(self):
         load = decode_response(head(200, Wasabistage_Server_Load=b"3,1,8, 250")).load
         self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 8))
--- a/wasabistage/routing/_warmth.py
+++ b/wasabistage/routing/_warmth.py
@@ -183,30 +183,34 @@
         :param now: monotonic time, in seconds.
         :return: seconds for which the server counts as cold, 0 for a warm one.
         """
-        return max(0.0, self._get_end(query) - now)
+        return max(0.0, self.get_end(query.server, query.cold_seconds) - now)
 
-    def get_weight(self, query, now):
+    def get_weight(self, end, now):
         """Return the fraction of its share of work that a server takes, at most 1.
 
         A cold server has all of it: its allowance limits it.
 
-        :param query: a :class:`WarmthQuery`.
+        :param end: time at which the server becomes warm, or became so.
         :param now: monotonic time, in seconds.
         """
-        warm_for = now - self._get_end(query)
+        warm_for = now - end
         if not 0.0 <= warm_for < self.ramp:
             return 1.0
         return self.first_weight + (1.0 - self.first_weight) * warm_for / self.ramp
 
-    def _get_end(self, query):
-        """Return the time at which a server becomes warm, or became so."""
-        warmth = self.servers_.get(query.server)
+    def get_end(self, server, cold_seconds):
+        """Return the time at which a server becomes warm, or became so.
+
+        :param server: id of the server.
+        :param cold_seconds: see :class:`WarmthQuery`.
+        """
+        warmth = self.servers_.get(server)
         if warmth is None:
             return NEVER
         # A statement of more than the longest time is wrong, and is made again if not.
-        stated_until = min(warmth.stated_until, warmth.stated_at + query.cold_seconds)
+        stated_until = min(warmth.stated_until, warmth.stated_at + cold_seconds)
         sign_at = max(warmth.started_at, warmth.lost_at)
-        return max(stated_until, sign_at + query.cold_seconds)
+        return max(stated_until, sign_at + cold_seconds)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/routing/tests/test_warmth.py
+++ b/wasabistage/routing/tests/test_warmth.py
@@ -112,16 +112,19 @@
     # Guards against entries that all turn to a server at the moment it becomes warm,
     # and against a ramp that begins again with each record of a warm server.
     def test_work_ramps_up_once_after_the_cold_time(self):
-        query = WarmthQuery(server="s", cold_seconds=COLD_SECONDS)
+        def get_weight(now):
+            end = self.policy.get_end("s", COLD_SECONDS)
+            return self.policy.get_weight(end, now)
+
         self.record(0.0, 4.0, is_first=True)
-        weights = [self.policy.get_weight(query, now) for now in (1, 4, 5, 6, 9)]
+        weights = [get_weight(now) for now in (1, 4, 5, 6, 9)]
         self.assertEqual(weights, [1.0, 0.5, 0.75, 1.0, 1.0])
         self.record(10.0, 4.0)
         for now in (11.0, 12.0, 13.0, 14.0):
             self.record(now, 0.0)
-        weights = [self.policy.get_weight(query, now) for now in (11, 12, 13, 14)]
+        weights = [get_weight(now) for now in (11, 12, 13, 14)]
         self.assertEqual(weights, [0.5, 0.75, 1.0, 1.0])
-        self.assertEqual(self.policy.get_weight(query, 10.0), 1.0)
+        self.assertEqual(get_weight(10.0), 1.0)
 
     def test_unknown_server_is_warm_and_the_number_is_bounded(self):
         self.assertEqual(self.get_cold_left(0.0), 0.0)
--- a/wasabistage/topology/_sharers.py
+++ b/wasabistage/topology/_sharers.py
@@ -18,7 +18,7 @@
     def __init__(self, *, hold=600.0):
         self.hold = hold
         self._seen_at = {}
-        self._names = frozenset()
+        self._names = None
 
     def observe(self, names, now):
         """Record entries that run now, as far as is known.
@@ -26,7 +26,10 @@
         :param names: iterable of their names.
         :param now: monotonic time, in seconds.
         """
+        count = len(self._seen_at)
         self._seen_at.update(dict.fromkeys(names, now))
+        if len(self._seen_at) != count:
+            self._names = None
 
     def tick(self, now):
         """Remove the entries that have been silent for ``hold``.
@@ -36,10 +39,11 @@
         for name, seen_at in list(self._seen_at.items()):
             if now - seen_at > self.hold:
                 del self._seen_at[name]
+                self._names = None
 
     def get_names(self):
         """Return the names, the same frozenset until an entry is added or removed."""
-        if self._names != self._seen_at.keys():
+        if self._names is None:
             self._names = frozenset(self._seen_at)
         return self._names
 
--- a/wasabistage/topology/tests/test_sharers.py
+++ b/wasabistage/topology/tests/test_sharers.py
@@ -19,6 +19,17 @@
         self.table.tick(61.0)
         self.assertEqual(self.table.count(), 1)
 
+    def test_names_are_one_object_until_they_change(self):
+        self.table.observe(["a", "b"], 0.0)
+        names = self.table.get_names()
+        self.table.observe(["b", "a"], 50.0)
+        self.assertIs(self.table.get_names(), names)
+        self.table.observe(["c"], 50.0)
+        self.assertEqual(self.table.get_names(), {"a", "b", "c"})
+        self.table.observe(["b"], 100.0)
+        self.table.tick(111.0)
+        self.assertEqual(self.table.get_names(), {"b"})
+
     def test_entry_that_returns_counts_once(self):
         self.table.observe(["a", "b"], 0.0)
         self.table.observe(["b"], 50.0)
