--- a/wasabistage/observe/_metrics.py
+++ b/wasabistage/observe/_metrics.py
@@ -41,6 +41,17 @@
     "prompt.kept": ("counter", "prompt tokens that an engine had kept (edge)"),
     "prompt.withheld": ("counter", "prompts withheld for a part that crashes engines"),
     "request.abandoned": ("counter", "requests whose caller left (edge)"),
+    "request.deferred_cold": (
+        "counter",
+        "attempts not sent since their server had become cold (edge)",
+    ),
+    "request.waited_cold": ("counter", "pauses of requests for cold servers (edge)"),
+    "evacuation.domains": ("gauge", "failure domains that are evacuated (edge)"),
+    "servers.cold": ("gauge", "listed servers that count as cold (edge)"),
+    "servers.lost": (
+        "counter",
+        "warm servers that may have become cold with a lost connection (edge)",
+    ),
     "request.late": ("counter", "requests ended at their deadline (edge)"),
     "records.trimmed": ("counter", "reads of records that were dropped (edge)"),
     "records.unreadable": ("counter", "records that can't be read, by topic (edge)"),
