--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -102,14 +102,10 @@
             self._log_attempt(exchange, attempt)
             if attempt.failure is None:
                 return
-<<<<<<< HEAD
-            if not (attempt.is_version_mismatch or attempt.is_deferred):
-=======
             if attempt.is_unheld:  # no other server would help
                 await self._send_final_answer(exchange, attempt.reason)
                 return
-            if not attempt.is_version_mismatch:
->>>>>>> part-clients
+            if not (attempt.is_version_mismatch or attempt.is_deferred):
                 excluded.add(choice.record.server)
             retry = self._decide_retry(exchange, attempt)
             if not retry:
@@ -315,14 +311,9 @@
             state.part_router.observe(ended, now)
             state.part_router.observe(MemoryReleased(request=attempt.attempt_id), now)
         is_server_failure = attempt.failure in (Failure.NOT_SENT, Failure.LOST)
-<<<<<<< HEAD
-        is_server_failure = is_server_failure and not attempt.is_withdrawn
-        is_server_failure = is_server_failure and not attempt.is_deferred
-=======
         is_server_failure = is_server_failure and not (
-            attempt.is_withdrawn or attempt.is_unheld
+            attempt.is_withdrawn or attempt.is_unheld or attempt.is_deferred
         )
->>>>>>> part-clients
         event = CallEnded(
             server=server, ok=not is_server_failure, seconds=now - begun_at
         )
@@ -505,13 +496,9 @@
         if is_stream and exchange.route.kind is RouteKind.STREAM:
             return await self._forward_stream(exchange, attempt, channel, head)
         with self.body_budget.hold(exchange.channel.hold_response) as hold:
-<<<<<<< HEAD
             body = await self._read_body(exchange, attempt, channel, hold)
-=======
-            body = await channel.read_body(MAX_HELD_BODY_BYTES, hold)
             # Callers that read slowly must not use up the budget of those to come.
             hold.finish()
->>>>>>> part-clients
             if metadata.promises_not_run:
                 self._record_false_promise(attempt, head)
                 return head.fields
