--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -119,12 +119,14 @@
         self.state.metrics.count("request.waited_cold")
         waiting[service] = waiting.get(service, 0) + 1
         try:
-            pause = min(
-                max(choice.seconds, GATE_INTERVAL_SECONDS), MAX_COLD_PAUSE_SECONDS
-            )
+            # Each look costs as much as there are cold servers.
+            shortest = GATE_INTERVAL_SECONDS * waiting[service]
+            pause = min(max(choice.seconds, shortest), MAX_COLD_PAUSE_SECONDS)
             await trio.sleep(pause * (0.75 + 0.25 * self.state.random.random()))
         finally:
             waiting[service] -= 1
+            if not waiting[service]:
+                del waiting[service]
 
     def _is_admitted(self, exchange, choice, now):
         """Return whether a prompt that the gate admits is sent now.
--- a/wasabistage/routing/_warmth.py
+++ b/wasabistage/routing/_warmth.py
@@ -328,11 +328,12 @@
 
     :param window: length of the bound's window, in seconds.
     :param margin: longest time in which a written request arrives, in seconds. The
-        default covers one lost packet, which is sent again after 0.2 to 0.3 s, and a
-        full send queue of 64 KiB on a link of 5 Mbit/s, which takes 0.1 s.
+        default covers three lost packets in a row, which are sent again after 0.2, 0.4
+        and 0.8 s, or a pause of the server's machine, and a full send queue of 64 KiB
+        on a link of 5 Mbit/s, which takes 0.1 s.
     """
 
-    def __init__(self, *, window=1.0, margin=0.5):
+    def __init__(self, *, window=1.0, margin=2.0):
         self.window = window
         self.margin = margin
 
