Release requests without a body in any order

Cause: RequestBytesLimiter removed a server at 0 bytes while other requests without a body were open there, and failed with KeyError at the end of the second of them: the channels of its callers broke off, with or without the setting.

Change: requests without a body aren't kept. A test ends three of them in another order. A failed test of slow readers prints the last lines of the log.

--- a/wasabistage/platform/tests/test_slow_readers.py
+++ b/wasabistage/platform/tests/test_slow_readers.py
@@ -18,6 +18,7 @@
 from wasabistage.timing import BootTimeTimerService
 
 LIMIT_SECONDS = 40.0
+SHOWN_LINES = 40  # last lines of the log that a failed test prints
 #: A network of its own for each of some test processes side by side.
 NETWORK = f"127.{100 + os.getpid() % 100}"
 SLOW_CALLERS = 8
@@ -83,6 +84,10 @@
                     await self.start(nursery, path, bounds)
                     try:
                         await test()
+                    except BaseException:
+                        lines = Path(self.edge.log_path).read_text().splitlines()
+                        print("\n".join(lines[-SHOWN_LINES:]))
+                        raise
                     finally:
                         with trio.CancelScope(shield=True):
                             await self.edge.kill()
--- a/wasabistage/routing/_request_bytes.py
+++ b/wasabistage/routing/_request_bytes.py
@@ -79,11 +79,15 @@
     def observe(self, event, now):
         """Record a :class:`RequestBytesSent` or a :class:`RequestBytesReleased`.
 
+        Requests without a body aren't kept.
+
         :param event: one of them.
         :param now: monotonic time, in seconds; not used.
         """
         if isinstance(event, RequestBytesSent):
             self._release(event.request)
+            if event.size <= 0:
+                return
             self.requests_[event.request] = event.server, event.size
             held = self.open_bytes_.get(event.server, 0)
             self.open_bytes_[event.server] = held + event.size
--- a/wasabistage/routing/tests/test_request_bytes.py
+++ b/wasabistage/routing/tests/test_request_bytes.py
@@ -86,6 +86,15 @@
         self.send("r", 10**6)
         self.assertTrue(self.may_hold(0))
 
+    def test_requests_without_a_body_are_released_in_any_order(self):
+        """Guards against an error at the second of two that are open together."""
+        for request in "ab":
+            self.send(request, 0)
+        self.send("c", 1000)
+        for request in "acb":
+            self.policy.observe(RequestBytesReleased(request=request), 0.0)
+        self.assertEqual((self.policy.requests_, self.policy.open_bytes_), ({}, {}))
+
     def test_released_bytes_are_free_once(self):
         self.send("r", 1000)
         for _ in range(2):
