Edge: spread the returns of refused callers in crowded fleets only

Cause: the template sets spread_returns for every deployment, but those with a share of an engine's slots for each entry are to be served as before.

Change: besides the setting, the fleet must be crowded: more entries than an engine has slots.

--- a/wasabistage/edge/_returns.py
+++ b/wasabistage/edge/_returns.py
@@ -30,9 +30,12 @@
 
         :param exchange: an :class:`Exchange`.
         :param reason: why no server was selected.
-        :return: the same; ``False`` if the settings don't request spread returns.
+        :return: the same; ``False`` if the settings don't request spread returns, or
+            an entry's share of an engine's slots is one or more: then few callers of
+            one entry return at a time.
         """
-        if not self.state.settings.engines.spread_returns:
+        state = self.state
+        if not (state.settings.engines.spread_returns and state.view.is_crowded):
             return False
         return exchange.gate_waits > 0 or reason == TOO_LATE.reason
 
