Edge: notices of prompts and slow engines in crowded fleets

Seen: with 67 entries before 45 engines of 24 slots, 30 in 100 of the short prompts that were sent to an engine taken for idle waited over 0.1 s. Two thirds of them stood behind a prompt that another entry had sent there less than 0.1 s before; two fifths of all prompts crossed to another failure domain, where the entries know the queues least. Of 1,217 short prompts 25 in 100 had a pause over their target, 7 in 100 began late.

Cause: load travels in reports of 0.2 s over two hops, and an entry's own prompts are few. The rate of an engine was learned from samples every few seconds and stayed near its initial value. Two long prompts one after the other, or one on an engine that is slow for a moment, make the pauses of its streams too long.

All near engines are scored, others cost 0.15 s more. The prefill rate is pooled over all engines. A long prompt keeps a distance of 0.06 s to the one before while it can be in time, and avoids engines that report a slow moment.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -43,6 +43,10 @@
 FOLLOWER_SLACK_SECONDS = 0.03
 #: Cost of an engine in another failure domain, for the traffic between them.
 OTHER_DOMAIN_PENALTY_SECONDS = 0.005
+#: The same in a crowded fleet, where entries tell those of the engine's failure domain
+#: alone of long prompts at once. What the others know of its queue is some 0.3 s old,
+#: in which it may have received one or two of them.
+CROWDED_OTHER_DOMAIN_PENALTY_SECONDS = 0.15
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -294,6 +298,7 @@
                     route, prompt, age, loads_soon=record.server in loading_soon
                 )
                 + get_domain_penalty(state, record),
+                is_slow=state.slow_moments.decide(PaceQuery(server=record.server), now),
                 max_begin_seconds=max_begin_seconds,
             )
         )
@@ -359,7 +364,10 @@
     :param records: list of :class:`wasabistage.fleet.ServerRecord`.
     :return: list of some of them.
     """
-    if len(records) <= state.candidate_selector.limit:
+    selector = state.candidate_selector
+    if state.view.is_crowded:
+        selector = state.crowded_candidate_selector
+    if len(records) <= selector.limit:
         return records
     holders = set()
     shared = prompt.parts[:-1]
@@ -375,7 +383,7 @@
         holders=frozenset(holders),
         draw=state.random.random(),
     )
-    return state.candidate_selector.decide(query, state.timer.now())
+    return selector.decide(query, state.timer.now())
 
 
 def get_version_time_left(state, age):
@@ -399,6 +407,8 @@
     """
     if record.failure_domain == state.settings.instance.failure_domain:
         return 0.0
+    if state.view.is_crowded:
+        return CROWDED_OTHER_DOMAIN_PENALTY_SECONDS
     return OTHER_DOMAIN_PENALTY_SECONDS
 
 
@@ -462,6 +472,7 @@
         memory_tokens=plan.candidate.memory_tokens,
         runs=state.part_router.get_runs(plan.candidate.server),
         slots=plan.candidate.slots,
+        spacing_wait=plan.spacing_wait,
         predicted=plan.seconds,
         arrived_at=request.begun_at,
         objective=route.objective,
--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -40,6 +40,13 @@
 MAX_SOURCE_RANK = 4  # relays that try a source that others fail to read
 #: Time after the first start of a fleet within which its entries find each other.
 FIRST_START_SECONDS = 3.0
+#: Weight of one prompt in the prefill rate of all engines together, in a crowded fleet.
+#: An entry receives some ten first tokens per second, so it learns within seconds.
+POOL_GAIN = 0.03
+#: Time between two long prompts at one engine. An event of a stream has up to 15
+#: tokens. An engine makes them in 0.04 s while it reads no prompt, and in over 0.3 s
+#: otherwise, which callers notice as a pause.
+LONG_SPACING_SECONDS = 0.06
 STORE_SUCCESS_SECONDS = 3.0  # time for which a read shows that the store is reached
 #: Time from which the record of an entry is in the store until the entry sends anything
 #: to cold servers. Each other entry that does so has read the entries within this time,
@@ -70,6 +77,8 @@
         self.roles_key = None
         #: Whether some entries are followers.
         self.is_large = False
+        #: Whether, besides, an entry's share of an engine's slots is below one.
+        self.is_crowded = False
         self.relay_choice = RelayChoice().reset()
         #: Topics and addresses of cache sources that this entry fails to read.
         self.unreadable = set()
@@ -268,6 +277,7 @@
                 self.state.log.write(
                     "role_changed", relay=self.roles.is_relay, entries=len(members)
                 )
+        self._update_crowded(len(members))
         return self.roles
 
     def _record_interval(self, now):
@@ -282,6 +292,19 @@
                 self.state.metrics.gauge("entry.capacity_share", share)
         self.updated_at = now
 
+    def _update_crowded(self, entries):
+        self.is_crowded = self.is_large and self._has_few_slots(entries)
+        router = self.state.part_router
+        router.estimator_.pool_gain = POOL_GAIN if self.is_crowded else 0.0
+        router.long_spacing = LONG_SPACING_SECONDS if self.is_crowded else 0.0
+
+    def _has_few_slots(self, entries):
+        """Return whether some engines have fewer slots than there are entries."""
+        configuration = self.state.routes.configuration
+        services = () if configuration is None else configuration.services.values()
+        slots = [item.engine.slots for item in services if item.engine is not None]
+        return bool(slots) and min(slots) < entries
+
     def get_followers(self):
         """Return the peers that follow this entry, as dict of name to ``Peer``."""
         own = self.state.settings.instance.name
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -289,6 +289,7 @@
         )
         state.part_router.observe(reservation, now)
         state.loads.record_sent_tokens(server, plan.tokens)
+        state.notices.notify(attempt.choice.record, plan.tokens)
         for part, address in zip(prompt.parts, plan.save_to, strict=True):
             if address:
                 state.parts.record_save_start(
@@ -461,6 +462,8 @@
         if metadata.load is not None and metadata.load.pace is not None:
             pace = PaceReported(server=record.server, factor=metadata.load.pace)
             state.pace.observe(pace, now)
+            if plan is not None:
+                state.notices.notify_pace(record, metadata.load.pace)
         if metadata.load is not None and plan is None:
             report = LoadReport(
                 server=record.server,
--- a/wasabistage/edge/_load_exchange.py
+++ b/wasabistage/edge/_load_exchange.py
@@ -133,11 +133,12 @@
         self.state.part_router.observe(memory, now)
 
     def _apply_sent_tokens(self, server, row, now):
-        if row.sent:
+        tokens = self.state.notices.policy.take_unknown(server, row.sent, now)
+        if tokens:
             # Half an interval at each of one or two hops.
             hops = 2 if self.state.view.is_large else 1
             lag = hops * self.interval / 2
-            event = PeerDispatched(server=server, tokens=row.sent, lag=lag)
+            event = PeerDispatched(server=server, tokens=tokens, lag=lag)
             self.state.part_router.observe(event, now)
 
     def _apply_outcomes(self, server, row, now):
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -133,6 +133,32 @@
     report: PeerReport
 
 
+class DispatchNotice(msgspec.Struct, array_like=True, tag="d"):
+    """A prompt that an entry sends to an engine now.
+
+    :param name: name of the entry.
+    :param server: id of the engine.
+    :param tokens: prompt tokens that the engine has to compute.
+    """
+
+    name: str
+    server: str
+    tokens: int
+
+
+class PaceNotice(msgspec.Struct, array_like=True, tag="p"):
+    """An engine has become slow, or is no longer.
+
+    :param name: name of the entry that tells it.
+    :param server: id of the engine.
+    :param factor: duration of work relative to its usual duration.
+    """
+
+    name: str
+    server: str
+    factor: float
+
+
 class EncodedReportDatagram(msgspec.Struct, array_like=True):
     """An :class:`ReportDatagram` whose report is encoded once for all receivers."""
 
@@ -244,6 +270,7 @@
 
 
 ENCODER = msgspec.msgpack.Encoder()
+NOTICE_DECODER = msgspec.msgpack.Decoder(DispatchNotice | PaceNotice)
 DATAGRAM_DECODER = msgspec.msgpack.Decoder(ReportDatagram)
 FACT_DECODER = msgspec.msgpack.Decoder(Fact)
 SNAPSHOT_DECODER = msgspec.msgpack.Decoder(TopicSnapshot)
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -28,6 +28,7 @@
     create_intake,
 )
 from wasabistage.edge._load_exchange import LoadExchange
+from wasabistage.edge._notices import NoticeTask
 from wasabistage.edge._old_parts import FREE_INTERVAL_SECONDS, OldPartCleaner
 from wasabistage.edge._orders import OrderTask
 from wasabistage.edge._peer_messages import PeerEntry
@@ -113,6 +114,7 @@
         self.state.loads = LoadExchange(self.state, PEER_REPORT_INTERVAL_SECONDS)
         self.state.facts = FactExchange(self.state)
         self.state.reports = ReportTask(self.state)
+        self.state.notices = NoticeTask(self.state)
         self.state.snapshots = SnapshotClient(self.state)
         self.state.crash_watch = CrashWatch(self.state)
         self.state.intake, self.refusals = create_intake(self.state)
@@ -153,6 +155,7 @@
         }
         state.facts.watches = {str(topic): watches[topic] for topic in SHARED_TOPICS}
         await state.reports.open()
+        await state.notices.open()
         await self._listen(nursery, addresses.callers, self.callers.serve, True)
         metrics_address = f"{self.settings.instance.ip}:{addresses.metrics_port}"
         explainer = Explainer(state, self.directory.selector)
@@ -167,6 +170,8 @@
         for address, group, handler in listeners:
             await self._listen(nursery, address, partial(handler.serve, group))
         tasks = [watch.run for watch in watches.values()]
+        if state.notices.sock is not None:
+            tasks += [state.notices.run_sending, state.notices.run_receiving]
         tasks += [
             state.reports.run_receiving,
             state.reports.run_early_sending,
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -69,6 +69,9 @@
     peers: str
     #: UDP port on which entries send each other reports, the same on all entries.
     gossip_port: int
+    #: UDP port on which entries tell each other of long prompts at once, the same on
+    #: all entries; 0 for none.
+    notice_port: int = 0
     metrics_port: int = 9464
 
 
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -26,6 +26,7 @@
     RequestBytesLimiter,
     RestPolicy,
     SilenceDetector,
+    SlowMoments,
     WarmthPolicy,
 )
 
@@ -76,6 +77,8 @@
             ),
         ).reset()
         self.candidate_selector = CandidateSelector().reset()
+        #: For crowded fleets, whose entries know the queues of near engines well.
+        self.crowded_candidate_selector = CandidateSelector(near=24).reset()
         self.gate = RankedGate().reset()
         self.admission = ProbabilisticAdmission().reset()
         self.plain_router = LeastOutstandingRouter().reset()
@@ -92,6 +95,7 @@
             first_weight=0.3,
         ).reset()
         self.pace = PaceEstimator().reset()
+        self.slow_moments = SlowMoments().reset()
         self.rests = RestPolicy().reset()
         self.evacuation = EvacuationPolicy().reset()
         self.warmth = WarmthPolicy().reset()
@@ -115,11 +119,12 @@
             turn_time=bounds.order_turn_ms / 1000.0,
         ).reset()
         #: The :class:`FleetView`, :class:`LoadExchange`, :class:`ReportTask`,
-        #: :class:`FactExchange`, :class:`SnapshotClient` and :class:`CrashWatch`, which
-        #: need this state; set by :class:`EdgeProcess`.
+        #: :class:`NoticeTask`, :class:`FactExchange`, :class:`SnapshotClient` and
+        #: :class:`CrashWatch`, which need this state; set by :class:`EdgeProcess`.
         self.view = None
         self.loads = None
         self.reports = None
+        self.notices = None
         self.facts = None
         self.snapshots = None
         self.crash_watch = None
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -11,6 +11,7 @@
 from wasabistage.edge._facts import FactExchange
 from wasabistage.edge._fleet_view import FleetView
 from wasabistage.edge._load_exchange import LoadExchange
+from wasabistage.edge._notices import NoticeTask
 from wasabistage.edge._peer_messages import DATAGRAM_DECODER, PeerEntry
 from wasabistage.edge._peers import PEER_REPORT_INTERVAL_SECONDS, ReportTask
 from wasabistage.edge._settings import (
@@ -151,6 +152,7 @@
         self.state.loads = LoadExchange(self.state, PEER_REPORT_INTERVAL_SECONDS)
         self.state.facts = FactExchange(self.state)
         self.state.reports = ReportTask(self.state)
+        self.state.notices = NoticeTask(self.state)
         self.client = DirectSnapshotClient(self.state)
         self.client.fleet, self.client.entry = fleet, self
         self.state.snapshots = self.client
--- a/wasabistage/routing/__init__.py
+++ b/wasabistage/routing/__init__.py
@@ -130,6 +130,7 @@
             "Router",
             "StickyRouter",
         ),
+        "_slow_moments": ("PaceNewsQuery", "SlowMoments"),
         "_silence": (
             "BytesReceived",
             "PeerBytesReceived",
--- a/wasabistage/routing/_engine_gate.py
+++ b/wasabistage/routing/_engine_gate.py
@@ -32,6 +32,8 @@
     :param memory_tokens: KV cache memory of the engine, in tokens.
     :param runs: open requests of all entries at the engine.
     :param slots: number of requests that the engine runs at once; 0 for no bound.
+    :param spacing_wait: time for which the prompt should wait for the streams of the
+        engine, in seconds; see :class:`wasabistage.routing.PartDecision`.
     :param predicted: predicted time to the first token from now, in seconds.
     :param arrived_at: monotonic time at which the request arrived, in seconds.
     :param objective: latency objective for the first token since arrival, in seconds.
@@ -51,6 +53,7 @@
     patience: float
     runs: int = 0
     slots: int = 0
+    spacing_wait: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -168,11 +171,21 @@
         if waited > self.late_limit * query.objective:
             return TOO_LATE
         order_key = self._order_key(query, now)
+        if self._yields_to_streams(query, waited):
+            self.waiting_[query.request] = query
+            return WAIT
         if self._has_room(query) and not self._is_preceded(query, order_key, now):
             return PASS
         self.waiting_[query.request] = query
         return WAIT
 
+    def _yields_to_streams(self, query, waited):
+        """Return whether a long prompt waits for the streams of the engine.
+
+        It waits as long as it can still meet its own objective.
+        """
+        return query.spacing_wait > 0 and waited + query.predicted <= query.objective
+
     def _has_room(self, query):
         room = get_limit(self.memory_shares, query.rank) * query.memory_tokens
         # An engine without reserved memory accepts a prompt of any size.
--- a/wasabistage/routing/_estimate.py
+++ b/wasabistage/routing/_estimate.py
@@ -72,6 +72,7 @@
     :ivar backlog_tokens: estimated backlog at the time ``backlog_at``.
     :ivar recent_dispatches: dispatches since the last report was measured, by request
         id or by number for those of peers.
+    :ivar long_until: estimated time at which the last long prompt is computed.
     """
 
     rate: float
@@ -86,6 +87,7 @@
     measured_at: float = float("-inf")
     received_at: float = float("-inf")
     recent_dispatches: OrderedDict = field(default_factory=OrderedDict)
+    long_until: float = float("-inf")
 
 
 class FirstTokenEstimator(Policy):
@@ -108,6 +110,12 @@
         another prompt; 0 for engines that compute prompts one after another.
     :param half_life: time in which the weight of a learned prefill rate halves, in
         seconds.
+    :param pool_gain: weight of a new sample in the rate of all servers together, to
+        which the rates of servers without recent samples return; 0 to use the median of
+        the servers' rates instead. An entry that sends each of many servers a prompt
+        every few seconds learns the common rate long before that of each server.
+    :param long_tokens: tokens to compute from which a prompt is long: it slows down the
+        streams of its server noticeably.
     """
 
     def __init__(
@@ -119,6 +127,8 @@
         gain=0.15,
         chunk_tokens=1024,
         half_life=30.0,
+        pool_gain=0.0,
+        long_tokens=4096,
     ):
         self.prefill_rate = prefill_rate
         self.link_rate = link_rate
@@ -126,6 +136,8 @@
         self.gain = gain
         self.chunk_tokens = chunk_tokens
         self.half_life = half_life
+        self.pool_gain = pool_gain
+        self.long_tokens = long_tokens
 
     def reset(self):
         """Check the arguments and clear the learned state."""
@@ -143,6 +155,7 @@
                 remedy="set overhead and chunk_tokens to 0 or more, gain to (0, 1]",
             )
         self.servers_ = {}
+        self.pooled_rate_, self.pooled_samples_ = self.prefill_rate, 0
         self.open_dispatches_ = OrderedDict()
         self.peer_dispatch_count_ = 0
         self.median_rate_, self.median_rate_at_ = self.prefill_rate, float("-inf")
@@ -230,6 +243,9 @@
             self.estimate_backlog(dispatch.server, now) + dispatch.tokens
         )
         load.backlog_at = now
+        if dispatch.tokens >= self.long_tokens:
+            rate = self.estimate_rate(dispatch.server, now)
+            load.long_until = now + load.backlog_tokens / rate
         load.recent_dispatches[key] = dispatch
         if len(load.recent_dispatches) > MAX_RECENT_DISPATCHES:
             load.recent_dispatches.popitem(last=False)
@@ -246,6 +262,11 @@
         load = self._get_load(dispatch.server)
         rate = self.estimate_rate(dispatch.server, now)
         sample, gain = work / seconds, self.gain
+        # The first samples of all servers count more, since the initial rate may be far
+        # off.
+        self.pooled_samples_ += 1
+        pool_gain = max(self.pool_gain, 1.0 / (1.0 + self.pooled_samples_))
+        self.pooled_rate_ = _blend_rates(self.pooled_rate_, sample, pool_gain)
         previous, load.last_sample = load.last_sample, sample
         load.sample_count += 1
         is_agreed = previous and (previous < rate) == (sample < rate)
@@ -291,12 +312,18 @@
         :return: prompt tokens per second.
         """
         load = self._get_load(server)
+        if self.pool_gain:
+            return self._estimate_rate_from_pool(load, now)
         if load.rate_learned_at == float("-inf"):
             # A server without a sample must not appear slower than its peers.
             return max(load.rate, self._get_median_learned_rate(now))
         weight = 0.5 ** (max(0.0, now - load.rate_learned_at) / self.half_life)
         return load.rate**weight * self._get_median_rate(now) ** (1.0 - weight)
 
+    def _estimate_rate_from_pool(self, load, now):
+        weight = 0.5 ** (max(0.0, now - load.rate_learned_at) / self.half_life)
+        return load.rate**weight * self.pooled_rate_ ** (1.0 - weight)
+
     def _get_median_rate(self, now):
         """Return the median rate of all servers, cached for a short interval."""
         if now - self.median_rate_at_ >= MEDIAN_INTERVAL_SECONDS:
@@ -333,6 +360,15 @@
             - self.estimate_rate(server, now) * (now - load.backlog_at),
         )
 
+    def estimate_long_seconds(self, server, now):
+        """Estimate the time until a server has computed its last long prompt.
+
+        :param server: name of the backend server.
+        :param now: monotonic time, in seconds.
+        :return: seconds, below 0 if it has; minus infinity if there was none.
+        """
+        return self._get_load(server).long_until - now
+
     def estimate_tokens_ahead(self, server, tokens, now):
         """Estimate the tokens computed ahead of the last token of a new prompt.
 
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -25,6 +25,7 @@
     :param slots: number of requests that it runs at once; 0 for no bound.
     :param penalty: cost added to the score for disadvantages other than latency, in
         seconds.
+    :param is_slow: whether work takes much longer on it than usual at the moment.
     :param max_begin_seconds: time within which the run must begin, in seconds; an
         engine that would begin later is not selected.
     """
@@ -38,6 +39,7 @@
     memory_tokens: int = 0
     slots: int = 0
     penalty: float = 0.0
+    is_slow: bool = False
     max_begin_seconds: float = math.inf
 
 
@@ -100,6 +102,8 @@
     :param save_to: for each part the address of the store to save it to, or ``""``.
     :param seconds: predicted time to the first token, in seconds.
     :param backlog: computing time of the work ahead of the prompt, in seconds.
+    :param spacing_wait: time for which a long prompt should wait, so that the streams
+        of the engine go on between it and the long prompt before, in seconds.
     """
 
     candidate: PartCandidate
@@ -110,6 +114,7 @@
     save_to: tuple[str, ...]
     seconds: float
     backlog: float = 0.0
+    spacing_wait: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -120,6 +125,7 @@
     :ivar kept_parts: number of the leading parts that the engine keeps.
     :ivar fetched: prompt tokens whose KV cache the engine fetches.
     :ivar begin_seconds: predicted time until the run begins, in seconds.
+    :ivar spacing_wait: see :class:`PartDecision`.
     """
 
     candidate: PartCandidate
@@ -132,6 +138,7 @@
     score: float
     backlog: float
     begin_seconds: float
+    spacing_wait: float = 0.0
 
 
 class PartRouter(Policy):
@@ -155,6 +162,10 @@
         further requests are expected to wait for memory.
     :param run_seconds: expected duration of a run, after which its memory is released,
         in seconds.
+    :param long_spacing: time between two long prompts at one engine, in seconds; 0 to
+        send them one after another.
+    :param slow_penalty: cost of a long prompt on an engine that is slow at the moment,
+        for the pauses in the streams of that engine, in seconds.
     """
 
     def __init__(
@@ -168,6 +179,8 @@
         fill_limit=0.97,
         memory_share=0.9,
         run_seconds=2.0,
+        long_spacing=0.0,
+        slow_penalty=0.3,
     ):
         self.parts = parts
         self.estimator = estimator
@@ -177,6 +190,8 @@
         self.fill_limit = fill_limit
         self.memory_share = memory_share
         self.run_seconds = run_seconds
+        self.long_spacing = long_spacing
+        self.slow_penalty = slow_penalty
 
     def reset(self):
         """Check the arguments and clear the learned state."""
@@ -283,6 +298,7 @@
             save_to=self._select_save_addresses(query, plan, now),
             seconds=plan.seconds,
             backlog=plan.backlog,
+            spacing_wait=plan.spacing_wait,
         )
 
     def _build_plan(self, query, candidate, now):
@@ -299,9 +315,13 @@
             self._estimate_memory_wait_seconds(query, candidate),
             self._estimate_slot_wait_seconds(candidate),
         )
-        begin_seconds = max(queue, fetch_seconds) + wait_seconds
+        spacing_wait = self._estimate_spacing_wait(server, tokens, now)
+        begin_seconds = max(queue, fetch_seconds, spacing_wait) + wait_seconds
         seconds = self.estimator_.overhead + begin_seconds + prefill_seconds
         seconds /= max(candidate.weight, 0.01)
+        penalty = candidate.penalty
+        if candidate.is_slow and tokens >= self.estimator_.long_tokens:
+            penalty += self.slow_penalty
         return _PartPlan(
             candidate=candidate,
             tokens=tokens,
@@ -310,11 +330,19 @@
             fetched=fetched,
             fetch_from=fetch_from,
             seconds=seconds,
-            score=seconds + self.work_weight * prefill_seconds + candidate.penalty,
+            score=seconds + self.work_weight * prefill_seconds + penalty,
             backlog=queue,
             begin_seconds=begin_seconds,
+            spacing_wait=spacing_wait,
         )
 
+    def _estimate_spacing_wait(self, server, tokens, now):
+        """Estimate the seconds for which a long prompt keeps away from an engine."""
+        if not self.long_spacing or tokens < self.estimator_.long_tokens:
+            return 0.0
+        long_seconds = self.estimator_.estimate_long_seconds(server, now)
+        return max(0.0, long_seconds + self.long_spacing)
+
     def _find_kept(self, query, candidate):
         """Return the tokens and the number of the leading parts an engine keeps."""
         kept = 0
--- a/wasabistage/routing/tests/test_engine_gate.py
+++ b/wasabistage/routing/tests/test_engine_gate.py
@@ -49,6 +49,13 @@
         urgent = make_query("u", rank=0, size=900, reserved_tokens=reserved_tokens)
         self.assertIs(self.gate.decide(urgent, 0.0), PASS)
 
+    # Guards against pauses in the streams of an engine that reads two long prompts one
+    # after the other.
+    def test_long_prompt_waits_for_the_streams_while_it_can_be_in_time(self):
+        query = make_query(spacing_wait=0.05, predicted=0.4, objective=0.6)
+        self.assertIs(self.gate.decide(query, 0.1), WAIT)
+        self.assertIs(self.gate.decide(query, 0.3), PASS)
+
     def test_urgent_prompt_passes_at_full_slots_and_others_wait(self):
         full = {"runs": 16, "slots": 16, "size": 900, "tokens": 900}
         self.assertIs(self.gate.decide(make_query("u", rank=0, **full), 0.0), PASS)
--- a/wasabistage/routing/tests/test_part_router.py
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -93,6 +93,28 @@
         self.assertEqual((decision.kept, decision.fetched), (8500, 0))
         self.assertEqual(decision.fetch_from, ("l:1", "l:1", ""))
 
+    # Guards against two long prompts that an engine reads one after the other.
+    def test_long_prompts_keep_their_distance_at_an_engine(self):
+        self.assertEqual(self.route(candidate("s1")).spacing_wait, 0.0)
+        self.router.long_spacing = 0.06
+        self.router.observe(Dispatched(request="r", server="s1", tokens=8_500), 0.0)
+        decision = self.route(candidate("s1"))
+        self.assertAlmostEqual(decision.spacing_wait, 0.1 + 0.06)
+        self.assertAlmostEqual(
+            decision.seconds, 0.02 + 0.16 + 10_000 / 85_000.0, delta=0.001
+        )
+
+    # Guards against streams that pause while a slow engine reads a long prompt.
+    def test_long_prompt_avoids_an_engine_that_is_slow_at_the_moment(self):
+        slow, busy = candidate("s1", is_slow=True), candidate("s2", penalty=0.1)
+        self.assertEqual(self.route(slow, busy).candidate.server, "s2")
+        usual = candidate("s1")
+        self.assertEqual(self.route(usual, busy).candidate.server, "s1")
+        short = PartQuery(
+            parts=PARTS[:1], prompt_tokens=500, candidates=(slow, busy), stores=()
+        )
+        self.assertEqual(self.router.decide(short, 0.0).candidate.server, "s1")
+
     def test_engine_that_begins_after_its_limit_is_not_selected(self):
         self.router.observe(Dispatched(request="r", server="s1", tokens=85_000), 0.0)
         late, free = (
--- a/wasabistage/routing/tests/test_router.py
+++ b/wasabistage/routing/tests/test_router.py
@@ -241,6 +241,21 @@
         self.estimator.observe(queue, now)
         self.assertTrue(self.estimator.decide(progress, now))
 
+    # Guards against an entry that takes 45 engines for as fast as their initial rate,
+    # since each gives it a sample every few seconds.
+    def test_rate_of_servers_without_samples_follows_the_others(self):
+        self.estimator = FirstTokenEstimator(prefill_rate=8000.0, pool_gain=0.03)
+        self.estimator.reset()
+        now = 0.0
+        for number in range(10):
+            now = self.sample(str(number), now, 4000.0)
+        self.assertAlmostEqual(
+            self.estimator.estimate_rate("other", now), 4000.0, delta=400.0
+        )
+        self.assertAlmostEqual(
+            self.estimator.estimate_rate("a", now), 4000.0, delta=400.0
+        )
+
     def test_fast_server_is_learned_as_soon(self):
         now = 0.0
         for number in range(4):
--- a/wasabistage/topology/__init__.py
+++ b/wasabistage/topology/__init__.py
@@ -15,6 +15,7 @@
 __getattr__, __all__ = build_lazy_exports(
     __name__,
     {
+        "_dispatch_notices": ("DispatchNotices", "NoticeQuery", "NoticeReceived"),
         "_echoes": ("SentReports",),
         "_entry_capacity": (
             "EntryCapacity",
