Leave socket buffers to the system; send bodies of 72 KB with their head

Cause: listeners bounded the system's socket buffers at 128 KiB each. That holds no memory of the process, and slows large bodies on links with a long round trip. Bodies over 64 KiB were sent to servers after their head, as a second write.

Change: no option is set on the buffers; bodies up to 128 KiB go with their head.

--- a/wasabistage/http1/_channel.py
+++ b/wasabistage/http1/_channel.py
@@ -9,7 +9,7 @@
 from wasabistage.http1._body import BodyBuffer
 
 READ_BYTES = 65536  # bytes a read; the largest common socket buffer
-MAX_JOINED_BYTES = 65536  # of a body that is sent together with its head
+MAX_JOINED_BYTES = 131072  # of a body that is sent together with its head
 KEEPALIVE_IDLE = 1  # seconds, the least that the system takes
 KEEPALIVE_INTERVAL = 1  # seconds, the least that the system takes
 KEEPALIVE_PROBES = 2  # probes; one may be lost on a bad link
--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -16,9 +16,6 @@
 MAX_PENDING = 16384  # bytes that a caller may send ahead of its turn
 BACKLOG = 1024  # channels that wait to be accepted, the system's usual bound
 ACCEPT_PAUSE = 0.05  # seconds without accepting when descriptors run out
-#: Buffers of the system for each channel. It doubles them for its own use; by itself,
-#: it would let each grow to some megabytes.
-SOCKET_BUFFER_BYTES = 131072
 #: Lines of a head. With 64 KiB of headers, only lines of less than 64 bytes on average
 #: reach it. Each line costs some 6 microseconds.
 MAX_HEAD_LINES = 1024
@@ -656,9 +653,6 @@
     host, _, port = address.rpartition(":")
     sock = trio.socket.socket()
     sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
-    # Accepted channels inherit them.
-    for name in (trio.socket.SO_RCVBUF, trio.socket.SO_SNDBUF):
-        sock.setsockopt(trio.socket.SOL_SOCKET, name, SOCKET_BUFFER_BYTES)
     await sock.bind((host, int(port)))
     sock.listen(BACKLOG)
     return sock
