--- a/wasabistage/platform/tests/test_decoders.py
+++ b/wasabistage/platform/tests/test_decoders.py
@@ -71,6 +71,8 @@
 #: A valid value of each decoder of ``edge`` and ``platform``.
 MESSAGES = (
     (messages.DATAGRAM_DECODER, messages.ReportDatagram(1.0, "i", REPORT)),
+    (messages.NOTICE_DECODER, messages.DispatchNotice("n", "s1", 1)),
+    (messages.NOTICE_DECODER, messages.PaceNotice("n", "s1", 1.5)),
     (messages.FACT_DECODER, RECORD_FACT),
     (messages.FACT_DECODER, CACHE_FACT),
     (messages.FACT_DECODER, FACTS[2]),
