--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -95,7 +95,7 @@
         #: Time at which the record of this entry was known to be in the store.
         self.registered_at = None
         self.started_at = state.timer.now()
-        self.capacity = EntryCapacity(state.settings.instance.capacity).reset()
+        self.capacity = EntryCapacity(state.settings.capacity).reset()
         #: Time of the last call of :meth:`update_roles`, monotonic seconds.
         self.updated_at = None
 
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -230,7 +230,7 @@
             ip=instance.ip,
             failure_domain=instance.failure_domain,
             weight=instance.weight,
-            capacity=instance.capacity,
+            capacity=self.settings.capacity,
         )
         value = msgspec.json.encode(entry)
         while True:
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -32,8 +32,6 @@
     cores: float | None = None
     #: Fraction of the cores that this process may use.
     cpu_share: float = 1.0
-    #: File descriptors that this process may have open.
-    max_fds: int | None = None
     #: The whole fleet starts for the first time. A restarted process doesn't know what
     #: it has spent of the budgets that all entries share.
     first_start: bool = False
@@ -47,14 +45,6 @@
         """
         return self.link_mbps**2
 
-    @property
-    def capacity(self):
-        """Capacity to serve callers, relative to other entries; 0 if it is unknown."""
-        if self.cores is None:
-            return 0.0
-        cores = self.cores * self.cpu_share
-        return compute_capacity(cores, self.link_mbps, self.max_fds)
-
 
 class ListenSection(msgspec.Struct):
     """Addresses that this process listens on.
@@ -162,6 +152,15 @@
     #: Region of each failure domain. Without any, everything is in one region.
     regions: dict[str, str] = {}
 
+    @property
+    def capacity(self):
+        """Capacity to serve callers, relative to other entries; 0 if it is unknown."""
+        instance = self.instance
+        if instance.cores is None:
+            return 0.0
+        cores = instance.cores * instance.cpu_share
+        return compute_capacity(cores, instance.link_mbps, self.limits.max_fds)
+
 
 def load_edge_settings(path):
     """Read and check the settings of an edge process.
--- a/wasabistage/edge/tests/test_entry_capacity.py
+++ b/wasabistage/edge/tests/test_entry_capacity.py
@@ -13,7 +13,12 @@
     PeerReport,
     ReportDatagram,
 )
-from wasabistage.edge._settings import InstanceSection
+from wasabistage.edge._settings import (
+    EdgeSettings,
+    InstanceSection,
+    ListenSection,
+    RecordsSection,
+)
 from wasabistage.edge._watches import ENTRY_DECODER, check_entry
 from wasabistage.edge.tests.fleet_case import Fleet
 from wasabistage.topology import EntryCapacity
@@ -100,14 +105,21 @@
 
 class InstanceCapacityTest(unittest.TestCase):
     def build(self, **values):
-        return InstanceSection(name="e", failure_domain="a", ip="10.0.0.1", **values)
+        names = ("callers", "readiness", "directory", "peers")
+        return EdgeSettings(
+            instance=InstanceSection(
+                name="e", failure_domain="a", ip="10.0.0.1", **values
+            ),
+            listen=ListenSection(**dict.fromkeys(names, "10.0.0.1:80"), gossip_port=84),
+            records=RecordsSection(store="10.9.9.9:80"),
+        )
 
     def test_capacity_is_unknown_without_cores(self):
-        self.assertEqual(self.build(link_mbps=5.0, max_fds=4100).capacity, 0.0)
+        self.assertEqual(self.build(link_mbps=5.0).capacity, 0.0)
 
     def test_capacity_counts_the_usable_part_of_the_cores(self):
-        section = self.build(cores=2.15, cpu_share=0.5, link_mbps=100.0)
-        self.assertEqual(section.capacity, 1.075)
+        settings = self.build(cores=2.15, cpu_share=0.5, link_mbps=100.0)
+        self.assertEqual(settings.capacity, 1.075)
 
 
 class FleetCapacityTest(unittest.TestCase):
