Tests: reserve the ports of a test process

Cause: the block of ports followed from the process id modulo 21, and two of the test processes that run side by side had the same one. Each process now reserves its block by a bound port.

--- a/wasabistage/platform/tests/edge_case.py
+++ b/wasabistage/platform/tests/edge_case.py
@@ -2,6 +2,7 @@
 
 import itertools
 import os
+import socket
 import unittest
 
 import trio
@@ -21,10 +22,33 @@
 from wasabistage.telemetry import MemoryLineLog
 from wasabistage.timing import BootTimeTimerService
 
-#: Below the ports that the system hands out; a block of its own for each of some test
-#: processes side by side, large enough for all tests of a module.
+#: Ports below those that the system hands out, in blocks that are large enough for all
+#: tests of a module.
 BLOCK = 1000
-FIRST_PORT = 11000 + os.getpid() % 21 * BLOCK
+BLOCKS = 21
+LOWEST_PORT = 11000
+
+
+def reserve_block():
+    """Reserve a block of ports for this process among the tests side by side.
+
+    The last port of the block stays bound until the process ends.
+
+    :return: the bound socket and the first port of the block.
+    """
+    for number in range(BLOCKS):
+        first = LOWEST_PORT + (os.getpid() + number) % BLOCKS * BLOCK
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", first + BLOCK - 1))
+        except OSError:
+            sock.close()
+            continue
+        return sock, first
+    raise OSError(f"all {BLOCKS} blocks of ports are in use")
+
+
+RESERVATION, FIRST_PORT = reserve_block()
 PORTS = itertools.count(FIRST_PORT, 20)
 LIMIT = 20.0  # seconds that one test may take
 SHOWN_LINES = 40  # last lines of the log that a failed test prints
