Edge: don't ask policies of parts that are off

Change: the bytes that each server holds and slow moments are not asked for each server and request where no bound is set or the fleet is not crowded; reports without tokens are passed over as before.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -205,7 +205,11 @@
     if records and not awake and not excluded:
         seconds = min(get_rest_seconds(state, item, now) for item in records)
         return AllResting(seconds=seconds)
-    records = [item for item in awake if may_hold_request(state, item, request, now)]
+    records = awake
+    if state.request_bytes.limit is not None:
+        records = [
+            item for item in awake if may_hold_request(state, item, request, now)
+        ]
     if awake and not records:
         return NO_SERVER.with_reason(
             "the backend servers of the service hold as many requests as they may"
@@ -298,7 +302,8 @@
                     route, prompt, age, loads_soon=record.server in loading_soon
                 )
                 + get_domain_penalty(state, record),
-                is_slow=state.slow_moments.decide(PaceQuery(server=record.server), now),
+                is_slow=state.view.is_crowded
+                and state.slow_moments.decide(PaceQuery(server=record.server), now),
                 max_begin_seconds=max_begin_seconds,
             )
         )
--- a/wasabistage/edge/_load_exchange.py
+++ b/wasabistage/edge/_load_exchange.py
@@ -133,6 +133,8 @@
         self.state.part_router.observe(memory, now)
 
     def _apply_sent_tokens(self, server, row, now):
+        if not row.sent:
+            return
         tokens = self.state.notices.policy.take_unknown(server, row.sent, now)
         if tokens:
             # Half an interval at each of one or two hops.
