--- a/wasabistage/entry/tests/test_process_rollout.py
+++ b/wasabistage/entry/tests/test_process_rollout.py
@@ -135,10 +135,8 @@
         self.settle(version)
         self.assertEqual(self.fleet.processes[holder].process.wait(30.0), 0)
         self.fleet.restart(holder)
-        # Its successor's grants may be taken over, if that entry gets no processor for
-        # as long as a lease.
-        taken_over = self.taken_over()
-        self.assertEqual([row for row in taken_over if row[1] == holder], [])
+        # Rows of server and holder, so that a failure tells whose grant it was.
+        self.assertEqual(self.taken_over(), [])
         self.check_witnesses()
 
     def test_dead_engines_stop_no_rollout(self):
--- a/wasabistage/platform/tests/test_slow_readers.py
+++ b/wasabistage/platform/tests/test_slow_readers.py
@@ -220,6 +220,8 @@
             # The account of the process holds the response while it is written.
             account = state.intake.policy
             self.assertGreaterEqual(account.held_, len(BODY))
+            budget = self.edge.callers.forwarder.body_budget
+            self.assertEqual(budget.held, 0)
             rows = policy.policy.writes_.values()
             await self.until(
                 lambda: any(row.is_paused for row in rows) or not policy.scopes
@@ -230,6 +232,7 @@
             # The deadline or the system ends it, and what was held is released.
             await self.until(lambda: not policy.scopes)
             await self.until(lambda: account.held_ < len(BODY))
+            self.assertEqual(budget.held, 0)
             self.assertEqual(self.events("server_silent"), [])
             outcomes = [line["outcome"] for line in self.events("attempt")]
             self.assertNotIn("the server sent no bytes for too long", outcomes)
--- a/wasabistage/routing/tests/test_router.py
+++ b/wasabistage/routing/tests/test_router.py
@@ -252,7 +252,9 @@
         self.assertAlmostEqual(
             self.estimator.estimate_rate("other", now), 4000.0, delta=400.0
         )
-        self.assertLess(self.estimator.estimate_rate("a", now), 5000.0)
+        # Ten samples that each weigh ``gain`` leave this part of the first error.
+        left = 2.0 ** ((1.0 - self.estimator.gain) ** 10)
+        self.assertLess(self.estimator.estimate_rate("a", now), 4000.0 * left)
 
     def test_fast_server_is_learned_as_soon(self):
         now = 0.0
