Settings: read templates that an older platform fills in

What callers saw: no process started on a platform that knows only the fields and the plain placeholders of the first template. All five scripts of review/ ended with exit 1 after less than a second.

Evidence: KeyError 'cores' in render of review/common/world.py, scripts 3 and 4 on. Ruled out: a fault of the process itself, since none was started.

Change: whatever the first template did not have is written with |json, which older platforms leave as it is, and the reader takes an unfilled placeholder or null for a missing value.

--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -1,6 +1,11 @@
-"""Settings of one edge process, read from an INI file."""
+"""Settings of one edge process, read from an INI file.
+
+The file may be filled in from a template. A placeholder that nothing filled in counts as
+a missing value.
+"""
 
 import math
+import re
 from configparser import ConfigParser
 from configparser import Error as IniError
 from difflib import get_close_matches
@@ -14,6 +19,8 @@
 MAX_PORT_DIGITS = 5  # of 65535
 REGIONS = "regions"  # section whose keys are failure domains
 MAY_BE_ZERO = frozenset({"cold_slack"})
+PLACEHOLDER = re.compile(r"\{\{.*\}\}")  # of a template
+JSON_NULL = "null"
 
 
 class InstanceSection(msgspec.Struct):
@@ -165,7 +172,8 @@
 def load_edge_settings(path):
     """Read and check the settings of an edge process.
 
-    A key with an empty value takes its default.
+    A key takes its default if its value is empty, ``null`` or an unfilled placeholder.
+    Text may be written as a JSON string.
 
     :param path: path of the INI file.
     :return: an :class:`EdgeSettings`.
@@ -186,13 +194,14 @@
         ) from error
     sections = {
         name: {
-            key if name == REGIONS else key.lower(): value
+            key if name == REGIONS else key.lower(): decode_value(path, key, value)
             for key, value in parser[name].items()
-            if value
+            if not is_missing(key, value)
         }
         for name in parser.sections()
     }
     check_known_names(path, sections)
+    check_required_values(path, parser, sections)
     try:
         settings = msgspec.convert(sections, EdgeSettings, strict=False)
     except msgspec.ValidationError as error:
@@ -203,6 +212,57 @@
     return settings
 
 
+def is_missing(key, value):
+    """Return whether a line of the file gives no value.
+
+    :param key: name of the key.
+    :param value: text of the value.
+    """
+    is_unfilled = PLACEHOLDER.search(key) or PLACEHOLDER.search(value)
+    return not value or value == JSON_NULL or bool(is_unfilled)
+
+
+def decode_value(path, key, value):
+    """Return a value as text, decoded if it is a JSON string.
+
+    :param path: path of the file, for the message.
+    :param key: name of the key, for the message.
+    :param value: text of the value.
+    :raises SettingError: if it starts as a JSON string and isn't one.
+    """
+    if not value.startswith('"'):
+        return value
+    try:
+        return msgspec.json.decode(value, type=str)
+    except msgspec.DecodeError as error:
+        raise SettingError(
+            f"{path}: {key} is {value}, not a JSON string",
+            remedy="close the quotation marks or write the value without any",
+        ) from error
+
+
+def check_required_values(path, parser, sections):
+    """Check that no required key has an unfilled placeholder as its value.
+
+    :param path: path of the file, for the message.
+    :param parser: the ``ConfigParser`` with the text of all values.
+    :param sections: dict of section to dict of key to value, without missing ones.
+    :raises SettingError: if one has.
+    """
+    for section in msgspec.structs.fields(EdgeSettings):
+        if section.name == REGIONS or section.name not in sections:
+            continue
+        lines = {key.lower(): value for key, value in parser[section.name].items()}
+        for field in msgspec.structs.fields(section.type):
+            value = lines.get(field.name, "")
+            if field.required and PLACEHOLDER.search(value):
+                raise SettingError(
+                    f"{path}: key {field.name} of section [{section.name}] is the "
+                    f"unfilled placeholder {value}",
+                    remedy="fill it in; the key is required",
+                )
+
+
 def check_known_names(path, sections):
     """Check that all sections and keys are known.
 
--- a/wasabistage/edge/tests/test_settings.py
+++ b/wasabistage/edge/tests/test_settings.py
@@ -83,6 +83,31 @@
         ).bounds
         self.assertEqual((bounds.cold_excess, bounds.cold_slack), (1.5, 0.0))
 
+    # Guards against placeholders that an older platform leaves as they are and that
+    # are then read as values (issue 38).
+    def test_unfilled_placeholder_takes_the_default(self):
+        text = VALID_SETTINGS.replace("ip =", "cores = {{a.b|json}}\nip =")
+        text = text.replace("stop_s =", "stop_s = 9\nevacuate_ms = {{a}}")
+        text += "[limits]\nmax_fds = null\n[regions]\n{{@}} = {{.|json}}\n"
+        settings = self.load(text + 'a = "eu"\n')
+        self.assertIsNone(settings.instance.cores)
+        self.assertEqual(settings.bounds.evacuate_ms, 5000.0)
+        self.assertEqual(settings.bounds.stop_s, 9.0)
+        self.assertEqual(settings.limits.max_fds, 4096)
+        self.assertEqual(settings.regions, {"a": "eu"})
+
+    def test_unfilled_placeholder_of_a_required_key_is_named(self):
+        text = VALID_SETTINGS.replace("127.0.0.1:8587", "{{platform.address}}")
+        with self.assertRaisesRegex(
+            SettingError,
+            r"key store of section \[records\] .* \{\{platform.address\}\}",
+        ):
+            self.load(text)
+
+    def test_open_quotation_mark_is_an_error(self):
+        with self.assertRaisesRegex(SettingError, 'a is "eu, not a JSON string'):
+            self.load(VALID_SETTINGS + '[regions]\na = "eu\n')
+
     def test_missing_file_raises_setting_error(self):
         with self.assertRaises(SettingError):
             load_edge_settings("missing/edge.ini")
