--- a/standins/tests/test_process_template.py
+++ b/standins/tests/test_process_template.py
@@ -1,4 +1,4 @@
-"""The settings template of the deploy file on older platforms and on the present one."""
+"""The settings template of the deploy file, on older platforms and the present one."""
 
 import tempfile
 import tomllib
--- a/wasabistage/edge/_settings.py
+++ b/wasabistage/edge/_settings.py
@@ -1,7 +1,7 @@
 """Settings of one edge process, read from an INI file.
 
-The file may be filled in from a template. A placeholder that nothing filled in counts as
-a missing value.
+The file may be filled in from a template. A placeholder that nothing filled in counts
+as a missing value.
 """
 
 import math
