--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -131,6 +131,7 @@
         if self.position is None:
             page = await self.store.read_newest(self.topic)
             self._record_success(begun_at)
+            self._discard_wrong_removals(page)
             self.reset_keys(page, self.state.timer.now())
             self.handle_all_records(page.records, page.end, self.state.timer.now())
         else:
@@ -203,7 +204,8 @@
         )
         confirmed_at = requested_at - snapshot.age
         if confirmed_at >= self.confirmed_at:
-            self.reset_keys(RecordPage(records=records, end=snapshot.end), now)
+            page = RecordPage(records=records, end=snapshot.end)
+            self.reset_keys(page, now, snapshot.read_end)
         self.handle_all_records(records, snapshot.read_end, now)
         for record in records:
             if self._apply_readable(record, now):
@@ -268,11 +270,28 @@
         if len(self.removed_offsets) > MAX_REMOVED_KEYS:
             del self.removed_offsets[next(iter(self.removed_offsets))]
 
-    def reset_keys(self, page, now):
+    def _discard_wrong_removals(self, page):
+        """Forget removals of keys that the store still lists.
+
+        Another entry may have missed a record and told its key as removed.
+
+        :param page: the newest records, a :class:`wasabistage.fleet.RecordPage` that was
+            read from the store.
+        """
+        for record in page.records:
+            if self.removed_offsets.get(record.key, page.end) < page.end:
+                del self.removed_offsets[record.key]
+
+    def reset_keys(self, page, now, read_end=None):
         """Remove the keys without a newest record, before the newest are applied.
 
+        A key whose known record lies behind the page is kept.
+
         :param page: the newest records, a :class:`wasabistage.fleet.RecordPage`.
         :param now: monotonic time, in seconds.
+        :param read_end: offset up to which a key that is not in the page has no record,
+            for the page of an entry that has not read all of it; ``None`` for the end
+            of the page.
         """
         return
 
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -173,17 +173,20 @@
     topic = Topic.SERVERS
     pause_seconds = 0.5
 
-    def reset_keys(self, page, now):
+    def reset_keys(self, page, now, read_end=None):
         """See :meth:`RecordWatch.reset_keys`."""
+        read_end = page.end if read_end is None else read_end
         listed = {record.key for record in page.records if record.value is not None}
         for server in list(self.state.servers.servers):
-            if server not in listed:
-                known = self.newest_records.get(server)
-                offset = max(page.end - 1, known.offset + 1 if known is not None else 0)
-                self.record_removal(server, offset)
-                self._remove(server, now)
-                removal = StoredRecord(offset=offset, key=server, value=None)
-                self.state.facts.publish_record(self.topic, removal)
+            known = self.newest_records.get(server)
+            known_offset = -1 if known is None else known.offset
+            if server in listed or known_offset >= page.end:
+                continue
+            offset = max(read_end - 1, known_offset, 0)
+            self.record_removal(server, offset)
+            self._remove(server, now)
+            removal = StoredRecord(offset=offset, key=server, value=None)
+            self.state.facts.publish_record(self.topic, removal)
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -5,8 +5,9 @@
 import trio
 from trio.testing import MockClock
 
+from wasabistage.edge._peer_messages import TopicSnapshot
 from wasabistage.edge._watches import OrderWatch, ServerWatch
-from wasabistage.edge.tests.fleet_case import Fleet
+from wasabistage.edge.tests.fleet_case import Fleet, run
 from wasabistage.fleet import RecordPage, StoredRecord, Topic, TrimmedError
 from wasabistage.rollout import LeaseQuery
 
@@ -125,6 +126,53 @@
         self.assertFalse(self.apply(12, b"10.5.5.5:80 0"))
         self.assertEqual(self.find_usable(), [])
 
+    def read_newest(self, records, end):
+        """Read the newest record of each key from the store."""
+
+        class Store:
+            async def read_newest(self, topic):
+                return RecordPage(records=records, end=end)
+
+        self.watch.store, self.watch.position = Store(), None
+        self.watch.pause_seconds = 0.0
+        run(self.watch._read_next())
+
+    def make_snapshot(self, end, read_end, records=()):
+        rows = [(record.key, record.offset, record.value) for record in records]
+        return TopicSnapshot(
+            age=0.0, end=end, newest=end - 1, read_end=read_end, records=rows
+        )
+
+    # Guards against a server that lapsed and returned, and is removed for good by the
+    # snapshot of an entry that has not seen its return (issue 38, review/3).
+    def test_snapshot_from_before_the_return_of_a_server_leaves_it(self):
+        self.read_list(100.0)
+        self.apply(5, None)
+        self.apply(7, b"10.5.5.5:80 0")
+        self.watch.apply_snapshot(self.make_snapshot(end=6, read_end=6), 101.0)
+        self.assertEqual(self.find_usable(), ["s1"])
+
+    # Guards against a record that is never applied, since an entry that has missed it
+    # told a later offset up to which it knows the topic (the same).
+    def test_record_after_a_wrong_removal_is_applied(self):
+        self.read_list(100.0)
+        self.watch.apply_snapshot(self.make_snapshot(end=40, read_end=0), 101.0)
+        self.assertEqual(self.find_usable(), [])
+        self.assertFalse(self.apply(1, b"10.5.5.5:80 0"))
+        self.assertTrue(self.apply(20, b"10.5.5.5:80 0"))
+        self.assertEqual(self.find_usable(), ["s1"])
+
+    # Guards against a removal that outlives a read of the store which lists the server
+    # (the same).
+    def test_store_that_lists_a_server_refutes_its_removal(self):
+        self.apply(30, None)
+        self.assertEqual(self.find_usable(), [])
+        record = StoredRecord(offset=20, key="s1", value=b"10.5.5.5:80 0")
+        self.read_newest((record,), end=25)
+        self.assertEqual(self.find_usable(), [])
+        self.read_newest((record,), end=50)
+        self.assertEqual(self.find_usable(), ["s1"])
+
     # Guards against a server that has gone and is used on, since the configuration
     # can't be read although the list of servers can (issue 29, DRAIN).
     def test_outage_of_another_topic_keeps_no_server_that_has_gone(self):
