Servers: a process at another address is not the one that was replaced

A server that had moved to another address with the same start time got no request and no order any more, once another server answered at its old address, by a late response to a request that was sent there.

Cause: ServerTable.remove_replaced compared incarnations and no addresses, and barred the incarnation wherever it was listed.

Evidence: test_same_process_at_another_address_is_usable failed before.

Change: a replaced server has left its address, one that announced its stop has left for good.

--- a/wasabistage/fleet/_servers.py
+++ b/wasabistage/fleet/_servers.py
@@ -57,14 +57,16 @@
     :data:`RETURN_TIMEOUT_SECONDS` after it, may have expired because of the outage. The
     server is kept until that time after the outage is over.
 
-    A server whose record returns is used again, unless the same process has left: it
-    had announced so, or another server has answered at its address.
+    A server whose record returns is used again, unless the same process has left. It
+    has left if it had announced so. If another server has answered at its address, it
+    has left that address.
     """
 
     def __init__(self):
         self.servers = {}
-        #: Incarnation of each server that has left.
-        self.left_incarnations = {}
+        #: Incarnation and address of each server that has left; the address is ``None``
+        #: for one that has left for good.
+        self.left_processes = {}
         self.outage_ended_at = float("-inf")
         self.is_in_outage = False
 
@@ -92,7 +94,8 @@
         :return: whether the server is new, changed, or listed again after its record
             vanished.
         """
-        if self.left_incarnations.get(record.server) == record.incarnation:
+        incarnation, address = self.left_processes.get(record.server, (None, None))
+        if incarnation == record.incarnation and address in (None, record.address):
             return False
         known = self.servers.get(record.server)
         if known and known.record.incarnation > record.incarnation:
@@ -120,7 +123,9 @@
         if (self.is_in_outage or is_recovering) and not known.record.is_leaving:
             known.vanished_at = now
             return False
-        self._remove(server, has_left=known.record.is_leaving)
+        if known.record.is_leaving:
+            self._record_left(known.record, None)
+        del self.servers[server]
         return True
 
     def record_leaving(self, record):
@@ -142,22 +147,22 @@
         """Remove a server since another one answers at its address.
 
         :param record: the outdated :class:`ServerRecord`; a newer incarnation of the
-            server stays in the table.
+            server, or the same one at another address, stays in the table.
         :return: whether the server was removed.
         """
         known = self.servers.get(record.server)
         if known is None or known.record.incarnation > record.incarnation:
             return False
-        self._remove(record.server, has_left=True)
+        if known.record.address != record.address:
+            return False
+        self._record_left(known.record, known.record.address)
+        del self.servers[record.server]
         return True
 
-    def _remove(self, server, *, has_left):
-        known = self.servers.pop(server)
-        if not has_left:
-            return
-        self.left_incarnations[server] = known.record.incarnation
-        if len(self.left_incarnations) > MAX_LEFT_SERVERS:
-            del self.left_incarnations[next(iter(self.left_incarnations))]
+    def _record_left(self, record, address):
+        self.left_processes[record.server] = record.incarnation, address
+        if len(self.left_processes) > MAX_LEFT_SERVERS:
+            del self.left_processes[next(iter(self.left_processes))]
 
     def tick(self, now):
         """Remove the servers whose records vanished in an outage and did not return.
@@ -173,7 +178,7 @@
             if known.vanished_at is not None
         ]
         for server in removed:
-            self._remove(server, has_left=False)
+            del self.servers[server]
         return removed
 
     def find_usable(self, service):
--- a/wasabistage/fleet/tests/test_servers.py
+++ b/wasabistage/fleet/tests/test_servers.py
@@ -79,6 +79,18 @@
         self.table.observe(replace(RECORD, incarnation=8), 2.0)
         self.assertEqual(self.find_usable(), ["s1"])
 
+    # Guards against a server that is never used again since another one answers at an
+    # address that it had before (issue 38, review/3).
+    def test_same_process_at_another_address_is_usable(self):
+        moved = replace(RECORD, address="10.0.0.2:80")
+        self.table.remove_replaced(RECORD)
+        self.assertTrue(self.table.observe(moved, 1.0))
+        self.assertFalse(self.table.remove_replaced(RECORD))
+        self.assertEqual(self.find_usable(), ["s1"])
+        self.table.observe(replace(moved, is_leaving=True), 2.0)
+        self.table.remove("s1", 3.0)
+        self.assertFalse(self.table.observe(moved, 4.0))
+
 
 if __name__ == "__main__":
     unittest.main()
