--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -275,8 +275,8 @@
 
         Another entry may have missed a record and told its key as removed.
 
-        :param page: the newest records, a :class:`wasabistage.fleet.RecordPage` that was
-            read from the store.
+        :param page: the newest records as read from the store, a
+            :class:`wasabistage.fleet.RecordPage`.
         """
         for record in page.records:
             if self.removed_offsets.get(record.key, page.end) < page.end:
