Soak: planned work of all kinds, attempts, time that is handed on, long streams

The soak checked the window of repeats and requests that arrive while an entry stops. It could not show what users saw: streams that last for seconds, engines that fall silent, requests that are open when the stop signal comes.

New checks: requests open around SIGTERM, around SIGHUP and around a configuration (LOST); servers that one request ran on, and time that servers are given (BUDGET); each event of a stream once and in order.

--- a/standins/edge_program.py
+++ b/standins/edge_program.py
@@ -23,6 +23,7 @@
 failure_domain = {domain}
 ip = {ip}
 link_mbps = {link_mbps}
+first_start = {first_start}
 
 [listen]
 callers = {ip}:8580
@@ -59,6 +60,8 @@
         a port of its own.
     :param limits: dict of key to value of the section ``[limits]``; ``None`` for a file
         without it.
+    :param first_start: whether its settings say at every start that the whole fleet
+        starts for the first time.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         bounds=None,
         is_isolated=False,
         limits=None,
+        first_start=False,
     ):
         self.name = f"edge-{number}"
         self.ip = get_ip(network, number)
@@ -85,6 +89,7 @@
             name=self.name,
             domain=f"domain-{number % domains}",
             ip=self.ip,
+            first_start=str(first_start).lower(),
             link_mbps=100.0 if number // domains % 10 == 0 else 20.0,
             store=store,
             gossip_port=GOSSIP_PORT + 1 + number if is_isolated else GOSSIP_PORT,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,7 +13,8 @@
 from tools.soak._checks import Bounds, find_retry_peaks, find_violations
 from tools.soak._faults import Fault, FaultInjector, draw_schedule
 from tools.soak._processor import SOAK, judge_served, sum_usage
-from tools.soak._world import World
+from tools.soak._world import KINDS as SHORT_KINDS
+from tools.soak._world import LONG_KINDS, World
 
 KINDS = (
     "kill",
@@ -31,7 +32,7 @@
 )
 #: Kinds that are played only where they are named: they would change the schedules that
 #: seeds draw.
-NAMED_KINDS = ("cold_return", "evacuate")
+NAMED_KINDS = ("cold_return", "evacuate", "publish", "stall")
 SERVED_SHARE = 0.9  # of the calls after the last fault
 SETTLED_SECONDS = 8.0  # calm traffic after the last fault
 ALARMS = ("task_failed", "not_json")
@@ -67,6 +68,8 @@
     bounds,
     folder,
     isolated=0.0,
+    has_long_streams=False,
+    first_start=False,
 ):
     """Play one soak.
 
@@ -81,6 +84,9 @@
     :param bounds: a :class:`tools.soak._checks.Bounds`.
     :param folder: folder for settings and logs.
     :param isolated: share of the edge processes that no report reaches.
+    :param has_long_streams: whether callers also send requests for long streams.
+    :param first_start: whether the settings say at every start of a process that the
+        whole fleet starts for the first time.
     :return: dict of results; ``violations`` is a list of texts.
     """
     world = World(
@@ -92,6 +98,8 @@
         rate=rate,
         bounds=bounds,
         isolated=isolated,
+        kinds=LONG_KINDS if has_long_streams else SHORT_KINDS,
+        first_start=first_start,
     )
     if schedule is None:
         schedule = draw_schedule(world.random, kinds, seconds, faults)
@@ -198,6 +206,14 @@
         help="requests a second that a cold server tolerates; 0 limits none",
     )
     parser.add_argument("--isolated", type=float, default=0.0, help="0 to 1")
+    parser.add_argument(
+        "--long-streams", action="store_true", help="also send long streams"
+    )
+    parser.add_argument(
+        "--first-start",
+        action="store_true",
+        help="settings always say that the fleet starts for the first time",
+    )
     parser.add_argument("--out", default="", help="file for the results, JSON lines")
     parser.add_argument("--keep", default="", help="folder in which logs are kept")
     options = parser.parse_args()
@@ -228,6 +244,8 @@
                 bounds=bounds,
                 folder=folder,
                 isolated=options.isolated,
+                has_long_streams=options.long_streams,
+                first_start=options.first_start,
             )
         failed += bool(result["violations"])
         print_result(result)
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -1,5 +1,6 @@
 """Checks of the promises, from what callers and backend servers have seen."""
 
+import math
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
@@ -8,6 +9,9 @@
 #: Time from the record of a server in the list until every entry has read it.
 LISTING_SECONDS = 2.0
 MAX_REQUEST_SECONDS = 4.0  # the time for which callers wait
+MAX_EXCESS_ATTEMPTS = 3  # requests that may run on too many servers
+MAX_LONG_DEADLINES = 20  # arrivals that may be given too much time
+DEADLINE_SLACK = 0.5  # seconds
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -26,6 +30,8 @@
     :param cold_excess: multiple of this rate that it may get in a second.
     :param cold_slack: requests that it may get in a second besides.
     :param evacuate: seconds after which an evacuated server gets no request.
+    :param attempts: servers that one request may run on.
+    :param configuration: seconds after which a configuration or changed settings hold.
     """
 
     retry_ratio: float = 0.2
@@ -39,6 +45,8 @@
     cold_excess: float = 1.5
     cold_slack: float = 1.0
     evacuate: float = 5.0
+    attempts: int = 3
+    configuration: float = 2.0
 
     @property
     def cold_requests(self):
@@ -56,6 +64,7 @@
     :param service: name of the service.
     :param has_run: whether the server began to work on it.
     :param status: status that the server meant to answer, 0 for none.
+    :param time_left: time for which the server may work, in seconds, or ``None``.
     """
 
     at: float
@@ -64,6 +73,7 @@
     service: str
     has_run: bool
     status: int
+    time_left: float | None = None
 
 
 @dataclass
@@ -77,6 +87,9 @@
     :param entry: name of the entry that it was sent to.
     :param status: status of the answer, 0 without a whole answer.
     :param body: body of the answer.
+    :param deadline: time that it gave, in seconds.
+    :param ended_at: time of the answer, or at which the caller gave up, in seconds;
+        ``None`` while it waits.
     """
 
     at: float
@@ -86,6 +99,12 @@
     entry: str
     status: int = 0
     body: bytes = b""
+    deadline: float = 3.0
+    ended_at: float | None = None
+
+    def get_end(self):
+        """Return the time until which the request may have been open, in seconds."""
+        return self.at + MAX_REQUEST_SECONDS if self.ended_at is None else self.ended_at
 
 
 @dataclass
@@ -98,6 +117,11 @@
     :param disturbances: rows of begin, end and the name of the disturbed entry, ``""``
         for the store.
     :param stops: rows of begin, end and the name of an entry of planned stops.
+    :param reloads: rows of the time and the name of an entry that was told of changed
+        settings.
+    :param publications: rows of the time at which a configuration was written and its
+        version.
+    :param crashes: rows of the time and the id of a server that crashed.
     :param cold_spans: rows of begin, end and the id of a server that was listed as
         cold.
     :param evacuations: rows of the time at which an order was acknowledged, the time at
@@ -109,6 +133,9 @@
     leavings: dict = field(default_factory=dict)
     disturbances: list = field(default_factory=list)
     stops: list = field(default_factory=list)
+    reloads: list = field(default_factory=list)
+    publications: list = field(default_factory=list)
+    crashes: list = field(default_factory=list)
     cold_spans: list = field(default_factory=list)
     evacuations: list = field(default_factory=list)
 
@@ -121,10 +148,34 @@
 
     def is_stopping(self, entry, at):
         """Return whether an entry was being stopped as planned at a time."""
+        return self.has_stop(entry, at, at)
+
+    def has_stop(self, entry, begin, end):
+        """Return whether an entry was being stopped as planned in a span."""
         return any(
-            name == entry and since <= at <= until for since, until, name in self.stops
+            name == entry and begin <= until and since <= end
+            for since, until, name in self.stops
         )
 
+    def has_reload(self, entry, begin, end, within):
+        """Return whether a request was open around a change of an entry's settings.
+
+        :param begin: time at which the request was sent, in seconds.
+        :param end: time at which it ended, in seconds.
+        :param within: seconds after the change in which it may have been sent.
+        """
+        return any(
+            name == entry and begin <= at + within and at <= end
+            for at, name in self.reloads
+        )
+
+    def has_publication(self, begin, end, within):
+        """Return whether a request was open around a new configuration.
+
+        See :meth:`has_reload`.
+        """
+        return any(begin <= at + within and at <= end for at, _ in self.publications)
+
 
 def find_retry_excess(record, bounds):
     """Return the worst window of each service with too many retries.
@@ -252,17 +303,91 @@
 
 
 def find_cut_answers(record, bounds):
-    """Return the requests that a planned stop cut after a server had got them."""
-    arrived = {item.request_id for item in record.arrivals if item.status == 200}
-    return [
-        f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by its stop"
+    """Return the requests that planned work cut after a server had got them.
+
+    Planned work is the stop of the entry, a change of its settings and a configuration.
+    Beside a configuration, requests count if they are cut over three times as often as
+    at other times.
+    """
+    last_arrivals = {item.request_id: item for item in record.arrivals}
+    cut = [
+        item
         for item in record.sent
         if item.status == 0
-        and item.request_id in arrived
-        and record.is_stopping(item.entry, item.at)
-        and not record.is_disturbed(
-            item.entry, item.at - bounds.settle, item.at + MAX_REQUEST_SECONDS
+        and item.request_id in last_arrivals
+        and last_arrivals[item.request_id].status == 200
+        and not record.is_disturbed(item.entry, item.at - bounds.settle, item.get_end())
+    ]
+    found = [
+        f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by its stop"
+        for item in cut
+        if record.has_stop(item.entry, item.at, item.get_end())
+    ]
+    found += [
+        f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by a change of "
+        "its settings"
+        for item in cut
+        if record.has_reload(item.entry, item.at, item.get_end(), bounds.configuration)
+    ]
+    within = bounds.configuration + 1.0
+    beside = [
+        item for item in cut if record.has_publication(item.at, item.get_end(), within)
+    ]
+    open_beside = sum(
+        record.has_publication(item.at, item.get_end(), within) for item in record.sent
+    )
+    others = len(record.sent) - open_beside
+    if len(beside) * others > 3 * (len(cut) - len(beside)) * open_beside:
+        found.append(
+            f"LOST: {len(beside)} of {open_beside} requests beside a configuration "
+            f"were cut, {len(cut) - len(beside)} of {others} others"
         )
+    return found
+
+
+def find_excess_attempts(record, bounds):
+    """Return the requests that ran on too many servers, if they are more than three."""
+    servers, crashed = defaultdict(set), defaultdict(list)
+    for at, server in record.crashes:
+        crashed[server].append(at)
+    ends = {item.request_id: item.get_end() for item in record.sent}
+    for arrival in record.arrivals:
+        end = ends.get(arrival.request_id, arrival.at)
+        has_crashed = any(arrival.at <= at <= end for at in crashed[arrival.server])
+        if arrival.has_run and not has_crashed:
+            servers[arrival.request_id].add(arrival.server)
+    found = [
+        f"BUDGET: {request} ran on {len(names)} servers, {bounds.attempts} allowed"
+        for request, names in servers.items()
+        if len(names) > bounds.attempts
+    ]
+    return found if len(found) > MAX_EXCESS_ATTEMPTS else []
+
+
+def find_long_deadlines(record):
+    """Return a text if servers were given more time than was left."""
+    sent = {item.request_id: item for item in record.sent}
+    first, late_repeats, long, total = {}, 0, 0, 0
+    for arrival in record.arrivals:
+        request = sent.get(arrival.request_id)
+        if request is None:
+            continue
+        total += 1
+        time_left = math.inf if arrival.time_left is None else arrival.time_left
+        is_long = time_left > request.deadline + DEADLINE_SLACK
+        before = first.setdefault(arrival.request_id, arrival)
+        if arrival.at > before.at + DEADLINE_SLACK:
+            late_repeats += 1
+            limit = max(
+                before.at + (before.time_left or 0.0), request.at + request.deadline
+            )
+            is_long = is_long or arrival.at + time_left > limit + DEADLINE_SLACK
+        long += is_long
+    if long <= MAX_LONG_DEADLINES or long <= 0.2 * max(late_repeats, 1):
+        return []
+    return [
+        f"BUDGET: {long} of {total} arrivals had more time than was left, of which "
+        f"{late_repeats} were sent once more later than {DEADLINE_SLACK} s"
     ]
 
 
@@ -287,6 +412,8 @@
     return [
         *find_retry_excess(record, bounds),
         *find_late_arrivals(record, bounds),
+        *find_excess_attempts(record, bounds),
+        *find_long_deadlines(record),
         *find_cut_answers(record, bounds),
         *find_cold_excess(record, bounds),
         *find_evacuated_arrivals(record, bounds),
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -121,8 +121,23 @@
     async def reload(self, fault):
         """Send SIGHUP to some entries."""
         for program in self._draw(self.world.programs, fault.share):
+            reload = self.world.timer.now(), program.name
+            self.world.record.reloads.append(reload)
             program.send_signal(signal.SIGHUP)
 
+    async def publish(self, fault):
+        """Write the next configuration, which changes nothing."""
+        _, version = self.world.record.publications[-1]
+        self.world.publish(version + 1)
+
+    async def stall(self, fault):
+        """Let some engines send no event of their streams for a time."""
+        engines = [item for item in self.world.servers if item.model]
+        until = self.world.timer.now() + fault.seconds
+        for engine in self._draw(engines, fault.share):
+            engine.stalled_until = until
+        await trio.sleep(fault.seconds)
+
     async def grey(self, fault):
         """Let some servers fail part of their requests."""
         how = self.random.choice(("shed", "error", "reset"))
@@ -147,6 +162,7 @@
         """Let some servers crash; they start again."""
         for server in self._draw(self.world.servers, 0.5 * fault.share):
             server.behaviour.down_seconds = fault.seconds
+            self.world.record.crashes.append((self.world.timer.now(), server.server))
             if server.life_scope is not None:
                 server.life_scope.cancel()
 
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -10,7 +10,7 @@
 import trio
 
 from standins.edge_program import EdgeProgram
-from standins.users_platform import StandinServer, StandinStore, respond_json
+from standins.users_platform import SEAL, StandinServer, StandinStore, respond_json
 from tools.soak._checks import Arrival, Bounds, Record, Sent
 from tools.soak._processor import (
     ProcessorMeter,
@@ -22,12 +22,20 @@
 
 STORE_PORT = 8587
 READY_SECONDS = 60.0
-CALL_SECONDS = 4.0
+CALL_SLACK = 1.0  # seconds for which callers wait beyond their deadline
 KINDS = (("read", "app"), ("buy", "app"), ("chat", "llm"))
+#: The same with streams that last for seconds.
+LONG_KINDS = (*KINDS, ("draft", "llm"))
+DEADLINE_SECONDS = {"draft": 12.0}  # of the other kinds: 3
+DEFAULT_DEADLINE_SECONDS = 3.0
+EVENTS = {"chat": 3, "draft": 30}  # of a whole stream
+DRAFT_PAUSE_SECONDS = 0.1  # between two events
+STALL_INTERVAL_SECONDS = 0.02
 WORK_SECONDS = 0.02
 BEAT_SECONDS = 1.2
 SERVE_AFTER_LEAVING_SECONDS = 8.0
 MAX_OPEN_CALLS = 400
+ROUTE_ATTEMPTS = 3  # servers that one request may be sent to
 
 
 def find_network():
@@ -67,6 +75,8 @@
         self.is_leaving = False
         self.zone = "a"
         self.cold_until = None
+        #: Time until which it sends no event of a stream.
+        self.stalled_until = 0.0
 
     def entry(self, **changes):
         """See :meth:`StandinServer.entry`."""
@@ -96,8 +106,10 @@
             status, has_run = 503, False
         elif fails:
             status = 500 if self.grey.how == "error" else 0
+        time_left = fields.get(b"wasabistage-deadline-ms")
         arrival = Arrival(
             at=self.world.timer.now(),
+            time_left=None if time_left is None else int(time_left) / 1000.0,
             request_id=request_id,
             server=self.server,
             service=self.service,
@@ -115,6 +127,21 @@
         else:
             await super()._run(channel, request)
 
+    async def _stream(self, channel, run, echo):
+        is_draft = run.target.startswith(b"/draft/")
+        count = EVENTS["draft" if is_draft else "chat"]
+        pause = DRAFT_PAUSE_SECONDS if is_draft else self.behaviour.pause
+        version = (b"Wasabistage-Weight-Versions", b"%d" % self.version)
+        framing = (b"Transfer-Encoding", b"chunked")
+        await channel.start_response(200, [echo, (SEAL, b"s"), version, framing])
+        last = int(run.fields.get(b"last-event-id", b"0"))
+        for number in range(last + 1, count + 1):
+            await trio.sleep(pause)
+            while self.world.timer.now() < self.stalled_until:
+                await trio.sleep(STALL_INTERVAL_SECONDS)
+            await channel.send_piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        await channel.finish()
+
     async def _report(self, channel):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         state = {"models": models, "busy": False, "seq": self.orders, "queued": 0}
@@ -132,6 +159,9 @@
     :param rate: requests of callers per second.
     :param bounds: :class:`tools.soak._checks.Bounds`.
     :param isolated: share of the edge processes that no report reaches.
+    :param kinds: rows of kind of request and service.
+    :param first_start: whether the settings say at every start of a process that the
+        whole fleet starts for the first time.
     """
 
     def __init__(
@@ -145,7 +175,10 @@
         rate=40.0,
         bounds=None,
         isolated=0.0,
+        kinds=KINDS,
+        first_start=False,
     ):
+        self.kinds = kinds
         self.random = random.Random(seed)
         self.timer = TrioTimerService()
         self.record = Record()
@@ -173,6 +206,7 @@
                     **limits,
                 },
                 is_isolated=number < isolated * entries,
+                first_start=first_start,
             )
             for number in range(entries)
         ]
@@ -205,13 +239,22 @@
     def publish(self, version=1):
         """Write a configuration."""
         common = {"host": "h.example", "timeoutMs": 3000, "goalMs": 500, "priority": 1}
-        plain = {**common, "service": "app", "attempts": 3}
+        plain = {**common, "service": "app", "attempts": ROUTE_ATTEMPTS}
         chat = {**common, "service": "llm", "kind": "streaming", "sticky": True}
-        chat |= {"name": "chat", "pathPrefix": "/chat/", "attempts": 3}
+        chat |= {"name": "chat", "pathPrefix": "/chat/", "attempts": ROUTE_ATTEMPTS}
         routes = [
             {**plain, "name": "read", "pathPrefix": "/read/", "kind": "idempotent"},
             {**plain, "name": "buy", "pathPrefix": "/buy/", "kind": "non_idempotent"},
             {**chat, "resumable": True},
+            {
+                **chat,
+                "name": "draft",
+                "pathPrefix": "/draft/",
+                "resumable": True,
+                "timeoutMs": 12000,
+                "goalMs": 1200,
+                "gapTargetMs": 300,
+            },
         ]
         engine = {"slots": 64, "kvCapacity": 80000, "kvTokenBytes": 1000}
         services = [{"name": "app"}, {"name": "llm", "engine": engine}]
@@ -227,6 +270,7 @@
             "services": services,
             "tenants": [{"name": "small", "keys": ["k1"]}],
         }
+        self.record.publications.append((self.timer.now(), version))
         self.store.put("config", value)
 
     def list_server(self, server, **changes):
@@ -310,36 +354,40 @@
 
     async def call(self, kind=None, program=None):
         """Send one request over a kept channel, and record what came of it."""
-        kind, service = kind or self.random.choice(KINDS)
+        kind, service = kind or self.random.choice(self.kinds)
         program = program or self.random.choice(self.programs)
         self.request_count += 1
         request_id = f"r{self.request_count:07x}"
+        deadline = DEADLINE_SECONDS.get(kind, DEFAULT_DEADLINE_SECONDS)
         headers = [
             (b"Wasabistage-Request-Id", request_id.encode()),
-            (b"Wasabistage-Deadline-Ms", b"3000"),
+            (b"Wasabistage-Deadline-Ms", b"%d" % (1000 * deadline)),
             (b"Authorization", b"Bearer k1"),
         ]
-        if kind == "chat":
+        if service == "llm":
             headers += [
                 (b"Wasabistage-Model", b"m"),
                 (b"Wasabistage-Token-Count", b"600,20"),
                 (b"Wasabistage-Prompt-Prefix", b"aa:500,%s:100" % request_id.encode()),
             ]
         sent = Sent(self.timer.now(), request_id, kind, service, program.name)
+        sent.deadline = deadline
         self.record.sent.append(sent)
         client = self._get_client(program.callers)
         method, body = (b"GET", b"") if kind == "read" else (b"POST", b"{}")
         self.open_calls += 1
         try:
             reply = await client.call(
-                method, f"/{kind}/x".encode(), body, headers, CALL_SECONDS
+                method, f"/{kind}/x".encode(), body, headers, deadline + CALL_SLACK
             )
             sent.status, sent.body = reply.status, reply.body
-            if kind == "chat" and reply.status == 200:
-                sent.body = request_id.encode()
+            if service == "llm" and reply.status == 200:
+                is_whole = is_whole_stream(reply.body, EVENTS[kind])
+                sent.body = request_id.encode() if is_whole else reply.body
         except ChannelError:
             pass
         finally:
+            sent.ended_at = self.timer.now()
             self.open_calls -= 1
 
     def _get_client(self, address):
@@ -364,6 +412,16 @@
             await program.kill()
 
 
+def is_whole_stream(body, count):
+    """Return whether a stream has each of its events once, in order.
+
+    :param body: bytes of the response.
+    :param count: number of events.
+    """
+    lines = [line for line in body.split(b"\n") if line.startswith(b"id: ")]
+    return lines == [b"id: %d" % number for number in range(1, count + 1)]
+
+
 def read_events(program, names):
     """Return the log lines of one edge process with one of some events.
 
--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -12,7 +12,9 @@
     find_cold_excess,
     find_cut_answers,
     find_evacuated_arrivals,
+    find_excess_attempts,
     find_late_arrivals,
+    find_long_deadlines,
     find_retry_excess,
     find_wrong_answers,
 )
@@ -109,7 +111,7 @@
             record.arrivals.append(self.make_arrival(item.at, item.request_id))
         return record
 
-    def make_arrival(self, at, request_id, server="s1", has_run=True):
+    def make_arrival(self, at, request_id, server="s1", has_run=True, time_left=3.0):
         return Arrival(
             at=at,
             request_id=request_id,
@@ -117,6 +119,7 @@
             service="app",
             has_run=has_run,
             status=200,
+            time_left=time_left,
         )
 
     def test_repeats_beyond_the_budget_are_found(self):
@@ -158,6 +161,58 @@
         record.stops.append((9.0, 17.0, "a"))
         self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
 
+    def test_requests_cut_by_changed_settings_and_configurations_are_found(self):
+        record = self.make_record(count=1, status=0)
+        record.sent[0].ended_at = 11.0
+        record.reloads.append((7.9, "a"))
+        self.assertEqual(find_cut_answers(record, Bounds()), [])
+        record.reloads.append((8.5, "a"))
+        self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
+        record.disturbances.append((9.0, 9.5, "a"))
+        self.assertEqual(find_cut_answers(record, Bounds()), [])
+
+        record = self.make_record(count=20)
+        for number in (0, 10, 11):
+            record.sent[number].status = 0
+        for item in record.sent:
+            item.ended_at = item.at + 0.05
+        self.assertEqual(find_cut_answers(record, Bounds()), [])
+        record.publications.append((11.0, 2))
+        self.assertEqual(find_cut_answers(record, Bounds()), [])
+        record.sent[0].status = 200
+        self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
+
+    def test_requests_at_too_many_servers_are_found(self):
+        record = self.make_record(count=4, kind="read")
+        for number in range(4):
+            for server in ("s2", "s3", "s4"):
+                arrival = self.make_arrival(12.0, f"r{number}", server)
+                record.arrivals.append(arrival)
+        self.assertEqual(len(find_excess_attempts(record, Bounds())), 4)
+        record.crashes.append((12.1, "s4"))
+        self.assertEqual(find_excess_attempts(record, Bounds()), [])
+
+    def test_arrivals_with_too_much_time_are_found(self):
+        for time_left in (None, 3.6):
+            record = self.make_record(count=0)
+            for number in range(21):
+                request = Sent(10.0, f"r{number}", "read", "app", "a")
+                record.sent.append(request)
+                record.arrivals.append(
+                    self.make_arrival(10.0, request.request_id, time_left=time_left)
+                )
+            with self.subTest(time_left=time_left):
+                self.assertEqual(len(find_long_deadlines(record)), 1)
+                record.arrivals.pop()
+                self.assertEqual(find_long_deadlines(record), [])
+
+    def test_repeats_that_end_after_the_callers_time_are_found(self):
+        record = self.make_record(count=40)
+        for number in range(40):
+            arrival = self.make_arrival(15.0, f"r{number}", "s2", time_left=2.9)
+            record.arrivals.append(arrival)
+        self.assertEqual(len(find_long_deadlines(record)), 1)
+
     def test_second_run_untrue_refusal_and_foreign_body_are_found(self):
         record = self.make_record(count=3)
         record.arrivals.append(self.make_arrival(11.0, "r0"))
