Gate: continue an answer that has begun as long as its caller waits

What callers saw: LOST. A stream of some seconds broke off as soon as its engine failed or fell silent, with seconds left: "attempt ... lost", "retry_decided ... retry true" and at the same moment "request_given_up, no engine can begin before the caller gives up, outcome broken", as in the users' record.

Cause: the gate counted the time since the request arrived, also for an answer that had begun. It refuses a prompt after 1.2 times its objective or at 0.9 of its caller's patience. A stream that breaks later than that could never be continued, though its caller waits from its last event on.

Ruled out: attempts and the deadline (2 of 3 attempts and 9 s were left), an entry that stops early (the others cut streams, too).

Change: the gate query has the time of the last event. Such a request is refused only once its caller has waited longer than it does between events (2 s, 4 objectives, 8 pauses of the route), goes before others of its rank that are late, and yields to no stream.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -35,6 +35,8 @@
 #: the route's objective, and its lower bound.
 STREAM_PATIENCE_RATIO = 4.0
 MIN_STREAM_PATIENCE_SECONDS = 2.0
+#: The same for the next event, relative to the longest pause of the route.
+GAP_PATIENCE_RATIO = 8.0
 #: Penalty per token to generate on an engine that loads a version soon. The longer a
 #: request runs, the more likely the engine changes its weights before the request ends.
 LOADS_SOON_PENALTY_SECONDS_PER_TOKEN = 0.002
@@ -467,6 +469,10 @@
     """
     request, route, plan = exchange.request, exchange.route, choice.plan
     prompt = request.prompt
+    if exchange.last_event_at is None:
+        patience = get_patience(route, exchange.deadline_at - request.begun_at)
+    else:
+        patience = get_gap_patience(route)
     return GateQuery(
         request=request.request_id,
         rank=get_request_rank(route, exchange.account),
@@ -481,7 +487,21 @@
         predicted=plan.seconds,
         arrived_at=request.begun_at,
         objective=route.objective,
-        patience=get_patience(route, exchange.deadline_at - request.begun_at),
+        patience=patience,
+        last_event_at=exchange.last_event_at,
+    )
+
+
+def get_gap_patience(route):
+    """Return the assumed time for which a caller waits for the next event of a stream.
+
+    :param route: a :class:`wasabistage.fleet.Route`.
+    :return: seconds.
+    """
+    return max(
+        MIN_STREAM_PATIENCE_SECONDS,
+        STREAM_PATIENCE_RATIO * route.objective,
+        GAP_PATIENCE_RATIO * route.max_gap,
     )
 
 
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -98,6 +98,8 @@
     :param is_write_open: whether a write to the caller has begun and not returned. If
         it was cancelled, what the caller has received is unknown.
     :param gate_waits: number of times that the gate found no room for the request.
+    :param last_event_at: time at which the last event of a stream was received,
+        monotonic seconds; ``None`` before the first.
     """
 
     request: object
@@ -113,6 +115,7 @@
     gate_waits: int = 0
     rest_seconds: float = 0.0
     is_write_open: bool = False
+    last_event_at: float | None = None
 
     @contextmanager
     def write(self):
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -596,6 +596,7 @@
                     is_first = False
                 self.state.crash_watch.record_bytes(attempt, has_events=bool(events))
                 if events:
+                    exchange.last_event_at = self.state.timer.now()
                     with exchange.write(), self.slow_writes.watch(attempt):
                         await caller.send_piece(events)
         except EventTooLongError as error:
--- a/wasabistage/fleet/_configuration.py
+++ b/wasabistage/fleet/_configuration.py
@@ -34,6 +34,8 @@
     :param has_prompt: whether requests carry a prompt for a model engine.
     :param is_resumable: whether another server may continue an interrupted stream.
     :param allowed_regions: regions to whose servers requests may be sent; all if empty.
+    :param max_gap: longest pause between two events of a stream that is on time, in
+        seconds; 0 if the route declares none.
     """
 
     name: str
@@ -49,6 +51,7 @@
     has_prompt: bool = False
     is_resumable: bool = False
     allowed_regions: frozenset[str] = frozenset()
+    max_gap: float = 0.0
 
     @property
     def is_repeatable(self):
--- a/wasabistage/routing/_engine_gate.py
+++ b/wasabistage/routing/_engine_gate.py
@@ -37,7 +37,10 @@
     :param predicted: predicted time to the first token from now, in seconds.
     :param arrived_at: monotonic time at which the request arrived, in seconds.
     :param objective: latency objective for the first token since arrival, in seconds.
-    :param patience: time since arrival after which the caller gives up, in seconds.
+    :param patience: time since arrival, or since the last event, after which the caller
+        gives up, in seconds.
+    :param last_event_at: monotonic time at which the caller got the last event of an
+        answer that another engine has begun, in seconds; ``None`` before the first.
     """
 
     request: str
@@ -51,6 +54,7 @@
     arrived_at: float
     objective: float
     patience: float
+    last_event_at: float | None = None
     runs: int = 0
     slots: int = 0
     spacing_wait: float = 0.0
@@ -130,9 +134,10 @@
     :param backlog_limits: largest computing time of the work ahead of a prompt, by
         rank, in seconds; the last value applies to all less urgent ranks.
     :param patience_share: fraction of the caller's patience within which the first
-        token must be predicted to arrive; otherwise the prompt is refused.
+        token must be predicted to arrive; otherwise the prompt is refused. An answer
+        that has begun is continued as long as its caller waits.
     :param late_limit: time since arrival after which a waiting prompt is refused, as a
-        multiple of the objective.
+        multiple of the objective, unless its answer has begun.
     """
 
     def __init__(
@@ -166,9 +171,7 @@
     def decide(self, query, now):
         """See :meth:`EngineGate.decide`."""
         waited = now - query.arrived_at
-        if waited + query.predicted > query.patience * self.patience_share:
-            return TOO_LATE
-        if waited > self.late_limit * query.objective:
+        if self._is_too_late(query, waited, now):
             return TOO_LATE
         order_key = self._order_key(query, now)
         if self._yields_to_streams(query, waited):
@@ -179,11 +182,20 @@
         self.waiting_[query.request] = query
         return WAIT
 
+    def _is_too_late(self, query, waited, now):
+        if query.last_event_at is not None:
+            return now - query.last_event_at > query.patience
+        if waited + query.predicted > query.patience * self.patience_share:
+            return True
+        return waited > self.late_limit * query.objective
+
     def _yields_to_streams(self, query, waited):
         """Return whether a long prompt waits for the streams of the engine.
 
         It waits as long as it can still meet its own objective.
         """
+        if query.last_event_at is not None:
+            return False
         return query.spacing_wait > 0 and waited + query.predicted <= query.objective
 
     def _has_room(self, query):
@@ -197,6 +209,7 @@
 
     def _order_key(self, query, now):
         is_late = now - query.arrived_at + query.predicted > query.objective
+        is_late = is_late and query.last_event_at is None
         return query.rank, is_late, query.arrived_at
 
     def _is_preceded(self, query, order_key, now):
--- a/wasabistage/routing/tests/test_engine_gate.py
+++ b/wasabistage/routing/tests/test_engine_gate.py
@@ -56,6 +56,19 @@
         self.assertIs(self.gate.decide(query, 0.1), WAIT)
         self.assertIs(self.gate.decide(query, 0.3), PASS)
 
+    # Guards against answers that are cut midway although their callers wait for the
+    # next event (issue 38, LOST).
+    def test_begun_answer_is_continued_while_its_caller_waits(self):
+        query = make_query(last_event_at=9.0, objective=0.25, patience=2.4)
+        self.assertIs(self.gate.decide(query, 10.0), PASS)
+        full = make_query(
+            last_event_at=9.0, patience=2.4, runs=16, slots=16, spacing_wait=0.1
+        )
+        self.assertIs(self.gate.decide(full, 11.3), WAIT)
+        self.assertIs(self.gate.decide(full, 11.5), TOO_LATE)
+        fresh = make_query("n", arrived_at=9.9, runs=16, slots=16)
+        self.assertIs(self.gate.decide(fresh, 10.0), WAIT)
+
     def test_urgent_prompt_passes_at_full_slots_and_others_wait(self):
         full = {"runs": 16, "slots": 16, "size": 900, "tokens": 900}
         self.assertIs(self.gate.decide(make_query("u", rank=0, **full), 0.0), PASS)
