Soak: a stop may cut what is still worked on at its end

The rule on planned stops doesn't count a request that was sent no later than 3 s after the signal and whose server is still at work in the last sixth of the stop.

--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -12,6 +12,7 @@
 MAX_EXCESS_ATTEMPTS = 3  # requests that may run on too many servers
 MAX_LONG_DEADLINES = 20  # arrivals that may be given too much time
 DEADLINE_SLACK = 0.5  # seconds
+MAX_SENT_AFTER_STOP = 3.0  # seconds after which a stopping entry may cut no request
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -157,6 +158,23 @@
             for since, until, name in self.stops
         )
 
+    def has_cutting_stop(self, entry, begin, end):
+        """Return whether a stop may not have cut a request that ended unanswered.
+
+        It may cut one that was sent soon after the signal and is still worked on in the
+        last sixth of the time that the entry has.
+        """
+        return any(
+            name == entry
+            and begin <= until
+            and since <= end
+            and not (
+                begin <= since + MAX_SENT_AFTER_STOP
+                and end >= until - (until - since) / 6.0
+            )
+            for since, until, name in self.stops
+        )
+
     def has_reload(self, entry, begin, end, within):
         """Return whether a request was open around a change of an entry's settings.
 
@@ -321,7 +339,7 @@
     found = [
         f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by its stop"
         for item in cut
-        if record.has_stop(item.entry, item.at, item.get_end())
+        if record.has_cutting_stop(item.entry, item.at, item.get_end())
     ]
     found += [
         f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by a change of "
