Forward: leave an answer at its silent server unless another may continue it

What callers saw: LOST. A stream was cut since its engine had sent nothing for 1.5 s, although no repeat was left or every other engine was silent, too: "the server sent no bytes for too long", then "the retry budget is exhausted", outcome broken. The engine went on a moment later.

Cause: the attempt was cancelled before it was decided whether it may be sent again.

Change: for an answer that has begun, the retry is decided first, and only if a server that isn't silent may take the request; the attempt is cancelled for a granted retry alone. Requests whose answer has not begun move as before: a final answer can still be given to them.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -199,6 +199,8 @@
     :param events: events of a stream.
     :param break_after: events after which the channel breaks off, or ``None``.
     :param pause: seconds between two events.
+    :param stall: event of a stream after which the server sends nothing for a time, and
+        the time in seconds; ``None`` for none.
     :param status: status of a plain answer.
     :param is_full: whether it turns requests away.
     :param late_extra: whether a second answer follows each answer.
@@ -223,6 +225,7 @@
     events: int = 3
     break_after: int | None = None
     pause: float = 0.0
+    stall: tuple[int, float] | None = None
     status: int = 200
     is_full: bool = False
     late_extra: bool = False
@@ -433,6 +436,8 @@
                 channel.close()
                 return
             await channel.send_piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            if self.behaviour.stall is not None and number == self.behaviour.stall[0]:
+                await trio.sleep(self.behaviour.stall[1])
         await channel.finish()
 
 
--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -74,6 +74,16 @@
     def test_planned_stops_cut_no_request(self):
         self.play("0.5:slow:12:1.0,1:restart_in_turn:1:0.3,2:restart_in_turn:1:0.3")
 
+    # Guards against streams that are cut while engines fall silent and entries stop
+    # (issue 38, LOST: 3 on seed 1).
+    def test_stalled_engines_and_planned_stops_cut_no_stream(self):
+        self.play(
+            "2:stall:1.6:0.5,1:restart_in_turn:1:0.3,6:stall:1.6:0.5,8:stall:1.2:0.5",
+            seconds=14.0,
+            entries=7,
+            has_long_streams=True,
+        )
+
     # Guards against more requests to cold servers than they tolerate, by entries that
     # hear nobody and are killed in between.
     def test_failure_domain_returns_cold_twice_before_isolated_entries(self):
@@ -160,6 +170,11 @@
         self.assertEqual(find_cut_answers(record, Bounds()), [])
         record.stops.append((9.0, 17.0, "a"))
         self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
+        # Still worked on in the last sixth of the stop.
+        record.sent[0].ended_at = 15.7
+        self.assertEqual(find_cut_answers(record, Bounds()), [])
+        record.sent[0].ended_at = 15.6
+        self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
 
     def test_requests_cut_by_changed_settings_and_configurations_are_found(self):
         record = self.make_record(count=1, status=0)
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -253,6 +253,31 @@
     return Choice(record=next(r for r in records if r.server == decision.server))
 
 
+def has_responsive_server(state, exchange):
+    """Return whether a server that isn't silent may get a request once more.
+
+    :param state: an :class:`EdgeState`.
+    :param exchange: the :class:`Exchange` of the request.
+    """
+    service, now = exchange.service, state.timer.now()
+    healthy = {
+        item.server
+        for item in state.health.decide(HealthQuery(service=service), now)
+        if item.usable
+    }
+    home_regions = get_home_regions(state, exchange.route, exchange.account)
+    usable = find_usable_records(state, service, home_regions, now)
+    if isinstance(usable, AllEvacuated):
+        return False
+    return any(
+        record.server in healthy
+        and record.server not in exchange.tried_servers
+        and not get_rest_seconds(state, record, now)
+        and not state.silence.decide(SilenceQuery(server=record.server), now)
+        for record in usable
+    )
+
+
 def describe_no_server(home_regions):
     """Return the reason for which no server is usable, for the log.
 
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -62,12 +62,16 @@
         ``None`` before its head has been read.
     :param limit: longest time without a byte of a response that has begun, in seconds.
     :param begun_at: start of the wait, seconds of trio's clock.
+    :param exchange: the :class:`Exchange`.
+    :param attempt: the :class:`Attempt`.
     """
 
     scope: object
     channel: object
     limit: float
     begun_at: float
+    exchange: object
+    attempt: object
 
     def is_too_long(self, now):
         """Return whether the wait ends if the server sends nothing on any channel.
@@ -100,6 +104,8 @@
     :param gate_waits: number of times that the gate found no room for the request.
     :param last_event_at: time at which the last event of a stream was received,
         monotonic seconds; ``None`` before the first.
+    :param granted_retry: the :class:`wasabistage.retries.Retry` for which the running
+        attempt is cancelled, or ``None``.
     """
 
     request: object
@@ -116,6 +122,7 @@
     rest_seconds: float = 0.0
     is_write_open: bool = False
     last_event_at: float | None = None
+    granted_retry: object = None
 
     @contextmanager
     def write(self):
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -4,7 +4,11 @@
 
 import trio
 
-from wasabistage.edge._choice import get_request_rank, is_evacuated
+from wasabistage.edge._choice import (
+    get_request_rank,
+    has_responsive_server,
+    is_evacuated,
+)
 from wasabistage.edge._cold_servers import (
     is_beyond_allowance,
     record_answer,
@@ -107,20 +111,32 @@
                 return
             if not (attempt.is_version_mismatch or attempt.is_deferred):
                 excluded.add(choice.record.server)
-            retry = self._decide_retry(exchange, attempt)
+            retry, exchange.granted_retry = exchange.granted_retry, None
+            if retry is None:
+                retry = self._decide_retry(exchange, attempt)
             if not retry:
                 await self._send_final_answer(exchange, str(retry.reason))
                 return
 
     def _decide_retry(self, exchange, attempt):
         """Return a ``Retry`` for a failed attempt, or a sentinel with the reason."""
+        query, now = self._build_retry_query(exchange, attempt, attempt.failure)
+        decision = self.state.retries.decide(query, now)
+        self._log_retry(exchange, attempt, query, decision)
+        return decision
+
+    def _build_retry_query(self, exchange, attempt, failure):
+        """Return the query whether to retry after an attempt, and the present time.
+
+        :param failure: how the attempt has failed, or would fail if it was cancelled.
+        """
         route, now = exchange.route, self.state.timer.now()
         servers = len(exchange.tried_servers)
         query = RetryQuery(
             service=exchange.service,
             # A request that no server has run may be repeated on every route.
             idempotent=route.is_repeatable or not exchange.may_have_run,
-            failure=attempt.failure,
+            failure=failure,
             answer_begun=exchange.is_write_open
             or (exchange.channel.started and not route.is_resumable),
             # A server that declined for its weight version uses up no attempt.
@@ -132,19 +148,41 @@
             entry_count=self.state.entry_count,
             deadline_at=exchange.deadline_at,
         )
-        decision = self.state.retries.decide(query, now)
+        return query, now
+
+    def _log_retry(self, exchange, attempt, query, decision):
         self.state.log.write(
             "retry_decided",
             request=exchange.request.request_id,
             service=exchange.service,
             server=attempt.choice.record.server,
-            failure=str(attempt.failure),
+            failure=str(query.failure),
             retry=bool(decision),
             reason="" if decision else str(decision.reason),
             entries=query.entry_count,
-            remaining=self.state.retries.get_remaining(query, now),
+            remaining=self.state.retries.get_remaining(query, self.state.timer.now()),
         )
-        return decision
+
+    def may_move(self, wait):
+        """Return whether a request is taken away from its silent server.
+
+        An answer that has begun is left there unless another server may continue it:
+        the silent one may go on, and the caller would get a broken answer.
+
+        :param wait: the :class:`ServerWait`, whose block is to be cancelled.
+        """
+        exchange, attempt = wait.exchange, wait.attempt
+        if not exchange.channel.started or exchange.granted_retry is not None:
+            return True
+        if not has_responsive_server(self.state, exchange):
+            return False
+        query, now = self._build_retry_query(exchange, attempt, Failure.LOST)
+        decision = self.state.retries.decide(query, now)
+        if not decision:
+            return False
+        self._log_retry(exchange, attempt, query, decision)
+        exchange.granted_retry = decision
+        return True
 
     async def _send_final_answer(self, exchange, reason):
         """Send the final response for a request that no attempt answered."""
@@ -253,7 +291,9 @@
         is_streaming = attempt.first_event_seconds is not None
         limit = silence.stream_limit if is_streaming else silence.first_limit
         with trio.CancelScope() as scope:
-            wait = ServerWait(scope, channel, limit, trio.current_time())
+            wait = ServerWait(
+                scope, channel, limit, trio.current_time(), exchange, attempt
+            )
             waits = self.state.repeatable_waits.setdefault(server, set())
             waits.add(wait)
             try:
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -272,7 +272,11 @@
         self.callers.forwarder.slow_writes.tick()
         for server in self.state.silence.tick(self.state.timer.now()):
             waits = self.state.repeatable_waits.get(server, ())
-            moved = [wait for wait in waits if wait.is_too_long(now)]
+            moved = [
+                wait
+                for wait in waits
+                if wait.is_too_long(now) and self.callers.forwarder.may_move(wait)
+            ]
             if moved:
                 self.state.log.write("server_silent", server=server, moved=len(moved))
             for wait in moved:
