Retries: a restarted entry leaves alone what its last process may have spent

What callers saw: BUDGET. Repeats piled up beyond what is allowed when entries were killed or restarted while servers failed.

Cause: a process that starts knows no repeats, and its budget counts its own requests only.

Change: while the number of entries is unknown, an entry uses 0.1 of the part per request. The processes of all lives in a window share its requests, so they take 0.9 of it together, whatever the number of restarts.

--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -62,6 +62,19 @@
         )
         self.assertGreater(result["repeats"], 10)
 
+    # Guards against repeats beyond the budget of the fleet by entries that are killed
+    # while all servers refuse (issue 38, BUDGET: 202 of 181).
+    def test_killed_entries_keep_the_budget(self):
+        result = self.play(
+            "11.5:grey:10:1.0,13.5:kill:0.1:1.0",
+            seed=3,
+            seconds=22.0,
+            entries=7,
+            servers=6,
+            rate=100.0,
+        )
+        self.assertGreater(result["repeats"], 100)
+
     # Guards against odd entries in the list of servers that hide those that leave
     # (issue 29, DRAIN: 864 requests on seed 2).
     def test_leaving_servers_are_seen_behind_odd_entries(self):
--- a/wasabistage/retries/_window_budget.py
+++ b/wasabistage/retries/_window_budget.py
@@ -11,8 +11,9 @@
     In any window, all entries together may send ``ratio`` retries per request plus
     ``extra`` retries. Each entry counts its own requests and takes an equal share of
     ``extra``, so that they need no messages. The bound holds as long as no entry
-    divides by less than the number of entries that run; one that doesn't know it takes
-    nothing of ``extra``.
+    divides by less than the number of entries that run. An entry that doesn't know it,
+    or may have spent its budget before it was restarted, takes nothing of ``extra`` and
+    only a part of what the other entries leave of ``ratio``.
 
     :param ratio: retries per request.
     :param extra: retries in a window, besides those for requests, that all entries
@@ -21,14 +22,20 @@
     :param usable_fraction: fraction of the allowed retries that is used. The
         default is below 1, because the windows of different entries don't begin at
         the same time.
+    :param restart_fraction: fraction of the retries per request that is used while the
+        number of entries is unknown. All processes of an entry in one window together
+        use ``usable_fraction + restart_fraction`` at most.
     :raises SettingError: if an argument is out of range.
     """
 
-    def __init__(self, *, ratio, extra, window, usable_fraction=0.8):
+    def __init__(
+        self, *, ratio, extra, window, usable_fraction=0.8, restart_fraction=0.1
+    ):
         self.ratio = ratio
         self.extra = extra
         self.window = window
         self.usable_fraction = usable_fraction
+        self.restart_fraction = restart_fraction
         if not 0 < usable_fraction <= 1 or min(ratio, extra) < 0 or window <= 0:
             raise SettingError(
                 f"the retry budget has ratio {ratio}, extra {extra}, window {window} "
@@ -57,8 +64,10 @@
             that allowed retries have left the window before those retries.
         """
         self._expire(now)
-        share = 0.0 if entries is None else self.extra / max(1, entries)
-        allowed = self.ratio * len(self.request_times) + share
+        allowed = self.ratio * len(self.request_times)
+        if entries is None:
+            return self.restart_fraction * allowed - len(self.retry_times)
+        allowed += self.extra / max(1, entries)
         return self.usable_fraction * allowed - len(self.retry_times)
 
     def acquire(self, entries, now):
