Fleet: a process whose entry has a record is no first start

A restarted process whose settings still say first_start used its share of the retry allowance after 3 s, although the process before had spent it.

Cause: first_start was taken from the settings alone. A platform that fills the template in once, or leaves sections of the template as they are, says so at every start.

Change: the record of an entry names the process that wrote it. A process reads the topic of entries before it writes its own record, and one that finds a record of another process is a restarted one, whatever the settings say. Before the topic is known nothing of the allowance is used. The budget of cold servers uses the same test.

Tests: EarlierProcessTest (2) and RestartTest failed before (no such field, and 1 in place of None).

--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -94,6 +94,8 @@
         self.ranked_names = frozenset()
         #: Time at which the record of this entry was known to be in the store.
         self.registered_at = None
+        #: Whether the store has held the record of an earlier process of this entry.
+        self.has_earlier_process = False
         self.started_at = state.timer.now()
         self.capacity = EntryCapacity(state.settings.capacity).reset()
         #: Time of the last call of :meth:`update_roles`, monotonic seconds.
@@ -171,17 +173,30 @@
     def get_sharer_count(self):
         """Return the number of entries that share the retry budgets, with this one.
 
-        :return: number of entries, or ``None`` while it is unknown, or while this
-            process may have spent its share of a window before it was restarted.
+        :return: number of entries, or ``None`` while it is unknown, or while an earlier
+            process of this entry may have spent its share of a window.
         """
+        if not self._has_read_entries():
+            return None
         if self.state.timer.now() - self.started_at < self._get_hold_back_seconds():
             return None
         return self.sharers.count()
 
-    def record_registration(self):
-        """Record that the record of this entry is in the store."""
-        if self.registered_at is None:
+    def record_registration(self, incarnation):
+        """Record that a record of this entry is in the store.
+
+        :param incarnation: id of the process that wrote it.
+        """
+        if self.registered_at is not None:
+            return
+        if incarnation == self.state.incarnation:
             self.registered_at = self.state.timer.now()
+        else:
+            self.has_earlier_process = True
+
+    def _has_read_entries(self):
+        watch = self.state.facts.watches.get(str(Topic.ENTRIES))
+        return watch is not None and watch.is_known
 
     def get_cold_rank(self, server):
         """Return the rank of this entry for the requests to a cold server.
@@ -204,19 +219,26 @@
         return rank, len(names)
 
     def _may_send_to_cold_servers(self):
-        now, instance = self.state.timer.now(), self.state.settings.instance
+        now = self.state.timer.now()
         watch = self.state.facts.watches.get(str(Topic.ENTRIES))
         if watch is None or not watch.is_known or self.registered_at is None:
             return False
         if now - watch.confirmed_at >= COLD_HOLD_BACK_SECONDS:
             return False
-        if instance.first_start:
+        if self._is_first_start():
             return now - self.started_at >= self._get_hold_back_seconds()
         return now - self.registered_at >= COLD_HOLD_BACK_SECONDS
 
+    def _is_first_start(self):
+        """Return whether no process of this entry has run before.
+
+        The settings may be those of the first start although this is a later one.
+        """
+        return self.state.settings.instance.first_start and not self.has_earlier_process
+
     def _get_hold_back_seconds(self):
         settings = self.state.settings
-        if not settings.instance.first_start:
+        if not self._is_first_start():
             return settings.bounds.retry_window_s
         return FIRST_START_SECONDS if self.seed_ips else 0.0
 
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -12,12 +12,14 @@
     :param failure_domain: failure domain that it runs in.
     :param weight: capacity to carry the facts of others.
     :param capacity: capacity to serve callers; 0 if it is unknown.
+    :param incarnation: id of the process that wrote the record.
     """
 
     ip: str
     failure_domain: str = ""
     weight: float = 1.0
     capacity: float = 0.0
+    incarnation: str = ""
 
 
 class MemberRow(msgspec.Struct, array_like=True, frozen=True):
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -66,6 +66,7 @@
 LAST_RESPONSE_SECONDS = 0.2  # for the final responses of requests that are ended
 DRAIN_INTERVAL_SECONDS = 0.05  # pause between two checks for open requests
 REGISTER_RETRY_SECONDS = 0.5
+REGISTER_INTERVAL_SECONDS = 0.02  # pause between two checks for the known entries
 TASK_RESTART_SECONDS = 0.2  # pause before a failed task is restarted
 IDLE_CHANNELS_INTERVAL_SECONDS = 1.0
 
@@ -224,19 +225,26 @@
         )
 
     async def _register(self):
-        """Append the record that gives other entries the address of this one."""
+        """Append the record that gives other entries the address of this one.
+
+        It replaces the record of an earlier process, which is read first.
+        """
+        watch = self.state.facts.watches[str(Topic.ENTRIES)]
+        while not watch.is_known:
+            await trio.sleep(REGISTER_INTERVAL_SECONDS)
         instance = self.settings.instance
         entry = PeerEntry(
             ip=instance.ip,
             failure_domain=instance.failure_domain,
             weight=instance.weight,
             capacity=self.settings.capacity,
+            incarnation=self.state.incarnation,
         )
         value = msgspec.json.encode(entry)
         while True:
             try:
                 await self.store.append(Topic.ENTRIES, value, key=instance.name)
-                self.state.view.record_registration()
+                self.state.view.record_registration(self.state.incarnation)
                 return
             except StoreError as error:
                 self.state.log.write("registration_failed", reason=str(error))
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -314,7 +314,7 @@
         check_entry(entry)
         self.newest_records[record.key] = record
         if record.key == self.state.settings.instance.name:
-            self.state.view.record_registration()
+            self.state.view.record_registration(entry.incarnation)
         return self.state.view.add_entry(record.key, entry)
 
 
--- a/wasabistage/edge/tests/fleet_case.py
+++ b/wasabistage/edge/tests/fleet_case.py
@@ -274,6 +274,7 @@
             ip=entry.ip,
             failure_domain=entry.domain,
             weight=entry.state.settings.instance.weight,
+            incarnation=entry.state.incarnation,
         )
         self.write(Topic.ENTRIES, entry.name, msgspec.json.encode(record))
 
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -2,10 +2,11 @@
 
 import unittest
 
+import msgspec
 import trio
 from trio.testing import MockClock
 
-from wasabistage.edge._peer_messages import TopicSnapshot
+from wasabistage.edge._peer_messages import PeerEntry, TopicSnapshot
 from wasabistage.edge._watches import OrderWatch, ServerWatch
 from wasabistage.edge.tests.fleet_case import Fleet, run
 from wasabistage.fleet import RecordPage, StoredRecord, Topic, TrimmedError
@@ -76,6 +77,41 @@
                 self.assertGreater(store.reads, 5)
 
 
+class EarlierProcessTest(unittest.TestCase):
+    """Pattern: the settings of the first start are kept for a later one."""
+
+    def get_count(self, incarnation, seconds):
+        """Return the number of sharers some time after a start.
+
+        :param incarnation: id in the record of this entry; ``""`` for the own one,
+            ``None`` if the topic can't be read.
+        """
+        fleet = Fleet(1, 1, is_first_start=True)
+        entry = next(iter(fleet.entries.values()))
+        watch = entry.watches[str(Topic.ENTRIES)]
+        watch.is_known = incarnation is not None
+        if incarnation is not None:
+            value = msgspec.json.encode(
+                PeerEntry(
+                    ip=entry.ip, incarnation=incarnation or entry.state.incarnation
+                )
+            )
+            record = StoredRecord(offset=1, key=entry.name, value=value)
+            watch.apply_shared(record)
+        fleet.now += seconds
+        return entry.state.entry_count
+
+    # Guards against the whole retry allowance for a restarted process, since its
+    # settings still say that the fleet starts for the first time (issue 38, BUDGET).
+    def test_record_of_an_earlier_process_outweighs_the_settings(self):
+        self.assertEqual(self.get_count("", 4.0), 1)
+        self.assertIsNone(self.get_count("earlier", 4.0))
+        self.assertEqual(self.get_count("earlier", 10.1), 1)
+
+    def test_nothing_of_the_allowance_is_used_before_the_entries_are_known(self):
+        self.assertIsNone(self.get_count(None, 60.0))
+
+
 class ServerListTest(unittest.TestCase):
     """Pattern: records of servers lapse and return, and facts arrive out of order."""
 
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 import itertools
 import json
+import os
 import unittest
 
 import trio
@@ -9,10 +10,13 @@
     APPEND_FAILURE_PAUSE_SECONDS,
     ORDER_LEAD_SECONDS,
 )
+from wasabistage.edge._process import EdgeProcess
 from wasabistage.fleet import Topic
 from wasabistage.http1 import ChannelError, HttpClient, open_channel
+from wasabistage.platform import UsersPlatform
 from wasabistage.platform._store import TOPICS
-from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
+from wasabistage.platform.tests.edge_case import PORTS, PROMPT, EdgeCase, make_settings
+from wasabistage.telemetry import MemoryLineLog
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
 
@@ -290,6 +294,28 @@
         self.play(test)
 
 
+class RestartTest(EdgeCase):
+    async def start(self, nursery):
+        """See :meth:`EdgeCase.start`; the store has the record of a process before."""
+        await super().start(nursery)
+        base = next(PORTS)
+        settings = make_settings("edge-1", base, self.platform.store.address)
+        self.second = EdgeProcess(settings, os.devnull, UsersPlatform)
+        self.second.state.log = MemoryLineLog()
+        nursery.start_soon(self.second.run)
+        await self.until(lambda: self.second.state.view.registered_at is not None)
+
+    # Guards against the whole retry allowance for a restarted process, since its
+    # settings still say that the fleet starts for the first time (issue 38, BUDGET).
+    def test_restarted_process_reads_the_record_of_the_one_before(self):
+        async def test():
+            self.assertFalse(self.edge.state.view.has_earlier_process)
+            self.assertTrue(self.second.state.view.has_earlier_process)
+            self.assertIsNone(self.second.state.entry_count)
+
+        self.play(test)
+
+
 class CacheTest(EdgeCase):
     def test_events_and_lists_say_which_parts_an_engine_keeps(self):
         async def test():
