Retries: the window of a retry begins when it is sent

Found by reading while BUDGET was traced: a retry was counted when it was decided, and then waits for an engine, for up to 4 objectives or for the time between two events. Retries that were decided in two windows could arrive in one. A retry that was decided and never sent (its caller left, no engine in time) counted as well, and took room from others.

Cause: WindowBudget recorded the time of the decision.

Change: a decided retry keeps its room until it is sent, which begins its window, or is dropped with its request. An attempt that failed before it was sent keeps the room for the next one.

Tests: test_window_of_a_retry_begins_when_it_is_sent and test_dropped_retry_is_given_back fail without it. The older tests of the budget now record what is sent; their bounds are the same.

--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -106,6 +106,8 @@
         monotonic seconds; ``None`` before the first.
     :param granted_retry: the :class:`wasabistage.retries.Retry` for which the running
         attempt is cancelled, or ``None``.
+    :param has_unsent_retry: whether a retry that takes from the budget was decided and
+        not sent yet.
     """
 
     request: object
@@ -123,6 +125,7 @@
     is_write_open: bool = False
     last_event_at: float | None = None
     granted_retry: object = None
+    has_unsent_retry: bool = False
 
     @contextmanager
     def write(self):
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -30,7 +30,13 @@
     NoRoomError,
     NotSentError,
 )
-from wasabistage.retries import Failure, FirstAttemptSent, RetryQuery
+from wasabistage.retries import (
+    Failure,
+    FirstAttemptSent,
+    RetryDropped,
+    RetryQuery,
+    RetrySent,
+)
 from wasabistage.rollout import ServerOrdered, ServerVersionReported
 from wasabistage.routing import (
     BytesReceived,
@@ -95,6 +101,14 @@
         """
         now = self.state.timer.now()
         self.state.retries.observe(FirstAttemptSent(service=exchange.service), now)
+        try:
+            await self._run_attempts(exchange)
+        finally:
+            if exchange.has_unsent_retry:
+                event = RetryDropped(service=exchange.service)
+                self.state.retries.observe(event, self.state.timer.now())
+
+    async def _run_attempts(self, exchange):
         excluded = set()
         while True:
             choice = await self.engine_wait.select(exchange, excluded)
@@ -121,10 +135,23 @@
     def _decide_retry(self, exchange, attempt):
         """Return a ``Retry`` for a failed attempt, or a sentinel with the reason."""
         query, now = self._build_retry_query(exchange, attempt, attempt.failure)
-        decision = self.state.retries.decide(query, now)
+        decision = self._decide(exchange, query, now)
         self._log_retry(exchange, attempt, query, decision)
         return decision
 
+    def _decide(self, exchange, query, now):
+        decision = self.state.retries.decide(query, now)
+        if decision and decision.takes_budget:
+            exchange.has_unsent_retry = True
+        return decision
+
+    def _record_sent(self, exchange):
+        """Record that an attempt is sent: the window of its retry begins."""
+        if exchange.has_unsent_retry:
+            exchange.has_unsent_retry = False
+            event = RetrySent(service=exchange.service)
+            self.state.retries.observe(event, self.state.timer.now())
+
     def _build_retry_query(self, exchange, attempt, failure):
         """Return the query whether to retry after an attempt, and the present time.
 
@@ -177,7 +204,7 @@
         if not has_responsive_server(self.state, exchange):
             return False
         query, now = self._build_retry_query(exchange, attempt, Failure.LOST)
-        decision = self.state.retries.decide(query, now)
+        decision = self._decide(exchange, query, now)
         if not decision:
             return False
         self._log_retry(exchange, attempt, query, decision)
@@ -377,6 +404,7 @@
                 headers = state.platform.encode_request_headers(
                     exchange.request, dispatch
                 )
+                self._record_sent(exchange)
                 await self._send(exchange, channel, headers)
                 if channel.sent_all:
                     record_progress(state, attempt, RequestWritten)
--- a/wasabistage/retries/__init__.py
+++ b/wasabistage/retries/__init__.py
@@ -47,7 +47,9 @@
             "ResumeStream",
             "Retry",
             "RetryAtEntry",
+            "RetryDropped",
             "RetryQuery",
+            "RetrySent",
             "RetryWithNewKey",
         ),
         "_return_times": (
--- a/wasabistage/retries/_messages.py
+++ b/wasabistage/retries/_messages.py
@@ -46,6 +46,26 @@
     service: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class RetrySent:
+    """Event: a retry that takes from a budget was sent.
+
+    :param service: name of the service.
+    """
+
+    service: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class RetryDropped:
+    """Event: a retry that takes from a budget will not be sent.
+
+    :param service: name of the service.
+    """
+
+    service: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class RetryQuery:
     """Query: whether to retry after a failed attempt at a backend server.
@@ -97,10 +117,13 @@
     :param delay: time to wait before the attempt, in seconds.
     :param servers: names of the servers to choose from; empty if routing may choose
         any server.
+    :param takes_budget: whether the policy keeps room for it in a budget until it
+        observes :class:`RetrySent` or :class:`RetryDropped`.
     """
 
     delay: float
     servers: tuple[str, ...]
+    takes_budget: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/wasabistage/retries/_window_budget.py
+++ b/wasabistage/retries/_window_budget.py
@@ -46,6 +46,8 @@
             )
         self.request_times = deque()
         self.retry_times = deque()
+        #: Retries that are allowed and not sent yet.
+        self.pending = 0
 
     def record_request(self, now):
         """Record the first attempt of a request.
@@ -65,13 +67,14 @@
         """
         self._expire(now)
         allowed = self.ratio * len(self.request_times)
+        taken = len(self.retry_times) + self.pending
         if entries is None:
-            return self.restart_fraction * allowed - len(self.retry_times)
+            return self.restart_fraction * allowed - taken
         allowed += self.extra / max(1, entries)
-        return self.usable_fraction * allowed - len(self.retry_times)
+        return self.usable_fraction * allowed - taken
 
     def acquire(self, entries, now):
-        """Take one retry if one remains.
+        """Take one retry if one remains. It counts from now on, until it is dropped.
 
         :param entries: number of entries that share ``extra``, or ``None`` if unknown.
         :param now: monotonic time, in seconds.
@@ -79,9 +82,21 @@
         """
         if self.get_remaining(entries, now) < 1.0:
             return False
-        self.retry_times.append(now)
+        self.pending += 1
         return True
 
+    def record_sent(self, now):
+        """Record that an acquired retry was sent; its window begins.
+
+        :param now: monotonic time, in seconds.
+        """
+        self.pending = max(0, self.pending - 1)
+        self.retry_times.append(now)
+
+    def drop(self):
+        """Give back an acquired retry that will not be sent."""
+        self.pending = max(0, self.pending - 1)
+
     def _expire(self, now):
         for times in (self.request_times, self.retry_times):
             while times and times[0] < now - self.window:
--- a/wasabistage/retries/_window_retries.py
+++ b/wasabistage/retries/_window_retries.py
@@ -11,6 +11,8 @@
     Failure,
     FirstAttemptSent,
     Retry,
+    RetryDropped,
+    RetrySent,
 )
 from wasabistage.retries._server_retries import BaseRetryPolicy
 from wasabistage.retries._window_budget import WindowBudget
@@ -23,7 +25,8 @@
 
     The route bounds the attempts of a request. An attempt that failed before it was
     sent takes nothing from the budget, so that a stopped server costs the request
-    connection attempts but no retries.
+    connection attempts but no retries. A retry may wait for a server for seconds after
+    it was decided, so its window begins when it is sent.
 
     :param ratio: retries per request, of all entries together.
     :param extra: retries in a window, besides those for requests, that all entries
@@ -63,9 +66,13 @@
         return WindowBudget(ratio=self.ratio, extra=self.extra, window=self.window)
 
     def observe(self, event, now):
-        """Record a first attempt in the budget of its service."""
+        """Record a first attempt or what became of a retry, in its service's budget."""
         if isinstance(event, FirstAttemptSent):
             self._get_budget(event.service).record_request(now)
+        elif isinstance(event, RetrySent):
+            self._get_budget(event.service).record_sent(now)
+        elif isinstance(event, RetryDropped):
+            self._get_budget(event.service).drop()
 
     def decide_repeatable(self, query, now):
         """Retry if time, connections, attempts and budget allow it."""
@@ -79,7 +86,7 @@
             return ATTEMPTS_SPENT
         if not self._get_budget(query.service).acquire(query.entry_count, now):
             return BUDGET_SPENT
-        return Retry(delay=0.0, servers=())
+        return Retry(delay=0.0, servers=(), takes_budget=True)
 
     def get_remaining(self, query, now):
         """Return the retries that remain to this entry at the service of a query.
--- a/wasabistage/retries/tests/test_window_budget.py
+++ b/wasabistage/retries/tests/test_window_budget.py
@@ -47,6 +47,7 @@
                 # All servers fail from 10 s on, until then nothing is repeated.
                 known = entries if now - started_at >= window else None
                 while now > 10.0 and budget.acquire(known, now):
+                    budget.record_sent(now)
                     retry_times.append(now)
             for end in retry_times:
                 recent = sum(end - window <= at <= end for at in request_times)
@@ -57,9 +58,24 @@
     def test_retry_is_allowed_again_after_the_window(self):
         budget = WindowBudget(ratio=0.0, extra=1, window=10, usable_fraction=1.0)
         self.assertTrue(budget.acquire(1, 0.0))
+        budget.record_sent(0.0)
         self.assertFalse(budget.acquire(1, 9.9))
         self.assertTrue(budget.acquire(1, 10.1))
 
+    # Guards against repeats that were allowed in several windows and arrive in one,
+    # since they have waited for an engine (issue 38, BUDGET).
+    def test_window_of_a_retry_begins_when_it_is_sent(self):
+        budget = WindowBudget(ratio=0.0, extra=2, window=10, usable_fraction=1.0)
+        self.assertTrue(budget.acquire(1, 0.0))
+        self.assertTrue(budget.acquire(1, 0.0))
+        self.assertFalse(budget.acquire(1, 12.0))
+        budget.drop()
+        self.assertTrue(budget.acquire(1, 12.0))
+        budget.record_sent(12.0)
+        budget.record_sent(13.0)
+        self.assertFalse(budget.acquire(1, 21.9))
+        self.assertTrue(budget.acquire(1, 22.1))
+
     def test_retries_of_all_entries_stay_within_the_budget_in_every_window(self):
         rng, window, entries = random.Random(1), 10.0, 7
         budgets = [
@@ -73,6 +89,7 @@
                 budget.record_request(now)
                 request_times.append(now)
             if rng.random() < 0.7 and budget.acquire(entries, now):
+                budget.record_sent(now)
                 retry_times.append(now)
         # A retry early in a window is allowed by requests of the window before it.
         for end in retry_times:
--- a/wasabistage/retries/tests/test_window_retries.py
+++ b/wasabistage/retries/tests/test_window_retries.py
@@ -10,7 +10,9 @@
     NOT_IDEMPOTENT,
     Failure,
     FirstAttemptSent,
+    RetryDropped,
     RetryQuery,
+    RetrySent,
     WindowRetryPolicy,
 )
 
@@ -73,9 +75,18 @@
         for _ in range(3):
             policy.observe(FirstAttemptSent(service="s"), 1.0)
         self.assertTrue(policy.decide(query, 2.0))
+        policy.observe(RetrySent(service="s"), 2.0)
         self.assertTrue(policy.decide(query, 2.0).has_same_name(BUDGET_SPENT))
         self.assertTrue(policy.decide(query, 12.5).has_same_name(BUDGET_SPENT))
 
+    def test_dropped_retry_is_given_back(self):
+        self.assertTrue(self.decide_retry(entry_count=4).takes_budget)
+        self.assertFalse(self.decide_retry(entry_count=4))
+        self.policy.observe(RetryDropped(service="s"), 0.0)
+        self.assertTrue(self.decide_retry(entry_count=4))
+        unsent = self.decide_retry(Failure.NOT_SENT, unsent_attempts=1)
+        self.assertFalse(unsent.takes_budget)
+
 
 if __name__ == "__main__":
     unittest.main()
