Callers: trust a configuration without accounts no longer than one with keys

A process that has known client accounts, then a configuration without a list of them, and then loses the store, let every request pass for as long as the store was away, also with keys that a newer configuration had taken away (CONFIG holds for all machines, in touch or not).

Cause: the age of the keys was checked only if the configuration in force has accounts.

Change: it is checked once any configuration has had accounts. What a configuration without the list means stays as it is: "If the desired state contains tenants, a request carries a key". Deployments that never declare accounts are not affected.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -156,8 +156,8 @@
             return None, None, (404, route.reason, None)
         if self._may_stop_before_end(route, request, now):
             return None, None, (503, "the entry is stopping", OTHER_ENTRY_RETRY_SECONDS)
-        has_accounts = state.routes.configuration.accounts is not None
-        if has_accounts and not route.is_anonymous:
+        # A newer configuration may declare the list of accounts again.
+        if state.routes.has_had_accounts and not route.is_anonymous:
             fresh = state.freshness.decide(now)
             if not fresh:
                 return None, None, (503, STALE_KEYS.reason, KEYS_RETRY_SECONDS)
--- a/wasabistage/fleet/_route_table.py
+++ b/wasabistage/fleet/_route_table.py
@@ -34,6 +34,8 @@
         self.configuration = None
         self.routes_by_host = {}
         self.accounts_by_key = {}
+        #: Whether a configuration so far has declared a list of client accounts.
+        self.has_had_accounts = False
 
     def apply_configuration(self, configuration):
         """Put a configuration in force if it is newer than the current one.
@@ -56,6 +58,8 @@
             for key in account.keys
         }
         self.configuration = configuration
+        if configuration.accounts is not None:
+            self.has_had_accounts = True
         return True
 
     def find_route(self, host, path):
--- a/wasabistage/platform/tests/test_whole_path.py
+++ b/wasabistage/platform/tests/test_whole_path.py
@@ -294,6 +294,24 @@
         self.play(test)
 
 
+class AbsentAccountsTest(EdgeCase):
+    bounds = {"key_removal_ms": 1000.0}
+
+    # Guards against an entry that lets everyone pass for ever under a configuration
+    # without accounts, although a newer one may have them (issue 38, review/4).
+    def test_configuration_without_accounts_is_trusted_as_long_as_keys(self):
+        async def test():
+            self.platform.publish(version=2, tenants=None)
+            await self.until(lambda: self.edge.state.routes.configuration.version == 2)
+            self.assertEqual((await self.ask()).status, 200)
+            self.platform.store.is_down = True
+            with trio.fail_after(4.0):
+                while (await self.ask()).status != 503:
+                    await trio.sleep(0.05)
+
+        self.play(test)
+
+
 class RestartTest(EdgeCase):
     async def start(self, nursery):
         """See :meth:`EdgeCase.start`; the store has the record of a process before."""
