Soak: keys that are taken away, records of servers that lapse, new weights

Three kinds of faults, played where they are named: revoke gives out a key, takes it away and tries it at all entries when none may accept it; lapse lets records of servers vanish and return; bump names new weights, which all engines but one or a tenth must have 9 s after the last fault. Servers also report when a caller's key is passed on.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -32,7 +32,15 @@
 )
 #: Kinds that are played only where they are named: they would change the schedules that
 #: seeds draw.
-NAMED_KINDS = ("cold_return", "evacuate", "publish", "stall")
+NAMED_KINDS = (
+    "bump",
+    "cold_return",
+    "evacuate",
+    "lapse",
+    "publish",
+    "revoke",
+    "stall",
+)
 SERVED_SHARE = 0.9  # of the calls after the last fault
 SETTLED_SECONDS = 8.0  # calm traffic after the last fault
 ALARMS = ("task_failed", "not_json")
@@ -116,6 +124,7 @@
                 await trio.sleep(max(0.0, seconds - elapsed))
                 # A machine that is busy takes its time to start a process.
                 violations.extend(await world.find_unready())
+                violations.extend(await world.find_old_engines())
                 await trio.sleep(SETTLED_SECONDS)
             finally:
                 nursery.cancel_scope.cancel()
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -32,6 +32,8 @@
     :param cold_slack: requests that it may get in a second besides.
     :param evacuate: seconds after which an evacuated server gets no request.
     :param attempts: servers that one request may run on.
+    :param revoke: seconds after which no request with a removed key runs.
+    :param version: seconds in which engines load new weights after the last fault.
     :param configuration: seconds after which a configuration or changed settings hold.
     """
 
@@ -48,6 +50,8 @@
     evacuate: float = 5.0
     attempts: int = 3
     configuration: float = 2.0
+    revoke: float = 5.0
+    version: float = 9.0
 
     @property
     def cold_requests(self):
@@ -66,6 +70,7 @@
     :param has_run: whether the server began to work on it.
     :param status: status that the server meant to answer, 0 for none.
     :param time_left: time for which the server may work, in seconds, or ``None``.
+    :param has_key: whether the key of the caller was passed on.
     """
 
     at: float
@@ -75,6 +80,7 @@
     has_run: bool
     status: int
     time_left: float | None = None
+    has_key: bool = False
 
 
 @dataclass
@@ -122,6 +128,8 @@
         settings.
     :param publications: rows of the time at which a configuration was written and its
         version.
+    :param removed_key_requests: ids of the requests that were sent with a key for too
+        long after it was taken away.
     :param crashes: rows of the time and the id of a server that crashed.
     :param cold_spans: rows of begin, end and the id of a server that was listed as
         cold.
@@ -137,6 +145,7 @@
     reloads: list = field(default_factory=list)
     publications: list = field(default_factory=list)
     crashes: list = field(default_factory=list)
+    removed_key_requests: set = field(default_factory=set)
     cold_spans: list = field(default_factory=list)
     evacuations: list = field(default_factory=list)
 
@@ -363,6 +372,24 @@
     return found
 
 
+def find_removed_keys(record):
+    """Return the requests that ran although their key was taken away."""
+    return [
+        f"CONFIG: {arrival.request_id} ran at {arrival.server} with a removed key"
+        for arrival in record.arrivals
+        if arrival.request_id in record.removed_key_requests and arrival.has_run
+    ]
+
+
+def find_passed_keys(record):
+    """Return the requests to which a server got the key of the caller."""
+    return [
+        f"UNASKED: {arrival.server} got the key of {arrival.request_id}"
+        for arrival in record.arrivals
+        if arrival.has_key
+    ]
+
+
 def find_excess_attempts(record, bounds):
     """Return the requests that ran on too many servers, if they are more than three."""
     servers, crashed = defaultdict(set), defaultdict(list)
@@ -430,6 +457,8 @@
     return [
         *find_retry_excess(record, bounds),
         *find_late_arrivals(record, bounds),
+        *find_removed_keys(record),
+        *find_passed_keys(record),
         *find_excess_attempts(record, bounds),
         *find_long_deadlines(record),
         *find_cut_answers(record, bounds),
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -9,6 +9,8 @@
 from tools.soak._world import SERVE_AFTER_LEAVING_SECONDS, Grey
 
 STOP_SECONDS = 8.0
+REMOVED_KEY_INTERVAL_SECONDS = 0.05  # pause between two requests with a removed key
+LAPSE_GAP_SECONDS = 0.3  # pause between two servers whose records vanish
 ODD_VALUES = (
     b'{"service":"app","later":' + b"[" * 1500,
     b'{"service":"app","address":"127.0.0.1:99999","state":"ready","born":1}',
@@ -68,6 +70,7 @@
         # Apart from the callers' choices, whose number depends on the time.
         self.random = Random(seed)
         self.odd_count = 0
+        self.key_count = 0
 
     async def play(self, schedule):
         """Play faults at their times; return when the last one is over."""
@@ -127,9 +130,50 @@
 
     async def publish(self, fault):
         """Write the next configuration, which changes nothing."""
+        self._publish_next()
+
+    def _publish_next(self):
         _, version = self.world.record.publications[-1]
         self.world.publish(version + 1)
 
+    async def revoke(self, fault):
+        """Give out a key, take it away, and try it when no entry may accept it."""
+        world = self.world
+        self.key_count += 1
+        key = f"removed-{self.key_count}"
+        world.keys.append(key)
+        self._publish_next()
+        await trio.sleep(1.0)
+        world.keys.remove(key)
+        self._publish_next()
+        await trio.sleep(world.bounds.revoke)
+        with trio.move_on_after(fault.seconds):
+            while True:
+                program = self.random.choice(world.programs)
+                world.nursery.start_soon(world.try_removed_key, key, program)
+                await trio.sleep(REMOVED_KEY_INTERVAL_SECONDS)
+
+    async def bump(self, fault):
+        """Name new weights."""
+        world = self.world
+        world.weight_version += 1
+        named = {"model": "m", "version": world.weight_version}
+        world.store.put("version/m", named)
+
+    async def lapse(self, fault):
+        """Let the records of servers vanish for their silence, and return."""
+        world = self.world
+        staying = [item for item in world.servers if not item.is_leaving]
+        for server in self._draw(staying, 0.5 * fault.share):
+            world.store.put(server.server, None, "keyed.servers")
+            world.nursery.start_soon(self._relist, server, fault.seconds)
+            await trio.sleep(LAPSE_GAP_SECONDS)
+
+    async def _relist(self, server, seconds):
+        await trio.sleep(seconds)
+        if not server.is_leaving:
+            self.world.list_server(server)
+
     async def stall(self, fault):
         """Let some engines send no event of their streams for a time."""
         engines = [item for item in self.world.servers if item.model]
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -1,5 +1,6 @@
 """The world of a soak: stand-ins, edge processes and callers."""
 
+import contextlib
 import json
 import random
 from dataclasses import dataclass
@@ -35,6 +36,7 @@
 BEAT_SECONDS = 1.2
 SERVE_AFTER_LEAVING_SECONDS = 8.0
 MAX_OPEN_CALLS = 400
+DEFAULT_KEY = "k1"  # of all callers but those that try a removed key
 ROUTE_ATTEMPTS = 3  # servers that one request may be sent to
 
 
@@ -110,6 +112,7 @@
         arrival = Arrival(
             at=self.world.timer.now(),
             time_left=None if time_left is None else int(time_left) / 1000.0,
+            has_key=b"authorization" in fields,
             request_id=request_id,
             server=self.server,
             service=self.service,
@@ -212,6 +215,8 @@
         ]
         self.meter = ProcessorMeter(self.programs, self.timer)
         self.clients = {}
+        self.keys = [DEFAULT_KEY]
+        self.weight_version = 1
         self.request_count = 0
         self.open_calls = 0
         self.nursery = None
@@ -268,7 +273,7 @@
             "version": version,
             "routes": routes,
             "services": services,
-            "tenants": [{"name": "small", "keys": ["k1"]}],
+            "tenants": [{"name": "small", "keys": [*self.keys]}],
         }
         self.record.publications.append((self.timer.now(), version))
         self.store.put("config", value)
@@ -296,6 +301,23 @@
                 pass
             await trio.sleep(0.1)
 
+    async def find_old_engines(self):
+        """Return a text if engines don't load the newest weights in time, in a list."""
+        old = []
+        with trio.move_on_after(self.bounds.version):
+            while old := [
+                item.server
+                for item in self.servers
+                if item.model
+                and not item.is_leaving
+                and item.version < self.weight_version
+            ]:
+                await trio.sleep(0.1)
+        engines = sum(bool(item.model) for item in self.servers)
+        if len(old) <= 1 or len(old) <= engines / 10:
+            return []
+        return [f"VERSION: {len(old)} of {engines} engines have old weights: {old}"]
+
     async def find_unready(self):
         """Return the edge processes that are not ready in time, a list of texts."""
         found = []
@@ -362,7 +384,7 @@
         headers = [
             (b"Wasabistage-Request-Id", request_id.encode()),
             (b"Wasabistage-Deadline-Ms", b"%d" % (1000 * deadline)),
-            (b"Authorization", b"Bearer k1"),
+            (b"Authorization", b"Bearer " + DEFAULT_KEY.encode()),
         ]
         if service == "llm":
             headers += [
@@ -390,6 +412,20 @@
             sent.ended_at = self.timer.now()
             self.open_calls -= 1
 
+    async def try_removed_key(self, key, program):
+        """Send a request with a key that was taken away."""
+        self.request_count += 1
+        request_id = f"r{self.request_count:07x}"
+        self.record.removed_key_requests.add(request_id)
+        headers = [
+            (b"Wasabistage-Request-Id", request_id.encode()),
+            (b"Wasabistage-Deadline-Ms", b"1000"),
+            (b"Authorization", b"Bearer " + key.encode()),
+        ]
+        client = self._get_client(program.callers)
+        with contextlib.suppress(ChannelError):
+            await client.call(b"GET", b"/read/x", b"", headers, CALL_SLACK)
+
     def _get_client(self, address):
         if address not in self.clients:
             self.clients[address] = HttpClient(address, self.timer)
