Soak: a request whose server crashed was not cut by the entry

The rule on planned stops doesn't count a request that "the server broke off". Attempts at servers that crashed meanwhile are left out by the same function as before.

--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -184,6 +184,13 @@
             for since, until, name in self.stops
         )
 
+    def has_crash(self, arrival, end):
+        """Return whether a server has crashed since a request arrived there."""
+        return any(
+            name == arrival.server and arrival.at <= at <= end
+            for at, name in self.crashes
+        )
+
     def has_reload(self, entry, begin, end, within):
         """Return whether a request was open around a change of an entry's settings.
 
@@ -343,6 +350,7 @@
         if item.status == 0
         and item.request_id in last_arrivals
         and last_arrivals[item.request_id].status == 200
+        and not record.has_crash(last_arrivals[item.request_id], item.get_end())
         and not record.is_disturbed(item.entry, item.at - bounds.settle, item.get_end())
     ]
     found = [
@@ -392,14 +400,11 @@
 
 def find_excess_attempts(record, bounds):
     """Return the requests that ran on too many servers, if they are more than three."""
-    servers, crashed = defaultdict(set), defaultdict(list)
-    for at, server in record.crashes:
-        crashed[server].append(at)
+    servers = defaultdict(set)
     ends = {item.request_id: item.get_end() for item in record.sent}
     for arrival in record.arrivals:
         end = ends.get(arrival.request_id, arrival.at)
-        has_crashed = any(arrival.at <= at <= end for at in crashed[arrival.server])
-        if arrival.has_run and not has_crashed:
+        if arrival.has_run and not record.has_crash(arrival, end):
             servers[arrival.request_id].add(arrival.server)
     found = [
         f"BUDGET: {request} ran on {len(names)} servers, {bounds.attempts} allowed"
--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -188,6 +188,11 @@
         self.assertEqual(find_cut_answers(record, Bounds()), [])
         record.sent[0].ended_at = 15.6
         self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
+        record.crashes.append((9.9, "s1"))
+        self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
+        # The server itself broke off.
+        record.crashes.append((15.5, "s1"))
+        self.assertEqual(find_cut_answers(record, Bounds()), [])
 
     def test_requests_cut_by_changed_settings_and_configurations_are_found(self):
         record = self.make_record(count=1, status=0)
