--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -104,12 +104,15 @@
             now = self.world.timer.now()
             stop = now, now + STOP_SECONDS, program.name
             self.world.record.stops.append(stop)
+            process = program.process
             program.send_signal(signal.SIGTERM)
             with trio.move_on_after(STOP_SECONDS):
-                while program.is_running:
+                while process is not None and process.poll() is None:
                     await trio.sleep(0.05)
-            await program.kill()
-            program.start()
+            # Another fault may have started the next process meanwhile.
+            if program.process is process:
+                await program.kill()
+                program.start()
 
     async def freeze(self, fault):
         """Stop some entries and let them go on."""
