Retries: divide the part per request between a process and the next one

Change: 0.6 of the part per request while the entries are known, 0.3 after a restart, 0.9 together; the share of the allowance stays at 0.8. A sum above 1 is refused.

--- a/wasabistage/retries/_window_budget.py
+++ b/wasabistage/retries/_window_budget.py
@@ -19,23 +19,41 @@
     :param extra: retries in a window, besides those for requests, that all entries
         share.
     :param window: length of the window, in seconds.
-    :param usable_fraction: fraction of the allowed retries that is used. The
+    :param usable_fraction: fraction of its share of ``extra`` that an entry uses. The
         default is below 1, because the windows of different entries don't begin at
         the same time.
-    :param restart_fraction: fraction of the retries per request that is used while the
-        number of entries is unknown. All processes of an entry in one window together
-        use ``usable_fraction + restart_fraction`` at most.
+    :param request_fraction: fraction of the retries per request that an entry uses.
+    :param restart_fraction: the same while the number of entries is unknown. What the
+        processes of an entry use in one window adds up to both fractions at most, since
+        each counts the requests of its own.
     :raises SettingError: if an argument is out of range.
     """
 
     def __init__(
-        self, *, ratio, extra, window, usable_fraction=0.8, restart_fraction=0.1
+        self,
+        *,
+        ratio,
+        extra,
+        window,
+        usable_fraction=0.8,
+        request_fraction=0.6,
+        restart_fraction=0.3,
     ):
         self.ratio = ratio
         self.extra = extra
         self.window = window
         self.usable_fraction = usable_fraction
+        self.request_fraction = request_fraction
         self.restart_fraction = restart_fraction
+        if min(request_fraction, restart_fraction) < 0 or (
+            request_fraction + restart_fraction > 1
+        ):
+            raise SettingError(
+                f"the retry budget has request_fraction {request_fraction} and "
+                f"restart_fraction {restart_fraction}; both must be 0 or more, and "
+                "their sum at most 1",
+                remedy="lower one of them",
+            )
         if not 0 < usable_fraction <= 1 or min(ratio, extra) < 0 or window <= 0:
             raise SettingError(
                 f"the retry budget has ratio {ratio}, extra {extra}, window {window} "
@@ -66,12 +84,13 @@
             that allowed retries have left the window before those retries.
         """
         self._expire(now)
-        allowed = self.ratio * len(self.request_times)
+        per_request = self.ratio * len(self.request_times)
         taken = len(self.retry_times) + self.pending
         if entries is None:
-            return self.restart_fraction * allowed - taken
-        allowed += self.extra / max(1, entries)
-        return self.usable_fraction * allowed - taken
+            return self.restart_fraction * per_request - taken
+        share = self.extra / max(1, entries)
+        allowed = self.request_fraction * per_request + self.usable_fraction * share
+        return allowed - taken
 
     def acquire(self, entries, now):
         """Take one retry if one remains. It counts from now on, until it is dropped.
