Forward: names of the retry decisions; any pause of a route is accepted

Reading pass. prepare_move says that it decides a retry; the query is built without the time. A route whose longest pause is no number keeps the rest of the configuration: the whole record would have been unreadable, and the one before would have stayed in force. test_pause_of_a_stream_may_be_anything.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -134,32 +134,32 @@
 
     def _decide_retry(self, exchange, attempt):
         """Return a ``Retry`` for a failed attempt, or a sentinel with the reason."""
-        query, now = self._build_retry_query(exchange, attempt, attempt.failure)
-        decision = self._decide(exchange, query, now)
+        query = self._build_retry_query(exchange, attempt, attempt.failure)
+        decision = self._query_retry(exchange, query)
         self._log_retry(exchange, attempt, query, decision)
         return decision
 
-    def _decide(self, exchange, query, now):
-        decision = self.state.retries.decide(query, now)
+    def _query_retry(self, exchange, query):
+        decision = self.state.retries.decide(query, self.state.timer.now())
         if decision and decision.takes_budget:
             exchange.has_unsent_retry = True
         return decision
 
-    def _record_sent(self, exchange):
-        """Record that an attempt is sent: the window of its retry begins."""
+    def _record_retry_sent(self, exchange):
+        """Record that an attempt is sent, which begins the window of its retry."""
         if exchange.has_unsent_retry:
             exchange.has_unsent_retry = False
             event = RetrySent(service=exchange.service)
             self.state.retries.observe(event, self.state.timer.now())
 
     def _build_retry_query(self, exchange, attempt, failure):
-        """Return the query whether to retry after an attempt, and the present time.
+        """Return the query whether to retry after an attempt.
 
         :param failure: how the attempt has failed, or would fail if it was cancelled.
         """
-        route, now = exchange.route, self.state.timer.now()
+        route = exchange.route
         servers = len(exchange.tried_servers)
-        query = RetryQuery(
+        return RetryQuery(
             service=exchange.service,
             # A request that no server has run may be repeated on every route.
             idempotent=route.is_repeatable or not exchange.may_have_run,
@@ -175,7 +175,6 @@
             entry_count=self.state.entry_count,
             deadline_at=exchange.deadline_at,
         )
-        return query, now
 
     def _log_retry(self, exchange, attempt, query, decision):
         self.state.log.write(
@@ -190,21 +189,23 @@
             remaining=self.state.retries.get_remaining(query, self.state.timer.now()),
         )
 
-    def may_move(self, wait):
-        """Return whether a request is taken away from its silent server.
+    def prepare_move(self, wait):
+        """Decide the retry of a request that is taken away from its silent server.
 
         An answer that has begun is left there unless another server may continue it:
-        the silent one may go on, and the caller would get a broken answer.
+        the silent one may go on, and the caller would get a broken answer. Whether any
+        other request is retried is decided after its attempt has ended.
 
-        :param wait: the :class:`ServerWait`, whose block is to be cancelled.
+        :param wait: the :class:`ServerWait` of its attempt.
+        :return: whether the attempt is to be cancelled.
         """
         exchange, attempt = wait.exchange, wait.attempt
         if not exchange.channel.started or exchange.granted_retry is not None:
             return True
         if not has_responsive_server(self.state, exchange):
             return False
-        query, now = self._build_retry_query(exchange, attempt, Failure.LOST)
-        decision = self._decide(exchange, query, now)
+        query = self._build_retry_query(exchange, attempt, Failure.LOST)
+        decision = self._query_retry(exchange, query)
         if not decision:
             return False
         self._log_retry(exchange, attempt, query, decision)
@@ -404,7 +405,7 @@
                 headers = state.platform.encode_request_headers(
                     exchange.request, dispatch
                 )
-                self._record_sent(exchange)
+                self._record_retry_sent(exchange)
                 await self._send(exchange, channel, headers)
                 if channel.sent_all:
                     record_progress(state, attempt, RequestWritten)
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -283,7 +283,7 @@
             moved = [
                 wait
                 for wait in waits
-                if wait.is_too_long(now) and self.callers.forwarder.may_move(wait)
+                if wait.is_too_long(now) and self.callers.forwarder.prepare_move(wait)
             ]
             if moved:
                 self.state.log.write("server_silent", server=server, moved=len(moved))
--- a/wasabistage/platform/_records.py
+++ b/wasabistage/platform/_records.py
@@ -63,8 +63,9 @@
     #: Requests carry a prompt whose parts servers may have cached.
     sticky: bool = False
     resumable: bool = False
-    #: Longest pause between two events of a stream that is on time.
-    gap_target_ms: float = 0.0
+    #: Longest pause between two events of a stream that is on time. A value that is no
+    #: number above 0 counts as missing.
+    gap_target_ms: Any = None
     #: An empty list allows every region.
     allowed_regions: list[str] | None = None
 
@@ -211,7 +212,7 @@
         has_prompt=wire.sticky,
         is_resumable=wire.resumable,
         allowed_regions=frozenset(wire.allowed_regions or ()),
-        max_gap=wire.gap_target_ms / MILLISECONDS_PER_SECOND,
+        max_gap=to_seconds(get_amount(wire.gap_target_ms)) or 0.0,
     )
 
 
--- a/wasabistage/platform/tests/test_records.py
+++ b/wasabistage/platform/tests/test_records.py
@@ -118,6 +118,14 @@
         for value in (0, -3, "17", None, [1], True):
             self.assertEqual(decode(coldS=value, coldPerS=value), (None, None))
 
+    def test_pause_of_a_stream_may_be_anything(self):
+        for value, expected in ((300, 0.3), (None, 0.0), ("x", 0.0), (-1, 0.0)):
+            routes = [{**ROUTES[0], "gapTargetMs": value}]
+            data = json.dumps({**CONFIGURATION, "routes": routes}).encode()
+            with self.subTest(value=value):
+                route = decode_configuration(data).routes[0]
+                self.assertEqual(route.max_gap, expected)
+
     def test_home_regions_of_routes_and_accounts(self):
         routes = [{**row, "allowedRegions": ["eu", "us"]} for row in ROUTES]
         tenants = [{"name": "t", "allowedRegions": ["eu"]}, {"name": "u"}]
