--- a/wasabistage/edge/tests/test_entry_capacity.py
+++ b/wasabistage/edge/tests/test_entry_capacity.py
@@ -27,12 +27,12 @@
 START_SECONDS = 4.0
 
 
-def build_old_class(new):
-    """Return a message class as it was before its last field."""
+def build_old_class(new, first_new="capacity"):
+    """Return a message class as it was before a field and those that follow it."""
     rows = msgspec.structs.fields(new)
-    assert rows[-1].name == "capacity"
+    position = [row.name for row in rows].index(first_new)
     fields = []
-    for row in rows[:-1]:
+    for row in rows[:position]:
         if row.default is not msgspec.NODEFAULT:
             fields.append((row.name, row.type, row.default))
         elif row.default_factory is not msgspec.NODEFAULT:
@@ -92,6 +92,14 @@
         )
         self.assertEqual(old[2].members[0].name, "e")
 
+    def test_entries_with_and_without_an_incarnation_are_decoded(self):
+        old_class = build_old_class(PeerEntry, "incarnation")
+        old = old_class("10.0.0.1", "a", 2.0, 3.0)
+        entry = ENTRY_DECODER.decode(msgspec.json.encode(old))
+        self.assertEqual((entry.capacity, entry.incarnation), (3.0, ""))
+        data = msgspec.json.encode(PeerEntry(ip="10.0.0.1", incarnation="i"))
+        self.assertEqual(msgspec.json.decode(data, type=old_class).ip, "10.0.0.1")
+
     def test_fact_on_an_entry_keeps_its_capacity(self):
         row = MemberRow("e", "a", "10.0.0.1", "10.0.0.1:80", 1.0, True, 2.15)
         fact = FACT_DECODER.decode(ENCODER.encode(MemberFact(row, True)))
