--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -167,11 +167,15 @@
             for since, until, name in self.stops
         )
 
-    def has_cutting_stop(self, entry, begin, end):
-        """Return whether a stop may not have cut a request that ended unanswered.
+    def is_cut_by_stop(self, entry, begin, end):
+        """Return whether a stop cut a request without an answer that it had to await.
 
-        It may cut one that was sent soon after the signal and is still worked on in the
-        last sixth of the time that the entry has.
+        One that was sent soon after the signal and is still worked on in the last sixth
+        of the time that the entry has may be cut.
+
+        :param entry: name of the entry.
+        :param begin: time at which the request was sent, in seconds.
+        :param end: time at which its channel ended, in seconds.
         """
         return any(
             name == entry
@@ -356,7 +360,7 @@
     found = [
         f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by its stop"
         for item in cut
-        if record.has_cutting_stop(item.entry, item.at, item.get_end())
+        if record.is_cut_by_stop(item.entry, item.at, item.get_end())
     ]
     found += [
         f"LOST: {item.request_id} ({item.kind}) of {item.entry} was cut by a change of "
