--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -113,6 +113,10 @@
         """Return the time until which the request may have been open, in seconds."""
         return self.at + MAX_REQUEST_SECONDS if self.ended_at is None else self.ended_at
 
+    def has_used_its_time(self):
+        """Return whether the request was ended at its deadline, or later."""
+        return self.ended_at is not None and self.ended_at >= self.at + self.deadline
+
 
 @dataclass
 class Record:
@@ -354,6 +358,7 @@
         if item.status == 0
         and item.request_id in last_arrivals
         and last_arrivals[item.request_id].status == 200
+        and not item.has_used_its_time()
         and not record.has_crash(last_arrivals[item.request_id], item.get_end())
         and not record.is_disturbed(item.entry, item.at - bounds.settle, item.get_end())
     ]
--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -183,7 +183,13 @@
         self.assertEqual(find_cut_answers(record, Bounds()), [])
         record.stops.append((9.0, 17.0, "a"))
         self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
+        # Ended at its deadline.
+        record.sent[0].ended_at = 13.0
+        self.assertEqual(find_cut_answers(record, Bounds()), [])
+        record.sent[0].ended_at = 12.9
+        self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
         # Still worked on in the last sixth of the stop.
+        record.sent[0].deadline = 12.0
         record.sent[0].ended_at = 15.7
         self.assertEqual(find_cut_answers(record, Bounds()), [])
         record.sent[0].ended_at = 15.6
