--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -182,7 +182,7 @@
             known_offset = -1 if known is None else known.offset
             if server in listed or known_offset >= page.end:
                 continue
-            offset = max(read_end - 1, known_offset, 0)
+            offset = max(read_end - 1, known_offset + 1)
             self.record_removal(server, offset)
             self._remove(server, now)
             removal = StoredRecord(offset=offset, key=server, value=None)
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -198,6 +198,21 @@
         self.assertTrue(self.apply(20, b"10.5.5.5:80 0"))
         self.assertEqual(self.find_usable(), ["s1"])
 
+    # Guards against followers that keep a server which their relay has removed by a
+    # snapshot: a removal is applied only behind the record that it removes.
+    def test_removal_by_a_snapshot_is_newer_than_the_removed_record(self):
+        told = []
+        self.state.facts.publish_record = lambda topic, record: told.append(record)
+        self.read_list(100.0)
+        self.watch.apply_snapshot(self.make_snapshot(end=40, read_end=0), 101.0)
+        follower = next(iter(Fleet(1, 1).entries.values()))
+        watch = follower.watches[str(Topic.SERVERS)]
+        listed = StoredRecord(offset=1, key="s1", value=b"10.5.5.5:80 0")
+        self.assertTrue(watch.apply_shared(listed))
+        self.assertEqual([record.key for record in told], ["s1"])
+        self.assertTrue(watch.apply_shared(told[0]))
+        self.assertEqual(follower.state.servers.find_usable("s"), [])
+
     # Guards against a removal that outlives a read of the store which lists the server
     # (the same).
     def test_store_that_lists_a_server_refutes_its_removal(self):
