Forward: retries of attempts in a module of their own

Reading pass: the forwarder sent requests and also decided their retries, kept their place in the budget and moved them from silent servers. AttemptRetries does the latter.

--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -4,11 +4,8 @@
 
 import trio
 
-from wasabistage.edge._choice import (
-    get_request_rank,
-    has_responsive_server,
-    is_evacuated,
-)
+from wasabistage.edge._attempt_retries import AttemptRetries
+from wasabistage.edge._choice import get_request_rank, is_evacuated
 from wasabistage.edge._cold_servers import (
     is_beyond_allowance,
     record_answer,
@@ -30,13 +27,7 @@
     NoRoomError,
     NotSentError,
 )
-from wasabistage.retries import (
-    Failure,
-    FirstAttemptSent,
-    RetryDropped,
-    RetryQuery,
-    RetrySent,
-)
+from wasabistage.retries import Failure
 from wasabistage.rollout import ServerOrdered, ServerVersionReported
 from wasabistage.routing import (
     BytesReceived,
@@ -91,6 +82,7 @@
         self.attempt_count = 0
         self.body_budget = ByteBudget(MAX_HELD_BYTES, SMALL_RESPONSE_BYTES)
         self.engine_wait = EngineWait(state)
+        self.retries = AttemptRetries(state)
         self.returns = CallerReturns(state)
         self.slow_writes = SlowWrites(state)
 
@@ -99,14 +91,11 @@
 
         :param exchange: an :class:`Exchange`.
         """
-        now = self.state.timer.now()
-        self.state.retries.observe(FirstAttemptSent(service=exchange.service), now)
+        self.retries.record_request(exchange)
         try:
             await self._run_attempts(exchange)
         finally:
-            if exchange.has_unsent_retry:
-                event = RetryDropped(service=exchange.service)
-                self.state.retries.observe(event, self.state.timer.now())
+            self.retries.record_end(exchange)
 
     async def _run_attempts(self, exchange):
         excluded = set()
@@ -125,93 +114,11 @@
                 return
             if not (attempt.is_version_mismatch or attempt.is_deferred):
                 excluded.add(choice.record.server)
-            retry, exchange.granted_retry = exchange.granted_retry, None
-            if retry is None:
-                retry = self._decide_retry(exchange, attempt)
+            retry = self.retries.decide(exchange, attempt)
             if not retry:
                 await self._send_final_answer(exchange, str(retry.reason))
                 return
 
-    def _decide_retry(self, exchange, attempt):
-        """Return a ``Retry`` for a failed attempt, or a sentinel with the reason."""
-        query = self._build_retry_query(exchange, attempt, attempt.failure)
-        decision = self._query_retry(exchange, query)
-        self._log_retry(exchange, attempt, query, decision)
-        return decision
-
-    def _query_retry(self, exchange, query):
-        decision = self.state.retries.decide(query, self.state.timer.now())
-        if decision and decision.takes_budget:
-            exchange.has_unsent_retry = True
-        return decision
-
-    def _record_retry_sent(self, exchange):
-        """Record that an attempt is sent, which begins the window of its retry."""
-        if exchange.has_unsent_retry:
-            exchange.has_unsent_retry = False
-            event = RetrySent(service=exchange.service)
-            self.state.retries.observe(event, self.state.timer.now())
-
-    def _build_retry_query(self, exchange, attempt, failure):
-        """Return the query whether to retry after an attempt.
-
-        :param failure: how the attempt has failed, or would fail if it was cancelled.
-        """
-        route = exchange.route
-        servers = len(exchange.tried_servers)
-        return RetryQuery(
-            service=exchange.service,
-            # A request that no server has run may be repeated on every route.
-            idempotent=route.is_repeatable or not exchange.may_have_run,
-            failure=failure,
-            answer_begun=exchange.is_write_open
-            or (exchange.channel.started and not route.is_resumable),
-            # A server that declined for its weight version uses up no attempt.
-            attempts=0 if attempt.is_version_mismatch else servers,
-            unsent_attempts=sum(
-                item.failure is Failure.NOT_SENT for item in exchange.attempts
-            ),
-            max_attempts=route.max_servers,
-            entry_count=self.state.entry_count,
-            deadline_at=exchange.deadline_at,
-        )
-
-    def _log_retry(self, exchange, attempt, query, decision):
-        self.state.log.write(
-            "retry_decided",
-            request=exchange.request.request_id,
-            service=exchange.service,
-            server=attempt.choice.record.server,
-            failure=str(query.failure),
-            retry=bool(decision),
-            reason="" if decision else str(decision.reason),
-            entries=query.entry_count,
-            remaining=self.state.retries.get_remaining(query, self.state.timer.now()),
-        )
-
-    def prepare_move(self, wait):
-        """Decide the retry of a request that is taken away from its silent server.
-
-        An answer that has begun is left there unless another server may continue it:
-        the silent one may go on, and the caller would get a broken answer. Whether any
-        other request is retried is decided after its attempt has ended.
-
-        :param wait: the :class:`ServerWait` of its attempt.
-        :return: whether the attempt is to be cancelled.
-        """
-        exchange, attempt = wait.exchange, wait.attempt
-        if not exchange.channel.started or exchange.granted_retry is not None:
-            return True
-        if not has_responsive_server(self.state, exchange):
-            return False
-        query = self._build_retry_query(exchange, attempt, Failure.LOST)
-        decision = self._query_retry(exchange, query)
-        if not decision:
-            return False
-        self._log_retry(exchange, attempt, query, decision)
-        exchange.granted_retry = decision
-        return True
-
     async def _send_final_answer(self, exchange, reason):
         """Send the final response for a request that no attempt answered."""
         state, channel = self.state, exchange.channel
@@ -405,7 +312,7 @@
                 headers = state.platform.encode_request_headers(
                     exchange.request, dispatch
                 )
-                self._record_retry_sent(exchange)
+                self.retries.record_sent(exchange)
                 await self._send(exchange, channel, headers)
                 if channel.sent_all:
                     record_progress(state, attempt, RequestWritten)
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -276,14 +276,14 @@
             self.state.log.write(event, age=round(age, 3))
 
     async def _cancel_silent_attempts(self, tick):
-        now = trio.current_time()
-        self.callers.forwarder.slow_writes.tick()
+        now, forwarder = trio.current_time(), self.callers.forwarder
+        forwarder.slow_writes.tick()
         for server in self.state.silence.tick(self.state.timer.now()):
             waits = self.state.repeatable_waits.get(server, ())
             moved = [
                 wait
                 for wait in waits
-                if wait.is_too_long(now) and self.callers.forwarder.prepare_move(wait)
+                if wait.is_too_long(now) and forwarder.retries.prepare_move(wait)
             ]
             if moved:
                 self.state.log.write("server_silent", server=server, moved=len(moved))
