--- a/tools/soak/tests/test_process_soak.py
+++ b/tools/soak/tests/test_process_soak.py
@@ -1,8 +1,11 @@
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 
+import trio
+
 from tools.soak.__main__ import KINDS, parse_schedule, play_soak
 from tools.soak._checks import (
     Arrival,
@@ -15,6 +18,8 @@
     find_excess_attempts,
     find_late_arrivals,
     find_long_deadlines,
+    find_passed_keys,
+    find_removed_keys,
     find_retry_excess,
     find_wrong_answers,
 )
@@ -28,6 +33,7 @@
     read_accounts,
     sum_usage,
 )
+from tools.soak._world import World, is_whole_stream
 
 
 class SoakTest(unittest.TestCase):
@@ -73,7 +79,9 @@
             servers=6,
             rate=100.0,
         )
-        self.assertGreater(result["repeats"], 100)
+        # All servers refuse, so the entries use what they may.
+        repeats, allowed = map(int, result["retry_peaks"]["app"].split(" of "))
+        self.assertGreater(repeats, allowed / 2)
 
     # Guards against odd entries in the list of servers that hide those that leave
     # (issue 29, DRAIN: 864 requests on seed 2).
@@ -221,6 +229,43 @@
         record.sent[0].status = 200
         self.assertEqual(len(find_cut_answers(record, Bounds())), 1)
 
+    def test_requests_with_a_removed_or_passed_key_are_found(self):
+        record = self.make_record(count=3)
+        self.assertEqual(find_removed_keys(record), [])
+        self.assertEqual(find_passed_keys(record), [])
+        record.removed_key_requests.update(("r0", "r1", "r9"))
+        record.arrivals[1] = replace(record.arrivals[1], has_run=False)
+        record.arrivals[2] = replace(record.arrivals[2], has_key=True)
+        self.assertEqual(len(find_removed_keys(record)), 1)
+        self.assertEqual(len(find_passed_keys(record)), 1)
+
+    def test_stream_is_whole_with_each_event_once_and_in_order(self):
+        for numbers, expected in (
+            ((1, 2, 3), True),
+            ((1, 2), False),
+            ((1, 3, 2), False),
+            ((1, 2, 2, 3), False),
+            ((1, 2, 3, 4), False),
+        ):
+            body = b"".join(b"id: %d\ndata: piece\n\n" % item for item in numbers)
+            with self.subTest(numbers=numbers):
+                self.assertEqual(is_whole_stream(body, 3), expected)
+
+    def test_engines_with_old_weights_are_found(self):
+        for versions, expected in (((2, 2), 0), ((2, 1), 0), ((1, 1), 1)):
+            servers = [
+                SimpleNamespace(
+                    server=f"s{number}", model="m", is_leaving=False, version=version
+                )
+                for number, version in enumerate(versions)
+            ]
+            world = SimpleNamespace(
+                bounds=Bounds(version=0.0), servers=servers, weight_version=2
+            )
+            with self.subTest(versions=versions):
+                found = trio.run(World.find_old_engines, world)
+                self.assertEqual(len(found), expected)
+
     def test_requests_at_too_many_servers_are_found(self):
         record = self.make_record(count=4, kind="read")
         for number in range(4):
--- a/wasabistage/retries/tests/test_window_budget.py
+++ b/wasabistage/retries/tests/test_window_budget.py
@@ -54,11 +54,14 @@
                 while now > 10.0 and budget.acquire(known, now):
                     budget.record_sent(now)
                     retry_times.append(now)
-            for end in retry_times:
-                recent = sum(end - window <= at <= end for at in request_times)
-                retries = sum(end - window <= at <= end for at in retry_times)
-                with self.subTest(lives=lives):
-                    self.assertLessEqual(retries, 0.2 * recent + extra)
+            used = max(
+                sum(end - window <= at <= end for at in retry_times)
+                / (sum(end - window <= at <= end for at in request_times) * 0.2 + extra)
+                for end in retry_times
+            )
+            with self.subTest(lives=lives):
+                self.assertLessEqual(used, 1.0)
+                self.assertGreater(used, 0.5)
 
     def test_retry_is_allowed_again_after_the_window(self):
         budget = WindowBudget(ratio=0.0, extra=1, window=10, usable_fraction=1.0)
