Soak: engines list the slots that the configuration declares

They listed 8 slots each, the configuration declares 64, and ten streams of 3 s a second need 30. The checks and their bounds stay.

--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -37,6 +37,7 @@
 SERVE_AFTER_LEAVING_SECONDS = 8.0
 MAX_OPEN_CALLS = 400
 DEFAULT_KEY = "k1"  # of all callers but those that try a removed key
+ENGINE_SLOTS = 64  # streams that an engine sends at once
 ROUTE_ATTEMPTS = 3  # servers that one request may be sent to
 
 
@@ -83,6 +84,8 @@
     def entry(self, **changes):
         """See :meth:`StandinServer.entry`."""
         own = {"zone": self.zone}
+        if self.model:
+            own["slots"] = ENGINE_SLOTS
         if self.cold_until is not None:
             left = max(0.0, self.cold_until - self.world.timer.now())
             own["coldLeftMs"] = int(left * 1000)
@@ -267,7 +270,7 @@
                 "gapTargetMs": 300,
             },
         ]
-        engine = {"slots": 64, "kvCapacity": 80000, "kvTokenBytes": 1000}
+        engine = {"slots": ENGINE_SLOTS, "kvCapacity": 80000, "kvTokenBytes": 1000}
         services = [{"name": "app"}, {"name": "llm", "engine": engine}]
         if self.bounds.cold_rate:
             cold = {
