--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -46,8 +46,7 @@
 #: Cost of an engine in another failure domain, for the traffic between them.
 OTHER_DOMAIN_PENALTY_SECONDS = 0.005
 #: The same in a crowded fleet, where entries tell those of the engine's failure domain
-#: alone of long prompts at once. What the others know of its queue is some 0.3 s old,
-#: in which it may have received one or two of them.
+#: alone of long prompts at once. The others learn of its queue later.
 CROWDED_OTHER_DOMAIN_PENALTY_SECONDS = 0.15
 
 
--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -41,11 +41,9 @@
 #: Time after the first start of a fleet within which its entries find each other.
 FIRST_START_SECONDS = 3.0
 #: Weight of one prompt in the prefill rate of all engines together, in a crowded fleet.
-#: An entry receives some ten first tokens per second, so it learns within seconds.
 POOL_GAIN = 0.03
-#: Time between two long prompts at one engine. An event of a stream has up to 15
-#: tokens. An engine makes them in 0.04 s while it reads no prompt, and in over 0.3 s
-#: otherwise, which callers notice as a pause.
+#: Time between two long prompts at one engine. Its streams pause while it reads a
+#: prompt, and callers notice two such pauses in a row.
 LONG_SPACING_SECONDS = 0.06
 STORE_SUCCESS_SECONDS = 3.0  # time for which a read shows that the store is reached
 #: Time from which the record of an entry is in the store until the entry sends anything
--- a/wasabistage/edge/_intake.py
+++ b/wasabistage/edge/_intake.py
@@ -6,8 +6,8 @@
 from wasabistage.clients import HoldingPolicy
 from wasabistage.http1 import Intake
 
-#: Share of the machine's memory for what clients send and are sent. A process has 33 MB
-#: at rest; facts of large fleets, buffers and gaps of the heap take the rest.
+#: Share of the machine's memory for what clients send and are sent. The process itself,
+#: facts of large fleets, buffers and gaps of the heap take the rest.
 MEMORY_SHARE = 0.2
 MAX_CLIENT_BYTES = 40_000_000  # keeps the process below 120 MB on any machine
 BYTES_PER_MB = 1_000_000
--- a/wasabistage/http1/_listener.py
+++ b/wasabistage/http1/_listener.py
@@ -16,8 +16,7 @@
 MAX_PENDING = 16384  # bytes that a caller may send ahead of its turn
 BACKLOG = 1024  # channels that wait to be accepted, the system's usual bound
 ACCEPT_PAUSE = 0.05  # seconds without accepting when descriptors run out
-#: Lines of a head. With 64 KiB of headers, only lines of less than 64 bytes on average
-#: reach it. Each line costs some 6 microseconds.
+#: Lines of a head. Each costs time to parse, whatever its length.
 MAX_HEAD_LINES = 1024
 COSTLY_HEAD_LINES = 128  # from which on a head is parsed in turn
 #: Lines of trailers, which are not passed on.
@@ -25,7 +24,7 @@
 #: Bytes of a chunked body that are parsed at a time if they have many lines.
 DENSE_SLICE_BYTES = 4096
 DENSE_LINES = 64  # in one read
-#: A piece below this size counts as small. Each costs some 15 microseconds.
+#: A piece below this size counts as small: its cost hardly depends on its size.
 SMALL_PIECE_BYTES = 1024
 SMALL_PIECES = 64  # after which other tasks run, and other channels with small pieces
 SHORT_READ_BYTES = 512
@@ -35,8 +34,7 @@
 #: Bytes of framing for each byte of a body, besides the size of a head. Chunks of one
 #: byte have 5.
 MAX_FRAMING_RATIO = 16
-#: Bytes a second that a body has on average after the time for a head. The longest
-#: bodies need 60 KB a second to be complete in time.
+#: Bytes a second that a body has on average after the time for a head.
 MIN_BODY_RATE = 8192.0
 LARGE_WRITE_BYTES = 65536  # from which on a write may have to wait for the caller
 REFUSAL_SECONDS = 1.0  # for writing a refusal
--- a/wasabistage/topology/_entry_capacity.py
+++ b/wasabistage/topology/_entry_capacity.py
@@ -10,9 +10,7 @@
 from wasabistage.base import Policy
 from wasabistage.exceptions import SettingError
 
-#: Bandwidth and descriptors that are counted as one core. The smallest machines of the
-#: requirements have 5 Mbit/s and 4,100 descriptors beside half a core, so that neither
-#: binds there before the processor.
+#: Bandwidth and descriptors that are counted as one core.
 LINK_MBPS_PER_CORE = 10.0
 FDS_PER_CORE = 3000.0
 #: Descriptors that are used for files.
