--- a/review/common-3/kv.py
+++ b/review/common-3/kv.py
@@ -167,17 +167,39 @@
     :param address: ``IP:PORT``.
     :param server: its id.
     :param zone: its zone.
-    :param store: the :class:`Store`.
+    :param store: the :class:`Store`, or ``None``.
     :param nursery: nursery of the saves.
     :param capacity: tokens that it keeps.
+    :param slots: requests that it runs at once; further ones wait.
+    :param service: name of its service.
     """
 
-    def __init__(self, address, server, zone, store, nursery, capacity=83_597):
-        super().__init__(address, server, "llm", "m")
+    def __init__(
+        self,
+        address,
+        server,
+        zone,
+        store,
+        nursery,
+        capacity=83_597,
+        slots=64,
+        service="llm",
+    ):
+        super().__init__(address, server, service, "m")
+        self.slots = slots
         self.zone = zone
         self.store = store
         self.nursery = nursery
         self.capacity = capacity
+        #: Events of an answer, and the seconds before each.
+        self.events = 3
+        self.step = STEP_SECONDS
+        self.places = trio.Semaphore(slots)
+        #: Tenants that share no part with others.
+        self.dedicated = frozenset()
+        #: Request and tenant that made a part.
+        self.makers = {}
+        self.breaks = []
         self.log = Log()
         self.kept = {}
 
@@ -199,14 +221,22 @@
         else:
             await super().answer(channel, request)
 
+    def entry(self, **changes):
+        """See :meth:`StandinServer.entry`."""
+        return super().entry(slots=self.slots, zone=self.zone, **changes)
+
     async def _stream(self, channel, run, echo):
+        async with self.places:
+            await self._answer_run(channel, run, echo)
+
+    async def _answer_run(self, channel, run, echo):
         await self._read_prompt(run)
         version = (b"Wasabistage-Weight-Versions", b"%d" % self.version)
         kind = (b"Content-Type", b"text/event-stream")
         framing = (b"Transfer-Encoding", b"chunked")
         await channel.start_response(200, [echo, (SEAL, b"s"), version, kind, framing])
-        for number in range(1, 4):
-            await trio.sleep(STEP_SECONDS)
+        for number in range(1, self.events + 1):
+            await trio.sleep(self.step)
             await channel.send_piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
         await channel.finish()
 
@@ -219,8 +249,20 @@
         self.kept[salt, part] = tokens
         self.log.add("+", salt, part, tokens, "m")
 
+    def _check_wall(self, request_id, tenant, salt, part):
+        """Check who made a part that a request uses."""
+        maker_id, maker = self.makers[salt, part]
+        if maker == tenant or not self.dedicated & {maker, tenant}:
+            return
+        self.breaks.append(
+            f"WALL: request {request_id} of tenant {tenant} at {self.server} uses part "
+            f"{part} of salt {salt!r}, which request {maker_id} of {maker} made; "
+            f"dedicated: {sorted(self.dedicated)}"
+        )
+
     async def _read_prompt(self, run):
         salt = run.fields.get(b"wasabistage-cache-salt", b"").decode()
+        tenant = run.fields.get(b"wasabistage-tenant", b"").decode()
         rows = run.fields[b"wasabistage-prompt-prefix"].decode().split(",")
         parts = [(row.split(":")[0], int(row.split(":")[1])) for row in rows]
         fetch = split_addresses(run.fields, b"wasabistage-kv-fetch-from", len(parts))
@@ -228,13 +270,15 @@
         for (part, tokens), source, target in zip(parts, fetch, save, strict=True):
             if (salt, part) in self.kept:
                 self.kept[salt, part] = self.kept.pop((salt, part))
+                self._check_wall(run.request_id, tenant, salt, part)
                 continue
             taken = 0
-            if source == self.store.address:
+            if self.store is not None and source == self.store.address:
                 taken = await self.store.fetch(self, run.request_id, salt, part)
             await trio.sleep((tokens - taken) / PREFILL_TOKENS_PER_SECOND)
             self._keep(salt, part, tokens)
-            if target == self.store.address:
+            self.makers[salt, part] = run.request_id, tenant
+            if self.store is not None and target == self.store.address:
                 arguments = self, run.request_id, salt, part, tokens
                 self.nursery.start_soon(self.store.save, *arguments)
 
