--- a/review/common-3/kv.py
+++ b/review/common-3/kv.py
@@ -18,6 +18,7 @@
 LONGEST_WAIT_SECONDS = 1.0
 PREFILL_TOKENS_PER_SECOND = 85_200.0
 MISS_SECONDS = 0.001
+DEAD_SECONDS = 0.2  # that a fetch from a store that is down costs
 STEP_SECONDS = 0.004
 OTHER_ZONE_FACTOR = 2.0
 
@@ -93,6 +94,28 @@
         #: Parts whose event of being freed never arrives.
         self.silent_frees = set()
         self.breaks = []
+        self.is_down = False
+        self.life_scope = None
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled; start again, empty, after each crash."""
+        while True:
+            with trio.CancelScope() as self.life_scope:
+                await super().run(task_status)
+            task_status = trio.TASK_STATUS_IGNORED
+            while self.is_down:
+                await trio.sleep(0.005)
+
+    async def crash(self, seconds):
+        """Be down for some seconds and return without any part."""
+        self.note(f"the store is down for {seconds} s")
+        self.is_down = True
+        self.life_scope.cancel()
+        self.log = Log(epoch=self.log.epoch + 1)
+        self.whole, self.writing = {}, {}
+        await trio.sleep(seconds)
+        self.is_down = False
+        self.note("the store is back, empty")
 
     async def answer(self, channel, request):
         """See :meth:`Standin.answer`."""
@@ -130,6 +153,9 @@
 
     async def fetch(self, engine, request_id, salt, part):
         """Move a part to an engine; return the tokens that were taken."""
+        if self.is_down:
+            await trio.sleep(DEAD_SECONDS)
+            return 0
         tokens = self.whole.get((salt, part))
         if tokens is None and (salt, part) in self.writing:
             tokens = self.writing[salt, part]
@@ -146,8 +172,8 @@
 
     async def save(self, engine, request_id, salt, part, tokens):
         """Write a part; its space is reserved at once."""
-        key = salt, part
-        if key in self.whole or key in self.writing:
+        key, epoch = (salt, part), self.log.epoch
+        if self.is_down or key in self.whole or key in self.writing:
             return
         self.writing[key] = tokens
         seconds = self.get_seconds(engine.zone, tokens)
@@ -156,6 +182,8 @@
             f"{request_id}; it takes {seconds:.3f} s"
         )
         await trio.sleep(seconds)
+        if self.log.epoch != epoch:
+            return
         del self.writing[key]
         self.whole[key] = tokens
         self.log.add("+", salt, part, tokens, "m")
