--- a/review/common-3/kv.py
+++ b/review/common-3/kv.py
@@ -222,6 +222,8 @@
         #: Events of an answer, and the seconds before each.
         self.events = 3
         self.step = STEP_SECONDS
+        #: Seconds from the head of an answer to the first event, besides.
+        self.first_pause = 0.0
         self.places = trio.Semaphore(slots)
         #: Tenants that share no part with others.
         self.dedicated = frozenset()
@@ -263,6 +265,7 @@
         kind = (b"Content-Type", b"text/event-stream")
         framing = (b"Transfer-Encoding", b"chunked")
         await channel.start_response(200, [echo, (SEAL, b"s"), version, kind, framing])
+        await trio.sleep(self.first_pause)
         for number in range(1, self.events + 1):
             await trio.sleep(self.step)
             await channel.send_piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
