--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,5 +3,5 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 PYTHONPATH="$here/../..:$here/../../target/deps:$here/../common-3"
 export PYTHONPATH
-python3 -c 'import world' || exit 2
+python3 -c 'import kv, world' || exit 2
 exec python3 "$here/case.py"
