Cache: an entry saves to a store only when it has known all its parts for a while

Cause: an entry that starts learns the epoch of the store as its first one, sees no restart and saves at once. Its prefill ends after the return of the store, when other entries still go by their old maps and fetch what is being written.

Ruled out: telling each other since when an epoch is known. It was built first; when a store and an entry start together nobody knows. After lost events the map of an entry that runs on lacks parts as well.

Change: SourceParts.complete_since; nothing is saved until all parts of the present epoch have been known for SAVE_PAUSE_SECONDS. Readers of a store begin with a listing; others get it with the state of a relay, or read it after 3 s.

Not measured: the cost of 2 s without saves after a start.

--- a/benchmarks/parts/_run.py
+++ b/benchmarks/parts/_run.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from random import Random
+from types import SimpleNamespace
 
 from benchmarks.parts._engine import (
     MEMORY_TOKENS,
@@ -12,7 +13,7 @@
     Work,
 )
 from benchmarks.parts._load import BURST, ENTRIES, SECONDS, draw_prompts
-from wasabistage.cache import PartMap
+from wasabistage.cache import SAVE_PAUSE_SECONDS, PartMap
 from wasabistage.routing import (
     TOO_LATE,
     Dispatched,
@@ -44,6 +45,7 @@
 LOOK = 0.015  # seconds between two looks of a waiting prompt
 REUSE = 20.0  # seconds in which a part that is read once more counts as read again
 KEY = "m|1|"
+NO_EVENTS = SimpleNamespace(epoch=1, position=0, has_gap=False, events=())
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -72,6 +74,8 @@
 
     def __init__(self, arm):
         self.parts = PartMap()
+        for name, _ in STORES:
+            self.parts.apply_events(name, NO_EVENTS, now=-SAVE_PAUSE_SECONDS)
         estimator = FirstTokenEstimator(prefill_rate=PREFILL_RATE, chunk_tokens=0)
         self.router = PartRouter(self.parts, estimator=estimator).reset()
         self.gate = arm.gate().reset()
--- a/wasabistage/cache/__init__.py
+++ b/wasabistage/cache/__init__.py
@@ -92,6 +92,7 @@
         ),
         "_part_map": (
             "PartMap",
+            "SAVE_PAUSE_SECONDS",
             "SAVE_TIMEOUT_SECONDS",
             "SourceParts",
         ),
--- a/wasabistage/cache/_part_map.py
+++ b/wasabistage/cache/_part_map.py
@@ -7,8 +7,9 @@
 SAVE_TIMEOUT_SECONDS = 3.0
 
 MAX_OLD_EPOCHS = 8  # of one source that are remembered
-#: Time after the restart of a source in which nothing is saved to it. Entries that
-#: have not heard of the restart would fetch a part that is still being saved again.
+#: Time for which nothing is saved to a store whose parts have just become known, as
+#: after its restart or that of this entry. Entries that have not heard of a restart
+#: would fetch a part that is still being saved again.
 SAVE_PAUSE_SECONDS = 2.0
 
 
@@ -18,6 +19,8 @@
 
     :param epoch: number that changes when the source restarts, or ``None`` before its
         first event.
+    :param complete_since: monotonic time since which all parts of this epoch are known,
+        but for those of lost events; ``None`` if some may be missing.
     :param old_epochs: some earlier epochs, oldest first.
     :param position: position from which its next events are to be read.
     :param tokens_by_part: dict of (cache key, part) to the number of tokens held.
@@ -28,6 +31,7 @@
     """
 
     epoch: int | None = None
+    complete_since: float | None = None
     old_epochs: list = field(default_factory=list)
     position: int = 0
     tokens_by_part: dict = field(default_factory=dict)
@@ -55,6 +59,19 @@
             if not holders:
                 del self.holders[part_key]
 
+    def set_epoch(self, epoch):
+        """Begin an epoch, in which no part is known yet.
+
+        :param epoch: the epoch.
+        """
+        if self.epoch is not None:
+            self.old_epochs = [*self.old_epochs, self.epoch][-MAX_OLD_EPOCHS:]
+        if epoch in self.old_epochs:
+            self.old_epochs.remove(epoch)
+        self.clear()
+        self.epoch = epoch
+        self.complete_since = None
+
     def clear(self):
         """Remove all parts."""
         for part_key in self.tokens_by_part:
@@ -74,8 +91,6 @@
         self.sources = {}  # address to SourceParts
         # Maps (cache key, part) to the tokens of each source that holds it, by address.
         self.holders = {}
-        # Time at which the last restart of a source was learned, by its address.
-        self.restarted_at = {}
         # Maps (cache key, part) to the store's address, the tokens and the monotonic
         # time at which the save times out, in seconds.
         self.saves = {}
@@ -95,7 +110,6 @@
         :param address: address of the source.
         """
         source = self.sources.pop(address, None)
-        self.restarted_at.pop(address, None)
         if source is not None:
             source.clear()
 
@@ -116,33 +130,41 @@
         """
         return self.holders.get((cache_key, part), {})
 
-    def apply_events(self, address, events, is_listing=False):
+    def apply_events(self, address, events, now, *, since=0, is_listing=False):
         """Update the parts of a source by its events or its listing.
 
         :param address: address of the source.
-        :param events: object with ``epoch``, ``position`` and ``events``.
+        :param events: object with ``epoch``, ``position``, ``has_gap`` and ``events``.
+        :param now: monotonic time, in seconds.
+        :param since: position from which the events were read.
         :param is_listing: whether the events cover all parts that the source holds.
         :return: whether the source has restarted since its previous events.
         """
         source = self.source(address)
         has_restarted = source.epoch is not None and source.epoch != events.epoch
-        if has_restarted:
-            source.old_epochs = [*source.old_epochs, source.epoch][-MAX_OLD_EPOCHS:]
-        if has_restarted or is_listing:
+        if source.epoch != events.epoch:
+            source.set_epoch(events.epoch)
+        elif is_listing:
             source.clear()
-        source.epoch = events.epoch
+        is_known_before = since == 0 or (
+            source.complete_since is not None and since <= source.position
+        )
+        if not is_listing and (events.has_gap or not is_known_before):
+            source.complete_since = None
+        elif source.complete_since is None:
+            source.complete_since = now
         source.position = events.position
         for event in events.events:
             source.set((event.cache_key, event.part), event.tokens)
         return has_restarted
 
-    def record_restart(self, address, now):
-        """Record that a source has restarted, by what :meth:`apply_events` returned.
+    def is_complete(self, address):
+        """Return whether all parts that a source holds are known.
 
         :param address: address of the source.
-        :param now: monotonic time, in seconds.
         """
-        self.restarted_at[address] = now
+        source = self.sources.get(address)
+        return source is not None and source.complete_since is not None
 
     def may_save(self, address, now):
         """Return whether parts may be saved to a store.
@@ -150,8 +172,10 @@
         :param address: address of the store.
         :param now: monotonic time, in seconds.
         """
-        restarted_at = self.restarted_at.get(address, float("-inf"))
-        return now - restarted_at >= SAVE_PAUSE_SECONDS
+        source = self.sources.get(address)
+        if source is None or source.complete_since is None:
+            return False
+        return now - source.complete_since >= SAVE_PAUSE_SECONDS
 
     def is_old_epoch(self, address, epoch):
         """Return whether a source has restarted since an epoch.
--- a/wasabistage/cache/tests/test_part_map.py
+++ b/wasabistage/cache/tests/test_part_map.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from wasabistage.cache import (
+    SAVE_PAUSE_SECONDS,
     SAVE_TIMEOUT_SECONDS,
     PartCacheKey,
     PartMap,
@@ -15,10 +16,11 @@
 )
 
 
-def make_events(*rows, epoch=1, position=1):
+def make_events(*rows, epoch=1, position=1, has_gap=False):
     return SimpleNamespace(
         epoch=epoch,
         position=position,
+        has_gap=has_gap,
         events=tuple(
             SimpleNamespace(cache_key="k", part=part, tokens=tokens)
             for part, tokens in rows
@@ -31,21 +33,21 @@
         self.parts = PartMap()
 
     def test_newer_event_replaces_the_tokens_of_a_part(self):
-        self.parts.apply_events("a", make_events(("p", 800), ("q", 200)))
+        self.parts.apply_events("a", make_events(("p", 800), ("q", 200)), 0.0)
         self.assertEqual(self.parts.get_total_tokens("a"), 1000)
-        self.parts.apply_events("a", make_events(("p", 128), ("q", 0)))
+        self.parts.apply_events("a", make_events(("p", 128), ("q", 0)), 0.0)
         self.assertEqual(self.parts.tokens("a", "k", "p"), 128)
         self.assertEqual(self.parts.tokens("a", "k", "q"), 0)
         self.assertEqual(self.parts.get_total_tokens("a"), 128)
 
     def test_restart_of_a_source_removes_its_parts(self):
-        self.assertFalse(self.parts.apply_events("a", make_events(("p", 800))))
-        self.assertTrue(self.parts.apply_events("a", make_events(epoch=2)))
+        self.assertFalse(self.parts.apply_events("a", make_events(("p", 800)), 0.0))
+        self.assertTrue(self.parts.apply_events("a", make_events(epoch=2), 0.0))
         self.assertEqual(self.parts.tokens("a", "k", "p"), 0)
 
     def test_listing_replaces_the_parts_of_a_source(self):
-        self.parts.apply_events("a", make_events(("p", 800)))
-        self.parts.apply_events("a", make_events(("q", 10)), is_listing=True)
+        self.parts.apply_events("a", make_events(("p", 800)), 0.0)
+        self.parts.apply_events("a", make_events(("q", 10)), 0.0, is_listing=True)
         self.assertEqual(self.parts.find_parts("a", lambda key: True), [("k", "q")])
 
     def test_save_counts_as_in_progress_until_its_timeout(self):
@@ -58,6 +60,59 @@
         self.assertFalse(self.parts.is_save_in_progress("k", "p", SAVE_TIMEOUT_SECONDS))
 
 
+class CompletenessTest(unittest.TestCase):
+    """Pattern: entries start and miss events while a store restarts."""
+
+    def setUp(self):
+        self.parts = PartMap()
+
+    def get_save_time(self):
+        """Return the first time at which parts may be saved to the store, or None."""
+        times = [step / 4 for step in range(200)]
+        return next((time for time in times if self.parts.may_save("a", time)), None)
+
+    def test_nothing_is_saved_until_all_parts_were_known_for_a_while(self):
+        self.assertIsNone(self.get_save_time())
+        self.parts.apply_events("a", make_events(("p", 800)), 10.0)
+        self.assertTrue(self.parts.is_complete("a"))
+        self.assertEqual(self.get_save_time(), 10.0 + SAVE_PAUSE_SECONDS)
+        self.parts.apply_events("a", make_events(position=2), 11.0, since=1)
+        self.assertEqual(self.get_save_time(), 10.0 + SAVE_PAUSE_SECONDS)
+
+    # Guards against an entry that has just started and takes the latest events of a
+    # store for all of its parts.
+    def test_events_after_unknown_ones_are_not_all_parts(self):
+        self.parts.apply_events("a", make_events(position=9), 10.0, since=8)
+        self.assertFalse(self.parts.is_complete("a"))
+        self.parts.apply_events("a", make_events(position=10), 11.0, since=9)
+        self.assertIsNone(self.get_save_time())
+        self.parts.apply_events("a", make_events(position=10), 12.0, is_listing=True)
+        self.assertEqual(self.get_save_time(), 12.0 + SAVE_PAUSE_SECONDS)
+
+    def test_skipped_events_end_completeness(self):
+        self.parts.apply_events("a", make_events(("p", 800)), 10.0)
+        self.parts.apply_events("a", make_events(position=9), 11.0, since=8)
+        self.assertIsNone(self.get_save_time())
+
+    def test_gap_in_the_events_of_the_store_ends_completeness(self):
+        self.parts.apply_events("a", make_events(("p", 800)), 10.0)
+        self.parts.apply_events("a", make_events(has_gap=True), 11.0, since=1)
+        self.assertIsNone(self.get_save_time())
+
+    def test_restart_begins_the_pause_again(self):
+        self.parts.apply_events("a", make_events(("p", 800)), 0.0)
+        self.parts.apply_events("a", make_events(epoch=2), 10.0, since=1)
+        self.assertIsNone(self.get_save_time())
+        self.parts.apply_events("a", make_events(epoch=2), 11.0, is_listing=True)
+        self.assertEqual(self.get_save_time(), 11.0 + SAVE_PAUSE_SECONDS)
+
+    def test_epoch_that_the_source_names_again_holds(self):
+        for epoch in (1, 2, 1):
+            self.parts.apply_events("a", make_events(epoch=epoch), 0.0)
+        self.assertFalse(self.parts.is_old_epoch("a", 1))
+        self.assertTrue(self.parts.is_old_epoch("a", 2))
+
+
 class PartKeysTest(unittest.TestCase):
     def test_keys_differ_by_version_and_account_and_can_be_parsed(self):
         keys = {
--- a/wasabistage/edge/_caches.py
+++ b/wasabistage/edge/_caches.py
@@ -3,9 +3,13 @@
 import trio
 
 READ_WAIT_SECONDS = 1.0  # time for which a source holds a read without events
+FIRST_READ_WAIT_SECONDS = 0.2  # the same for the first read of a source
 READ_INTERVAL_SECONDS = 0.25  # pause after a read, so that one returns several events
 RETRY_INTERVAL_SECONDS = 0.5  # mean pause after a failed read
 SOURCES_INTERVAL_SECONDS = 0.5  # pause between two checks for new sources
+#: Time for which an entry waits for the listing of a store from the readers, before it
+#: reads one itself.
+LISTING_WAIT_SECONDS = 3.0
 
 
 class CacheWatcher:
@@ -18,6 +22,9 @@
         self.state = state
         #: Cancel scopes of the tasks that follow a source, by its address.
         self.scopes = {}
+        #: Time since which the parts of a store are not all known, by its address;
+        #: monotonic seconds.
+        self.incomplete_since = {}
 
     async def run(self):
         """Follow the sources that this entry reads until cancelled."""
@@ -26,7 +33,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 state.source_domains = self._get_source_domains()
-                state.parts.keep_only(state.source_domains)
+                if state.routes.configuration is not None:
+                    state.parts.keep_only(state.source_domains)
                 wanted_addresses = {
                     address
                     for address in state.source_domains
@@ -39,8 +47,47 @@
                     scope = trio.CancelScope()
                     self.scopes[address] = scope
                     nursery.start_soon(self._follow_source, address, scope)
+                for address in self._find_overdue(wanted_addresses):
+                    nursery.start_soon(self._read_overdue, address)
                 await trio.sleep(SOURCES_INTERVAL_SECONDS)
 
+    def _find_overdue(self, read_addresses):
+        """Return the stores whose listing the readers have not told in time.
+
+        :param read_addresses: addresses of the sources that this entry reads itself.
+        """
+        state, known = self.state, self.incomplete_since
+        now = state.timer.now()
+        self.incomplete_since = {
+            address: known.get(address, now)
+            for address in self._get_stores() - read_addresses
+            if not state.parts.is_complete(address)
+        }
+        overdue = [
+            address
+            for address, since in self.incomplete_since.items()
+            if now - since >= LISTING_WAIT_SECONDS
+        ]
+        for address in overdue:
+            self.incomplete_since[address] = now
+        return overdue
+
+    async def _read_overdue(self, address):
+        try:
+            await self._read_listing(address, is_published=False)
+        except Exception as error:
+            self.state.metrics.count("cache.failures")
+            self.state.log.write(
+                "cache_listing_failed", address=address, reason=str(error)
+            )
+
+    def _get_stores(self):
+        """Return the addresses of the cache stores."""
+        configuration = self.state.routes.configuration
+        if configuration is None:
+            return set()
+        return {store.address for store in configuration.stores.values()}
+
     def _get_source_domains(self):
         """Return the failure domain of each cache source, by its address."""
         configuration = self.state.routes.configuration
@@ -80,24 +127,50 @@
     async def _read_events(self, address):
         state = self.state
         source = state.parts.source(address)
-        since = source.position
-        if source.epoch is None:
-            events = await state.platform.read_events(address, 0, 0.2)
-        else:
-            events = await state.platform.read_events(address, since, READ_WAIT_SECONDS)
+        epoch, since = source.epoch, source.position
+        if address in self._get_stores() and source.complete_since is None:
+            await self._read_listing(address)
+            return
+        is_first = epoch is None
+        wait = FIRST_READ_WAIT_SECONDS if is_first else READ_WAIT_SECONDS
+        events = await state.platform.read_events(address, since, wait)
         state.record_server_clock(events.clock)
-        is_first = source.epoch is None
-        is_new = state.parts.apply_events(address, events)
-        if is_new:
-            state.parts.record_restart(address, state.timer.now())
+        is_new = not is_first and events.epoch != epoch
+        if not is_new and state.parts.is_old_epoch(address, events.epoch):
+            return  # another entry has told of a restart since the read began
+        state.parts.apply_events(address, events, state.timer.now(), since=since)
         if is_new or is_first or events.events:
             state.facts.publish_events(address, since, events)
         if is_new or events.has_gap:
             state.log.write(
                 "cache_source_gap", address=address, epoch=events.epoch, new=is_new
             )
-            listing = await state.platform.list_cache(address)
-            state.parts.apply_events(address, listing, is_listing=True)
+            await self._read_listing(address)
+
+    async def _read_listing(self, address, *, is_published=True):
+        """Read all parts that a source holds.
+
+        :param address: address of the source.
+        :param is_published: whether the other entries are told.
+        """
+        state = self.state
+        epoch = state.parts.source(address).epoch
+        listing = await state.platform.list_cache(address)
+        state.record_server_clock(listing.clock)
+        if listing.epoch == epoch and state.parts.is_old_epoch(address, epoch):
+            return  # another entry has told of a restart since the read began
+        state.parts.apply_events(
+            address, listing, state.timer.now(), since=listing.position, is_listing=True
+        )
+        state.log.write(
+            "cache_listed",
+            address=address,
+            epoch=listing.epoch,
+            position=listing.position,
+            parts=len(listing.events),
+            before=epoch,
+        )
+        if is_published:
             state.facts.publish_events(
                 address, listing.position, listing, is_listing=True
             )
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -225,8 +225,13 @@
                 for part, tokens in zip(names, counts, strict=False)
             ),
         )
-        if parts.apply_events(fact.address, events, is_listing=fact.is_listing):
-            parts.record_restart(fact.address, self.state.timer.now())
+        parts.apply_events(
+            fact.address,
+            events,
+            self.state.timer.now(),
+            since=fact.since,
+            is_listing=fact.is_listing,
+        )
         if fact.clock is not None:
             self.state.record_server_clock(fact.clock, is_relayed=True)
         return True
@@ -278,7 +283,7 @@
             source.epoch,
             source.position,
             source.position,
-            True,
+            source.complete_since is not None,
             self.state.get_server_clock(),
             [(key, names, counts) for key, (names, counts) in groups.items()],
         )
@@ -295,7 +300,9 @@
                 watch.apply_snapshot(snapshot, requested_at)
         for listing in fleet_state.sources:
             source = self.state.parts.source(listing.address)
-            if source.epoch != listing.epoch or listing.position >= source.position:
+            is_needed = listing.is_listing and source.complete_since is None
+            is_known = source.epoch == listing.epoch and not is_needed
+            if not is_known or listing.position >= source.position:
                 self.apply_cache_fact(listing)
         if fleet_state.members:
             self.set_members(fleet_state.members)
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 from msgspec import structs
 
+from wasabistage.cache import SAVE_PAUSE_SECONDS
 from wasabistage.edge._fleet_view import MAX_KNOWN_ENTRIES
 from wasabistage.edge._messages import CacheEvent, CacheEvents
 from wasabistage.edge._peer_messages import ENCODER, PeerEntry, RecordFact
@@ -449,8 +450,7 @@
             clock=5.0,
         )
         parts, facts = reader.state.parts, reader.state.facts
-        if parts.apply_events(address, events, is_listing=is_listing):
-            parts.record_restart(address, fleet.now)
+        parts.apply_events(address, events, fleet.now, is_listing=is_listing)
         facts.publish_events(address, since, events, is_listing=is_listing)
 
     def test_events_reach_every_entry_in_order(self):
@@ -478,7 +478,50 @@
         for entry in fleet.entries.values():
             self.assertEqual(entry.state.parts.tokens("e:1", "k", "a"), 0)
             self.assertEqual(entry.state.parts.tokens("e:1", "k", "b"), 5)
-            self.assertIn("e:1", entry.state.parts.restarted_at)
+            self.assertFalse(entry.state.parts.may_save("e:1", fleet.now))
+
+    # Guards against entries that start while a cache store restarts, and save what
+    # those that run on still fetch from it.
+    def test_started_entries_save_once_the_whole_fleet_knows_the_store(self):
+        for size, domains in FLEETS:
+            with self.subTest(size):
+                fleet = Fleet(size, domains)
+                fleet.play(START_SECONDS)
+                self.publish(fleet, "l:1", 7, 0, 1, [("a", 100)])
+                fleet.play(SAVE_PAUSE_SECONDS + 1.0)
+                self.assertEqual(self.find_saving(fleet), set(fleet.entries))
+
+                def check(fleet):
+                    sources = {
+                        name: entry.state.parts.source("l:1")
+                        for name, entry in fleet.entries.items()
+                    }
+                    saving = [sources[name] for name in self.find_saving(fleet)]
+                    old = [source for source in saving if source.epoch == 7]
+                    held = {source.tokens_by_part.get(("k", "a")) for source in old}
+                    self.assertLessEqual(held, {100})
+                    if any(source.epoch == 8 for source in saving):
+                        known = {source.epoch for source in sources.values()}
+                        self.assertNotIn(7, known)
+
+                fleet.kill(list(fleet.entries)[-2:])
+                for _ in range(2):
+                    fleet.add(domains)
+                fleet.play(SAVE_PAUSE_SECONDS, check)
+                self.publish(fleet, "l:1", 8, 0, 0, [], is_listing=True)
+                fleet.add(domains)
+                fleet.play(SAVE_PAUSE_SECONDS - 0.3, check)
+                self.assertEqual(self.find_saving(fleet), set())
+                fleet.play(3.0, check)
+                self.assertEqual(self.find_saving(fleet), set(fleet.entries))
+
+    def find_saving(self, fleet):
+        """Return the names of the entries that may save to the store."""
+        return {
+            name
+            for name, entry in fleet.entries.items()
+            if entry.state.parts.may_save("l:1", fleet.now)
+        }
 
     def test_long_listing_is_split_and_whole(self):
         fleet = Fleet(65, 3)
--- a/wasabistage/routing/tests/test_part_router.py
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -38,6 +38,7 @@
     return SimpleNamespace(
         epoch=epoch,
         position=len(rows),
+        has_gap=False,
         events=tuple(
             SimpleNamespace(cache_key=key, part=name, tokens=tokens)
             for key, name, tokens in rows
@@ -63,6 +64,8 @@
 class PartRouterTest(unittest.TestCase):
     def setUp(self):
         self.parts = PartMap()
+        for store in (LARGE, SMALL):
+            self.parts.apply_events(store.address, events(), -60.0)
         estimator = FirstTokenEstimator(prefill_rate=85_000.0, chunk_tokens=0)
         self.router = PartRouter(self.parts, estimator=estimator).reset()
 
@@ -87,8 +90,8 @@
     def test_parts_that_engine_keeps_get_store_to_fetch_from(self):
         # An engine short of memory evicts parts before its events report it.
         rows = [("m|1|", item.part, item.tokens) for item in PARTS[:-1]]
-        self.parts.apply_events("l:1", events(*rows))
-        self.parts.apply_events("s1:1", events(*rows))
+        self.parts.apply_events("l:1", events(*rows), 0.0)
+        self.parts.apply_events("s1:1", events(*rows), 0.0)
         decision = self.route(candidate("s1"))
         self.assertEqual((decision.kept, decision.fetched), (8500, 0))
         self.assertEqual(decision.fetch_from, ("l:1", "l:1", ""))
@@ -132,23 +135,23 @@
 
     def test_engine_that_keeps_leading_parts_is_selected(self):
         kept = events(("m|1|", "system", 500), ("m|1|", "session", 8000))
-        self.parts.apply_events("s2:1", kept)
+        self.parts.apply_events("s2:1", kept, 0.0)
         found = self.route()
         self.assertEqual(found.candidate.server, "s2")
         self.assertEqual((found.kept, found.tokens), (8500, 1500))
 
     def test_parts_after_a_gap_are_not_reused(self):
-        self.parts.apply_events("s1:1", events(("m|1|", "session", 8000)))
+        self.parts.apply_events("s1:1", events(("m|1|", "session", 8000)), 0.0)
         found = self.route(candidate("s1"), stores=())
         self.assertEqual((found.kept, found.tokens), (0, 10_000))
 
     def test_parts_of_another_version_are_not_reused(self):
-        self.parts.apply_events("s1:1", events(("m|2|", "system", 500)))
+        self.parts.apply_events("s1:1", events(("m|2|", "system", 500)), 0.0)
         self.assertEqual(self.route(candidate("s1"), stores=()).kept, 0)
 
     def test_parts_in_store_are_fetched_and_not_saved_again(self):
         stored = events(("m|1|", "system", 500), ("m|1|", "session", 8000))
-        self.parts.apply_events(LARGE.address, stored)
+        self.parts.apply_events(LARGE.address, stored, 0.0)
         found = self.route()
         self.assertEqual(found.fetch_from, ("l:1", "l:1", ""))
         self.assertEqual((found.fetched, found.tokens), (8500, 1500))
@@ -160,7 +163,7 @@
         self.assertEqual(self.route().save_to, ("l:1", "", ""))
 
     def test_full_store_receives_no_parts(self):
-        self.parts.apply_events("l:1", events(("x", "y", 995_000)))
+        self.parts.apply_events("l:1", events(("x", "y", 995_000)), 0.0)
         self.assertEqual(self.route().save_to, ("f:1", "f:1", ""))
         self.assertEqual(self.route(stores=(LARGE,)).save_to, ("", "", ""))
 
@@ -214,11 +217,21 @@
 
     def test_nothing_is_saved_to_a_store_that_has_just_restarted(self):
         self.assertEqual(self.route().save_to[0], LARGE.address)
-        self.parts.record_restart(LARGE.address, 0.0)
+        self.parts.apply_events(LARGE.address, events(epoch=2), 0.0)
         self.assertNotEqual(self.route().save_to[0], LARGE.address)
         self.assertFalse(self.parts.may_save(LARGE.address, 1.9))
         self.assertTrue(self.parts.may_save(LARGE.address, 2.1))
+
+    # Guards against a process that has just started, and saves what those that fetch
+    # know to be in the store already.
+    def test_nothing_is_saved_to_a_store_whose_parts_are_not_all_known(self):
         self.parts.remove_source(LARGE.address)
+        self.assertNotEqual(self.route().save_to[0], LARGE.address)
+        self.parts.apply_events(LARGE.address, events(), -60.0, since=7)
+        self.assertNotEqual(self.route().save_to[0], LARGE.address)
+        self.parts.apply_events(LARGE.address, events(), -1.9, is_listing=True)
+        self.assertNotEqual(self.route().save_to[0], LARGE.address)
+        self.parts.apply_events(LARGE.address, events(epoch=2), -2.1)
         self.assertEqual(self.route().save_to[0], LARGE.address)
 
     def test_engine_with_penalty_is_not_selected(self):
