Cache: freed parts are told to all entries before they are saved again

Cause: parts were freed at a managed store and dropped from the map of the entry that freed them only. Its events may be lost, so the others went on fetching a part for good, and did while the first entry had it saved again.

Ruled out: a new key when a set of accounts returns (no help for other lost events); telling by the lease's successor (a follower's facts have no reader).

Change: the entry that reads the store frees and publishes FreedFact; a part that has left a store isn't saved there for SAVE_PAUSE_SECONDS.

The test of the lease's successor is replaced by one of an entry that doesn't read the store: both demand that all entries but one free nothing.

--- a/wasabistage/cache/_part_map.py
+++ b/wasabistage/cache/_part_map.py
@@ -8,8 +8,8 @@
 
 MAX_OLD_EPOCHS = 8  # of one source that are remembered
 #: Time for which nothing is saved to a store whose parts have just become known, as
-#: after its restart or that of this entry. Entries that have not heard of a restart
-#: would fetch a part that is still being saved again.
+#: after its restart or that of this entry, and no part that has just left it. Entries
+#: that have not heard of it would fetch a part that is still being saved again.
 SAVE_PAUSE_SECONDS = 2.0
 
 
@@ -24,6 +24,8 @@
     :param old_epochs: some earlier epochs, oldest first.
     :param position: position from which its next events are to be read.
     :param tokens_by_part: dict of (cache key, part) to the number of tokens held.
+    :param removed_at: dict of (cache key, part) to the monotonic time at which the part
+        was found to have left the source, in seconds; earliest first.
     :param total_tokens: sum of these numbers.
     :param address: address of the source.
     :param holders: dict of (cache key, part) to the dict of address to tokens of all
@@ -35,6 +37,7 @@
     old_epochs: list = field(default_factory=list)
     position: int = 0
     tokens_by_part: dict = field(default_factory=dict)
+    removed_at: dict = field(default_factory=dict)
     total_tokens: int = 0
     address: str = ""
     holders: dict = field(default_factory=dict)
@@ -69,9 +72,25 @@
         if epoch in self.old_epochs:
             self.old_epochs.remove(epoch)
         self.clear()
+        self.removed_at = {}
         self.epoch = epoch
         self.complete_since = None
 
+    def record_removals(self, part_keys, now):
+        """Record that parts have left the source.
+
+        :param part_keys: iterable of tuples of cache key and part.
+        :param now: monotonic time, in seconds.
+        """
+        for part_key in part_keys:
+            self.removed_at.pop(part_key, None)
+            self.removed_at[part_key] = now
+        while self.removed_at:
+            part_key, removed_at = next(iter(self.removed_at.items()))
+            if now - removed_at < SAVE_PAUSE_SECONDS:
+                return
+            del self.removed_at[part_key]
+
     def clear(self):
         """Remove all parts."""
         for part_key in self.tokens_by_part:
@@ -145,6 +164,8 @@
         if source.epoch != events.epoch:
             source.set_epoch(events.epoch)
         elif is_listing:
+            held = {(event.cache_key, event.part) for event in events.events}
+            source.record_removals(source.tokens_by_part.keys() - held, now)
             source.clear()
         is_known_before = since == 0 or (
             source.complete_since is not None and since <= source.position
@@ -154,10 +175,33 @@
         elif source.complete_since is None:
             source.complete_since = now
         source.position = events.position
+        removed = []
         for event in events.events:
-            source.set((event.cache_key, event.part), event.tokens)
+            part_key = event.cache_key, event.part
+            if event.tokens <= 0 and part_key in source.tokens_by_part:
+                removed.append(part_key)
+            source.set(part_key, event.tokens)
+        source.record_removals(removed, now)
         return has_restarted
 
+    def remove_parts(self, address, epoch, part_keys, now):
+        """Remove parts that were freed at a store.
+
+        :param address: address of the store.
+        :param epoch: epoch of the store in which they were freed.
+        :param part_keys: list of (cache key, part).
+        :param now: monotonic time, in seconds.
+        :return: whether the map had any of them.
+        """
+        source = self.sources.get(address)
+        if source is None or source.epoch != epoch:
+            return False
+        held = [key for key in part_keys if key in source.tokens_by_part]
+        for part_key in held:
+            source.set(part_key, 0)
+        source.record_removals(held, now)
+        return bool(held)
+
     def is_complete(self, address):
         """Return whether all parts that a source holds are known.
 
@@ -166,16 +210,24 @@
         source = self.sources.get(address)
         return source is not None and source.complete_since is not None
 
-    def may_save(self, address, now):
-        """Return whether parts may be saved to a store.
+    def may_save(self, address, cache_key, part, now, *, is_fleet_new=False):
+        """Return whether a part may be saved to a store.
 
         :param address: address of the store.
+        :param cache_key: cache key of the part.
+        :param part: id of the part.
         :param now: monotonic time, in seconds.
+        :param is_fleet_new: whether all entries have just started, so that none has a
+            map of the store from before.
         """
-        source = self.sources.get(address)
-        if source is None or source.complete_since is None:
+        source = self.source(address)
+        known_at = source.complete_since
+        if is_fleet_new and not source.old_epochs:
+            known_at = float("-inf")
+        elif known_at is None:
             return False
-        return now - source.complete_since >= SAVE_PAUSE_SECONDS
+        removed_at = source.removed_at.get((cache_key, part), known_at)
+        return now - max(removed_at, known_at) >= SAVE_PAUSE_SECONDS
 
     def is_old_epoch(self, address, epoch):
         """Return whether a source has restarted since an epoch.
--- a/wasabistage/cache/tests/test_part_map.py
+++ b/wasabistage/cache/tests/test_part_map.py
@@ -69,7 +69,9 @@
     def get_save_time(self):
         """Return the first time at which parts may be saved to the store, or None."""
         times = [step / 4 for step in range(200)]
-        return next((time for time in times if self.parts.may_save("a", time)), None)
+        return next(
+            (time for time in times if self.parts.may_save("a", "k", "p", time)), None
+        )
 
     def test_nothing_is_saved_until_all_parts_were_known_for_a_while(self):
         self.assertIsNone(self.get_save_time())
@@ -106,6 +108,34 @@
         self.parts.apply_events("a", make_events(epoch=2), 11.0, is_listing=True)
         self.assertEqual(self.get_save_time(), 11.0 + SAVE_PAUSE_SECONDS)
 
+    # Guards against an entry that saves a part which has just left the store, while
+    # those that have not heard of it still fetch it.
+    def test_part_that_has_left_the_store_is_not_saved_at_once(self):
+        self.parts.apply_events("a", make_events(("p", 800), ("q", 9)), 0.0)
+        self.parts.apply_events("a", make_events(("p", 0)), 10.0, since=1)
+        self.assertFalse(self.parts.may_save("a", "k", "p", 11.9))
+        self.assertTrue(self.parts.may_save("a", "k", "q", 11.9))
+        self.assertTrue(self.parts.may_save("a", "k", "p", 12.0))
+        self.assertTrue(self.parts.remove_parts("a", 1, [("k", "q")], 20.0))
+        self.assertFalse(self.parts.may_save("a", "k", "q", 21.9))
+        self.parts.apply_events("a", make_events(("q", 9)), 30.0, since=1)
+        self.parts.apply_events("a", make_events(("p", 8)), 31.0, is_listing=True)
+        self.assertFalse(self.parts.may_save("a", "k", "q", 32.9))
+        self.assertEqual(list(self.parts.source("a").removed_at), [("k", "q")])
+
+    def test_freed_parts_of_another_epoch_stay(self):
+        self.parts.apply_events("a", make_events(("p", 800), epoch=2), 0.0)
+        self.assertFalse(self.parts.remove_parts("a", 1, [("k", "p")], 1.0))
+        self.assertFalse(self.parts.remove_parts("b", 1, [("k", "p")], 1.0))
+        self.assertEqual(self.parts.tokens("a", "k", "p"), 800)
+
+    # Guards against a fleet that saves nothing in the first seconds of all.
+    def test_new_fleet_saves_before_its_first_listing(self):
+        self.assertTrue(self.parts.may_save("a", "k", "p", 0.1, is_fleet_new=True))
+        for epoch in (1, 2):
+            self.parts.apply_events("a", make_events(epoch=epoch), 1.0)
+        self.assertFalse(self.parts.may_save("a", "k", "p", 1.1, is_fleet_new=True))
+
     def test_epoch_that_the_source_names_again_holds(self):
         for epoch in (1, 2, 1):
             self.parts.apply_events("a", make_events(epoch=epoch), 0.0)
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -341,6 +341,7 @@
         link_bytes_per_second=service_config.engine.link_bytes_per_second,
         draw=state.random.random(),
         slack_seconds=FOLLOWER_SLACK_SECONDS if state.view.is_large else 0.0,
+        is_fleet_new=state.view.is_fleet_new(),
     )
     decision = state.part_router.decide(query, now)
     if not decision:
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -6,6 +6,7 @@
     FACT_DECODER,
     CacheFact,
     FleetState,
+    FreedFact,
     MemberFact,
     MemberRow,
     RecordFact,
@@ -136,6 +137,19 @@
             if is_last:
                 return
 
+    def publish_freed(self, address, epoch, part_keys):
+        """Tell the other entries of parts that this entry has freed at a cache store.
+
+        :param address: address of the store.
+        :param epoch: epoch of the store in which they were freed.
+        :param part_keys: list of (cache key, part).
+        """
+        for start in range(0, len(part_keys), MAX_PARTS_PER_FACT):
+            groups = {}
+            for cache_key, part in part_keys[start : start + MAX_PARTS_PER_FACT]:
+                groups.setdefault(cache_key, []).append(part)
+            self._publish(FreedFact(address, epoch, list(groups.items())))
+
     def publish_member(self, row, *, is_live):
         """Tell the followers that an entry has appeared, changed or gone.
 
@@ -185,6 +199,11 @@
             return self._apply_record(fact, ip)
         if isinstance(fact, CacheFact):
             return self.apply_cache_fact(fact)
+        if isinstance(fact, FreedFact):
+            part_keys = [(key, part) for key, parts in fact.groups for part in parts]
+            return self.state.parts.remove_parts(
+                fact.address, fact.epoch, part_keys, self.state.timer.now()
+            )
         self.has_new_members = True
         if fact.is_live:
             self.members[fact.member.name] = to_member(fact.member)
--- a/wasabistage/edge/_fleet_view.py
+++ b/wasabistage/edge/_fleet_view.py
@@ -1,5 +1,6 @@
 """What an entry knows of the fleet: live entries, roles, and the relay it follows."""
 
+from wasabistage.cache import SAVE_PAUSE_SECONDS
 from wasabistage.edge._facts import to_member
 from wasabistage.fleet import Topic
 from wasabistage.topology import (
@@ -40,6 +41,9 @@
 MAX_SOURCE_RANK = 4  # relays that try a source that others fail to read
 #: Time after the first start of a fleet within which its entries find each other.
 FIRST_START_SECONDS = 3.0
+#: Time after the first start of the fleet in which no entry has an older map of a store
+#: than the others.
+NEW_FLEET_SECONDS = FIRST_START_SECONDS + SAVE_PAUSE_SECONDS
 #: Weight of one prompt in the prefill rate of all engines together, in a crowded fleet.
 POOL_GAIN = 0.03
 #: Time between two long prompts at one engine. Its streams pause while it reads a
@@ -234,6 +238,12 @@
         """
         return self.state.settings.instance.first_start and not self.has_earlier_process
 
+    def is_fleet_new(self):
+        """Return whether the whole fleet has just started for the first time."""
+        is_first_start = self._is_first_start() and self._has_read_entries()
+        age = self.state.timer.now() - self.started_at
+        return is_first_start and age < NEW_FLEET_SECONDS
+
     def _get_hold_back_seconds(self):
         settings = self.state.settings
         if not self._is_first_start():
--- a/wasabistage/edge/_old_parts.py
+++ b/wasabistage/edge/_old_parts.py
@@ -5,7 +5,7 @@
 """
 
 from wasabistage.cache import find_scopes, parse_part_cache_key
-from wasabistage.edge._orders import get_lease_place, get_swap_candidates
+from wasabistage.edge._orders import get_swap_candidates
 from wasabistage.fleet import Topic
 from wasabistage.http1 import ChannelError
 
@@ -18,7 +18,8 @@
 class OldPartCleaner:
     """Frees old parts at the stores that evict nothing by themselves.
 
-    Only the entry that is first in line for the order lease does so.
+    Only the entry that reads a store does so, since it can tell the others: the events
+    of the store may be lost.
 
     :param state: an :class:`EdgeState`.
     """
@@ -47,24 +48,29 @@
             known = self.lowest_version_since.get(model)
             if known is None or known[0] != version:
                 self.lowest_version_since[model] = (version, now)
-        if not lowest or get_lease_place(state) != 0:
+        stores = self._get_stores()
+        if not lowest or not stores:
             self.unused_scope_since = {}
             return
-        self._update_unused_scopes(now)
+        self._update_unused_scopes(stores, now)
         oldest_kept = {
             model: version
             for model, (version, since) in self.lowest_version_since.items()
             if now - since >= FREE_DELAY_SECONDS
         }
         unused_scopes = self._find_free_scopes(now)
-        for store in self._get_stores():
+        for store in stores:
             await self._free_at(store, oldest_kept, unused_scopes, now)
 
     def _get_stores(self):
-        stores = self.state.routes.configuration.stores.values()
-        return [store for store in stores if store.never_evicts]
-
-    def _update_unused_scopes(self, now):
+        view = self.state.view
+        return [
+            store
+            for store in self.state.routes.configuration.stores.values()
+            if store.never_evicts and view.is_source_reader(store.address)
+        ]
+
+    def _update_unused_scopes(self, stores, now):
         """Update the scopes that have parts and are not those in force."""
         state = self.state
         scopes = find_scopes(state.routes.configuration.dedicated_accounts)
@@ -72,7 +78,7 @@
             # Entries that have not read the configuration yet use the scopes before.
             self.scopes, self.unused_scope_since = scopes, {}
         known, self.unused_scope_since = self.unused_scope_since, {}
-        for store in self._get_stores():
+        for store in stores:
             source = state.parts.source(store.address)
             for cache_key in {cache_key for cache_key, _ in source.tokens_by_part}:
                 named = parse_part_cache_key(cache_key)
@@ -129,6 +135,5 @@
             "parts_freed", store=store.address, parts=len(parts), freed=freed
         )
         if freed:
-            source = state.parts.source(store.address)
-            for name in parts:
-                source.set(name, 0)
+            state.parts.remove_parts(store.address, epoch, parts, state.timer.now())
+            state.facts.publish_freed(store.address, epoch, parts)
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -207,6 +207,19 @@
     groups: list[tuple[str, list[str], list[int]]]
 
 
+class FreedFact(msgspec.Struct, array_like=True, tag="f"):
+    """Parts were freed at a cache store, whether or not its events tell of it.
+
+    :param address: address of the store.
+    :param epoch: number that changes when the store restarts.
+    :param groups: rows of cache key, parts.
+    """
+
+    address: str
+    epoch: int
+    groups: list[tuple[str, list[str]]]
+
+
 class MemberFact(msgspec.Struct, array_like=True, tag="m"):
     """An entry has appeared, changed or gone.
 
@@ -218,7 +231,7 @@
     is_live: bool
 
 
-Fact = RecordFact | CacheFact | MemberFact
+Fact = RecordFact | CacheFact | FreedFact | MemberFact
 
 
 class TopicSnapshot(msgspec.Struct, array_like=True):
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -435,10 +435,13 @@
 
 
 class CacheFactTest(unittest.TestCase):
+    def get_reader(self, fleet):
+        relays = fleet.get_relays()
+        return next(e for e in fleet.entries.values() if e.name in relays)
+
     def publish(self, fleet, address, epoch, since, position, rows, is_listing=False):
         """Let one relay read events and tell them, as its task does."""
-        relays = fleet.get_relays()
-        reader = next(e for e in fleet.entries.values() if e.name in relays)
+        reader = self.get_reader(fleet)
         events = CacheEvents(
             epoch=epoch,
             position=position,
@@ -478,7 +481,7 @@
         for entry in fleet.entries.values():
             self.assertEqual(entry.state.parts.tokens("e:1", "k", "a"), 0)
             self.assertEqual(entry.state.parts.tokens("e:1", "k", "b"), 5)
-            self.assertFalse(entry.state.parts.may_save("e:1", fleet.now))
+            self.assertFalse(entry.state.parts.may_save("e:1", "k", "a", fleet.now))
 
     # Guards against entries that start while a cache store restarts, and save what
     # those that run on still fetch from it.
@@ -515,12 +518,37 @@
                 fleet.play(3.0, check)
                 self.assertEqual(self.find_saving(fleet), set(fleet.entries))
 
+    # Guards against entries that fetch a freed part for good, since the event that
+    # tells of it is lost, while another entry has it saved again.
+    def test_freed_part_is_gone_everywhere_before_it_is_saved_again(self):
+        for size, domains in FLEETS:
+            with self.subTest(size):
+                fleet = Fleet(size, domains, loss=0.05)
+                fleet.play(START_SECONDS)
+                self.publish(fleet, "l:1", 7, 0, 1, [("a", 100), ("b", 50)])
+                fleet.play(SAVE_PAUSE_SECONDS + 1.0)
+                reader = self.get_reader(fleet)
+                freed = [("k", "a")]
+                for epoch in (6, 7):
+                    parts = reader.state.parts
+                    parts.remove_parts("l:1", epoch, freed, fleet.now)
+                    reader.state.facts.publish_freed("l:1", epoch, freed)
+                self.publish(fleet, "l:1", 7, 1, 2, [("c", 10)])
+                fleet.play(SAVE_PAUSE_SECONDS - 0.3)
+                self.assertEqual(self.find_saving(fleet), set())
+                for entry in fleet.entries.values():
+                    parts = entry.state.parts
+                    held = [parts.tokens("l:1", "k", part) for part in "abc"]
+                    self.assertEqual(held, [0, 50, 10], entry.name)
+                fleet.play(SAVE_PAUSE_SECONDS)
+                self.assertEqual(self.find_saving(fleet), set(fleet.entries))
+
     def find_saving(self, fleet):
         """Return the names of the entries that may save to the store."""
         return {
             name
             for name, entry in fleet.entries.items()
-            if entry.state.parts.may_save("l:1", fleet.now)
+            if entry.state.parts.may_save("l:1", "k", "a", fleet.now)
         }
 
     def test_long_listing_is_split_and_whole(self):
--- a/wasabistage/edge/tests/test_old_parts.py
+++ b/wasabistage/edge/tests/test_old_parts.py
@@ -7,7 +7,7 @@
 from wasabistage.edge._old_parts import FREE_DELAY_SECONDS, OldPartCleaner
 from wasabistage.edge._settings import BoundsSection
 from wasabistage.http1 import ChannelError
-from wasabistage.rollout import OrderLease, ServerVersionReported, VersionRollout
+from wasabistage.rollout import ServerVersionReported, VersionRollout
 from wasabistage.telemetry import MemoryLineLog
 
 OLD, NEW = part_cache_key("m", 1), part_cache_key("m", 2)
@@ -33,6 +33,7 @@
 class OldPartCleanerTest(unittest.TestCase):
     def setUp(self):
         self.now = 0.0
+        self.told = []
         records = [
             SimpleNamespace(server=name, incarnation=1, versions={"m": 1})
             for name in ("e0", "e1")
@@ -54,7 +55,7 @@
             self.parts.source(address).set((NEW, "aa"), 500)
         self.state = SimpleNamespace(
             is_draining=False,
-            view=SimpleNamespace(has_store=True),
+            view=SimpleNamespace(has_store=True, is_source_reader=lambda address: True),
             timer=SimpleNamespace(now=lambda: self.now),
             swap=VersionRollout().reset(),
             routes=SimpleNamespace(configuration=configuration),
@@ -62,9 +63,10 @@
             settings=SimpleNamespace(
                 instance=SimpleNamespace(name="edge-1"), bounds=BoundsSection()
             ),
-            facts=SimpleNamespace(watches={"configuration": self.watch}),
-            peers={},
-            lease=OrderLease("edge-1", "life").reset(),
+            facts=SimpleNamespace(
+                watches={"configuration": self.watch},
+                publish_freed=lambda *told: self.told.append(told),
+            ),
             parts=self.parts,
             platform=self.platform,
             to_server_time=lambda moment: 1000.0 + moment,
@@ -108,11 +110,22 @@
         self.free_at(FREE_DELAY_SECONDS)
         return len(self.platform.calls)
 
-    def test_entry_that_is_not_first_in_line_for_lease_frees_nothing(self):
-        report = SimpleNamespace(name="edge-0", is_ready=True, has_store=True)
-        self.state.peers["edge-0"] = SimpleNamespace(report=report)
+    def test_entry_that_does_not_read_the_store_frees_nothing(self):
+        self.state.view.is_source_reader = lambda address: address != STORE
         self.assertEqual(self.free_after_delay(), 0)
 
+    # Guards against other entries that go on to fetch a freed part whose event is lost,
+    # while one that takes it for gone has it saved again.
+    def test_freed_parts_are_told_to_the_other_entries(self):
+        self.assertEqual(self.free_after_delay(), 1)
+        self.assertEqual(self.told, [(STORE, 7, [(OLD, "aa")])])
+        self.assertFalse(self.parts.may_save(STORE, OLD, "aa", self.now))
+
+    def test_parts_that_the_store_has_not_freed_are_not_told(self):
+        self.platform.error = ChannelError("no answer")
+        self.free_after_delay()
+        self.assertEqual(self.told, [])
+
     def test_entry_without_record_store_frees_nothing(self):
         self.state.view.has_store = False
         self.assertEqual(self.free_after_delay(), 0)
--- a/wasabistage/platform/tests/test_decoders.py
+++ b/wasabistage/platform/tests/test_decoders.py
@@ -41,7 +41,8 @@
 RECORD_FACT = messages.RecordFact("servers", "s1", 3, encode(SERVER))
 CACHE_FACT = messages.CacheFact("127.0.0.1:2", 1, 0, 4, False, 2.0, [])
 CACHE_FACT.groups.append(("m|1|", ["aa"], [5]))
-FACTS = (RECORD_FACT, CACHE_FACT, messages.MemberFact(MEMBER, True))
+FREED_FACT = messages.FreedFact("127.0.0.1:2", 1, [("k", ["p"])])
+FACTS = (RECORD_FACT, CACHE_FACT, FREED_FACT, messages.MemberFact(MEMBER, True))
 RAW_FACTS = [msgspec.Raw(messages.ENCODER.encode(fact)) for fact in FACTS]
 REPORT = messages.PeerReport(
     name="e",
--- a/wasabistage/routing/_part_router.py
+++ b/wasabistage/routing/_part_router.py
@@ -76,6 +76,8 @@
     :param draw: random number from 0 to below 1 that selects among equal engines.
     :param slack_seconds: difference of scores up to which engines count as equal. It
         is the queue that may have changed since the load was last reported.
+    :param is_fleet_new: whether all entries have just started, so that none has a map
+        of a store from before.
     """
 
     parts: tuple
@@ -87,6 +89,7 @@
     token_bytes: int = 1
     link_bytes_per_second: float = 1.0
     draw: float = 0.0
+    is_fleet_new: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -441,7 +444,14 @@
         if self._find_stores(query, cache_key, part):
             return ""
         for store in order_stores(query.stores, part.part):
-            if not self.parts.may_save(store.address, now):
+            may_save = self.parts.may_save(
+                store.address,
+                cache_key,
+                part.part,
+                now,
+                is_fleet_new=query.is_fleet_new,
+            )
+            if not may_save:
                 continue
             occupied_tokens = self.parts.get_total_tokens(store.address)
             occupied_tokens += self.parts.get_saving_tokens(store.address, now)
--- a/wasabistage/routing/tests/test_part_router.py
+++ b/wasabistage/routing/tests/test_part_router.py
@@ -219,8 +219,8 @@
         self.assertEqual(self.route().save_to[0], LARGE.address)
         self.parts.apply_events(LARGE.address, events(epoch=2), 0.0)
         self.assertNotEqual(self.route().save_to[0], LARGE.address)
-        self.assertFalse(self.parts.may_save(LARGE.address, 1.9))
-        self.assertTrue(self.parts.may_save(LARGE.address, 2.1))
+        self.assertFalse(self.parts.may_save(LARGE.address, "m|1|", "system", 1.9))
+        self.assertTrue(self.parts.may_save(LARGE.address, "m|1|", "system", 2.1))
 
     # Guards against a process that has just started, and saves what those that fetch
     # know to be in the store already.
