Configuration: a starting entry asks the running ones before it serves

Cause: the entry took its read of the older configuration for a confirmation of the keys.

Ruled out: the order of configurations, which is that of their versions; the age of the keys at entries that run on.

Change: before the first page is applied, up to 8 entries are asked at once, for at most 0.4 s.

test_unreadable_configuration_keeps_the_one_in_force runs its first read under trio now, since that read may wait; its checks are the same.

--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -92,6 +92,8 @@
     :param suspects: suspected parts of prompts; those of a relay are all with crashes,
         as far as they fit.
     :param capacity: the sender's capacity to serve callers; 0 if it is unknown.
+    :param configuration_version: version of the configuration that the sender has in
+        force; 0 if it has none.
     """
 
     name: str
@@ -120,6 +122,7 @@
     members: list[MemberRow] = []
     suspects: list[EvidenceRow] = []
     capacity: float = 0.0
+    configuration_version: int = 0
 
 
 class ReportDatagram(msgspec.Struct, array_like=True):
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -280,6 +280,7 @@
             "suspects": self.state.crash_watch.build_rows(
                 is_relay=fields.get("is_relay", False)
             ),
+            "configuration_version": self.state.get_configuration_version(),
         }
         return PeerReport(
             name=own.name,
--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -142,6 +142,8 @@
         begun_at = self.state.timer.now()
         if self.position is None:
             page = await self.store.read_newest(self.topic)
+            if not self.is_known:
+                await self.ask_running_entries()
             self._record_success(begun_at)
             self._apply_newest(page, self.state.timer.now())
         else:
@@ -228,6 +230,8 @@
         :param requested_at: time of the request, monotonic seconds.
         """
         if self.position is not None and snapshot.end < self.position:
+            if get_era(snapshot.end) < get_era(self.position):
+                self.apply_older_era(snapshot)
             return
         has_risen = self._note_era(snapshot.end)
         now, self.known_before = self.state.timer.now(), self.read_at
@@ -250,6 +254,20 @@
         self.handle_page_end(snapshot.end, now)
         self.confirm(confirmed_at)
 
+    async def ask_running_entries(self):
+        """Learn what other entries know, before the first page is applied.
+
+        The store may have returned from a copy that is older than what they know.
+        """
+        return
+
+    def apply_older_era(self, snapshot):
+        """Apply what holds of a snapshot from before the store lost its newest records.
+
+        :param snapshot: a :class:`TopicSnapshot`.
+        """
+        return
+
     def _is_first_page(self, era):
         """Return whether a page is the first that this entry reads of an era.
 
--- a/wasabistage/edge/_snapshots.py
+++ b/wasabistage/edge/_snapshots.py
@@ -11,13 +11,17 @@
     STATE_DECODER,
     FactBatch,
 )
-from wasabistage.fleet import StoreError
+from wasabistage.fleet import StoreError, Topic
 from wasabistage.http1 import Answer, ChannelError, HttpClient
 from wasabistage.topology import FactCursor, MissingFacts
 from wasabistage.utils import UnreadableError, decode_data
 
 SNAPSHOT_TIMEOUT_SECONDS = 0.4  # peers answer in some milliseconds
 STATE_TIMEOUT_SECONDS = 2.0  # a state of 1 MB takes a second on the slowest links
+#: Time for which a starting entry waits for the addresses of the others.
+ENTRIES_WAIT_SECONDS = 0.2
+ENTRIES_CHECK_SECONDS = 0.01  # pause between two looks for them
+MAX_ASKED_ENTRIES = 8  # by a starting entry
 MAX_SNAPSHOT_BYTES = 8 << 20  # twice the largest configuration
 MAX_BATCH_BYTES = 1 << 20
 MAX_CLIENTS = 64
@@ -100,6 +104,43 @@
         except (ChannelError, UnreadableError) as error:
             raise StoreError(f"peer {ip} sent no snapshot: {error}") from error
 
+    async def request_from_several(self, topic):
+        """Request the snapshot of a topic from several entries at once.
+
+        :param topic: name of the topic.
+        :return: list of tuples as of :meth:`request`, from those that answered in time;
+            the one with the newest end is the last.
+        """
+        found = []
+
+        async def request_from(ip):
+            try:
+                found.append(await self.request(topic, ip))
+            except StoreError:
+                # An entry that has just started, too, knows nothing.
+                return
+
+        with trio.move_on_after(SNAPSHOT_TIMEOUT_SECONDS):
+            await self._wait_for_entries()
+            async with trio.open_nursery() as nursery:
+                for ip in self._select_several_ips():
+                    nursery.start_soon(request_from, ip)
+        return sorted(found, key=lambda item: item[0].end)
+
+    async def _wait_for_entries(self):
+        """Wait until the topic of entries was read, for some time at most."""
+        watch = self.state.facts.watches.get(str(Topic.ENTRIES))
+        with trio.move_on_after(ENTRIES_WAIT_SECONDS):
+            while watch is not None and not watch.is_known:
+                await trio.sleep(ENTRIES_CHECK_SECONDS)
+
+    def _select_several_ips(self):
+        state, view = self.state, self.state.view
+        ips = {peer.report.ip for peer in state.peers.values()}
+        ips |= {entry.ip for entry in view.known_entries.values()} | set(view.seed_ips)
+        ips = sorted(ips - {state.settings.instance.ip})
+        return state.random.sample(ips, min(len(ips), MAX_ASKED_ENTRIES))
+
     async def _call(self, ip, target, timeout):
         if ip not in self.clients:
             if len(self.clients) >= MAX_CLIENTS:
@@ -181,6 +222,20 @@
             watch = exchange.watches[topic]
             if watch.newest_fact >= offset or await self._request_topic(topic, ip):
                 exchange.missed_offsets.pop(topic, None)
+        await self._request_newer_configuration()
+
+    async def _request_newer_configuration(self):
+        """Request the configuration of an entry that reports a newer version."""
+        state, topic = self.state, str(Topic.CONFIGURATION)
+        watch = state.facts.watches[topic]
+        name = watch.find_newer_peer()
+        if name is None:
+            return
+        report = state.peers[name].report
+        is_applied = await self._request_topic(topic, report.ip)
+        if is_applied:
+            # Without effect if that version is in force now.
+            watch.claims.refute(name, report.configuration_version)
 
     async def _request_topic(self, topic, ip):
         """Apply the snapshot of an entry, or of any if that one sends no reports.
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -179,6 +179,11 @@
         watch = self.facts.watches.get(str(Topic.SERVERS))
         return math.inf if watch is None else self.timer.now() - watch.confirmed_at
 
+    def get_configuration_version(self):
+        """Return the version of the configuration in force; 0 if there is none."""
+        configuration = self.routes.configuration
+        return 0 if configuration is None else configuration.version
+
     def _record_era_change(self, change):
         """Log a new era of the record store, or a number that is none.
 
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -10,7 +10,7 @@
 from wasabistage.edge._cold_servers import get_cold_left, get_cold_limit, has_cold_limit
 from wasabistage.edge._peer_messages import PeerEntry
 from wasabistage.edge._record_watch import MAX_LOGGED_KEY, RecordWatch
-from wasabistage.fleet import StoredRecord, Topic, get_era
+from wasabistage.fleet import StoredRecord, Topic, VersionClaims, get_era
 from wasabistage.rollout import (
     LeaseRecord,
     ServerVersionReported,
@@ -39,6 +39,42 @@
     #: read, so a long read shortens the store outage that the keys survive.
     wait_seconds = 0.8
 
+    def __init__(self, state, store):
+        super().__init__(state, store)
+        self.claims = VersionClaims()
+
+    async def ask_running_entries(self):
+        """See :meth:`RecordWatch.ask_running_entries`."""
+        found = await self.state.snapshots.request_from_several(str(self.topic))
+        for snapshot, requested_at in found:
+            self.apply_snapshot(snapshot, requested_at)
+        self.state.log.write(
+            "configuration_asked",
+            answers=len(found),
+            version=self.state.get_configuration_version(),
+        )
+
+    def apply_older_era(self, snapshot):
+        """See :meth:`RecordWatch.apply_older_era`.
+
+        Versions order configurations and weights. Orders to evacuate stay in force
+        until the operator withdraws them.
+        """
+        now = self.state.timer.now()
+        for key, offset, value in snapshot.records:
+            record = StoredRecord(offset=offset, key=key, value=value)
+            if self._apply_readable(record, now):
+                self.state.facts.publish_record(self.topic, record, is_own=False)
+
+    def find_newer_peer(self):
+        """Return the name of an entry with a newer configuration, or ``None``."""
+        versions = {
+            name: peer.report.configuration_version
+            for name, peer in self.state.peers.items()
+        }
+        own = self.state.get_configuration_version()
+        return self.claims.find_newer(own, versions, self.state.timer.now())
+
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
         if self.state.platform.is_configuration(record):
@@ -172,8 +208,12 @@
         return is_new
 
     def handle_confirmed(self, at):
-        """See :meth:`RecordWatch.handle_confirmed`."""
-        self.state.freshness.confirm(at)
+        """See :meth:`RecordWatch.handle_confirmed`.
+
+        A read of an older copy confirms nothing that another entry knows to be older.
+        """
+        if self.find_newer_peer() is None:
+            self.state.freshness.confirm(at)
 
     def handle_store_read(self):
         """See :meth:`RecordWatch.handle_store_read`."""
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -9,7 +9,13 @@
 from wasabistage.edge._peer_messages import PeerEntry, TopicSnapshot
 from wasabistage.edge._watches import OrderWatch, ServerWatch
 from wasabistage.edge.tests.fleet_case import Fleet, run
-from wasabistage.fleet import RecordPage, StoredRecord, Topic, TrimmedError
+from wasabistage.fleet import (
+    RecordPage,
+    StoredRecord,
+    Topic,
+    TrimmedError,
+    make_place,
+)
 from wasabistage.rollout import LeaseQuery
 
 PLAY_SECONDS = 10.0
@@ -249,5 +255,99 @@
         self.assertEqual(self.state.servers.tick(107.2), ["s1"])
 
 
+class OlderCopyStore:
+    """Holds an older configuration than the entries that run.
+
+    :param era: era of its records.
+    """
+
+    def __init__(self, era):
+        self.era = era
+
+    async def read_newest(self, topic):
+        place = make_place(self.era, 0)
+        record = StoredRecord(offset=place, key="config", value=b"1")
+        return RecordPage(records=(record,), end=place + 1)
+
+
+class StartAfterDrillTest(unittest.TestCase):
+    """Pattern: an entry starts as the store returns from an older copy."""
+
+    def setUp(self):
+        self.fleet = Fleet(4, 3)
+        self.fleet.play(6.0)
+        self.fleet.write(Topic.CONFIGURATION, "config", b"2")
+        self.fleet.play(4.0)
+        self.assertEqual(self.fleet.get_versions(), {2})
+        self.fleet.go_back(6.0)
+        self.entry = self.fleet.add(3)
+        self.state = self.entry.state
+        self.watch = self.entry.watches[str(Topic.CONFIGURATION)]
+        self.watch.store = OlderCopyStore(self.fleet.era)
+        self.confirmed_versions = []
+        confirm = self.state.freshness.confirm
+
+        def record(at):
+            self.confirmed_versions.append(self.state.get_configuration_version())
+            confirm(at)
+
+        self.state.freshness.confirm = record
+
+    def read_newest(self):
+        trio.run(self.watch._read_next, clock=MockClock(autojump_threshold=0))
+
+    # Guards against an entry that takes a key which was taken away, since the store has
+    # returned from a copy that still has it (review/15).
+    def test_started_entry_has_what_the_others_know_before_it_serves(self):
+        for entry in self.fleet.entries.values():
+            entry.reaches_store = False  # so that they know of the older era alone
+        self.read_newest()
+        self.assertEqual(self.state.get_configuration_version(), 2)
+        self.assertEqual(set(self.confirmed_versions), {2})
+        self.assertEqual(self.watch.era, 1)
+
+    def test_entry_that_no_other_answers_serves_what_the_store_has(self):
+        self.entry.is_http_cut = True
+        self.read_newest()
+        self.assertEqual(self.state.get_configuration_version(), 1)
+        self.assertTrue(self.state.freshness.decide(self.fleet.now))
+
+    # Guards against keys that are confirmed by an older copy while another entry
+    # reports the newer configuration, and against its snapshot, passed over as an
+    # older one.
+    def test_newer_configuration_of_a_peer_is_taken_whatever_the_store_has(self):
+        for entry in self.fleet.entries.values():
+            entry.reaches_store = entry is self.entry
+        self.entry.is_http_cut = True
+        self.read_newest()
+        for _ in range(30):
+            if not self.state.peers:
+                self.fleet.play(0.1)
+        self.assertTrue(self.state.peers)
+        self.confirmed_versions.clear()
+        self.fleet.play(1.0)
+        self.assertEqual(self.state.get_configuration_version(), 1)
+        self.assertEqual(self.confirmed_versions, [])
+        self.entry.is_http_cut = False
+        self.fleet.play(0.5)
+        self.assertEqual(self.state.get_configuration_version(), 2)
+        self.assertEqual(set(self.confirmed_versions), {2})
+
+    def test_order_to_evacuate_is_taken_with_the_configuration(self):
+        self.fleet.write(Topic.CONFIGURATION, "evacuate/domain-1", b"x")
+        self.fleet.play(1.0)
+        self.watch.apply_older_era(
+            TopicSnapshot(
+                age=0.0,
+                end=9,
+                newest=8,
+                records=[("evacuate/domain-2", 7, b"x"), ("config", 8, b"3")],
+            )
+        )
+        domains = self.state.evacuation.get_domains()
+        self.assertEqual(sorted(domains), ["domain-1", "domain-2"])
+        self.assertEqual(self.state.get_configuration_version(), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wasabistage/fleet/__init__.py
+++ b/wasabistage/fleet/__init__.py
@@ -42,6 +42,7 @@
     ServerRecord,
     ServerTable,
 )
+from wasabistage.fleet._version_claims import VersionClaims
 
 __all__ = [
     "NO_CONFIGURATION",
@@ -73,6 +74,7 @@
     "StoredRecord",
     "Topic",
     "TrimmedError",
+    "VersionClaims",
     "get_era",
     "get_offset",
     "make_place",
--- a/wasabistage/platform/tests/test_unreadable.py
+++ b/wasabistage/platform/tests/test_unreadable.py
@@ -4,8 +4,10 @@
 import unittest
 from types import SimpleNamespace
 
+import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from trio.testing import MockClock
 
 from wasabistage.edge._messages import BadRequestError
 from wasabistage.edge._snapshots import STATE_DECODER
@@ -276,7 +278,8 @@
         watch.store = PagedStore(
             [good], [StoredRecord(offset=2, key="config", value=DEEP)]
         )
-        run(watch._read_next())
+        # The first read asks other entries, which takes time.
+        trio.run(watch._read_next, clock=MockClock(autojump_threshold=0))
         run(watch._read_next())
         self.assertEqual(self.state.routes.configuration.version, 7)
         self.assertEqual(watch.newest_records["config"], good)
