Prompts that wait keep their cache key when their service is dropped

Cause: whether a request is a prompt for an engine was asked of the configuration in force alone. Without the service it counted as a plain request, though its server was an engine: no cache key, no version, no gate.

Ruled out: resumed streams, which are new requests under the configuration in force. Found beside it: the same when the engine or the accounts are dropped (then the caller's key was passed on, too), and for a service that gets engines between the choice of a server and the sending.

Change: a request keeps the configuration under which it was taken; get_service falls back on it. The check before sending defers a plain request whose service has engines.

--- a/wasabistage/edge/_callers.py
+++ b/wasabistage/edge/_callers.py
@@ -209,6 +209,7 @@
                     route=route,
                     account=caller.account,
                     service=select_service(state, route, state.random.random()),
+                    taken_under=state.routes.configuration,
                     channel=channel,
                     nursery=nursery,
                     deadline_at=deadline_at,
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -175,19 +175,47 @@
     return route.targets[-1][0]
 
 
-def select_server(state, request, route, account, service, excluded, now):
+def get_service(state, exchange):
+    """Return the service that a request is sent to, as it is declared now.
+
+    One that is no longer declared, or no longer with engines, counts as it was declared
+    when the request was taken: its servers may run on, and a prompt must reach them
+    with its cache key and weight version.
+
+    :param state: an :class:`EdgeState`.
+    :param exchange: an :class:`Exchange`.
+    :return: a :class:`wasabistage.fleet.Service`, or ``None`` if it never was declared.
+    """
+    service = state.routes.configuration.services.get(exchange.service)
+    taken = exchange.taken_under.services.get(exchange.service)
+    if service is None:
+        return taken
+    has_lost_engine = service.engine is None and taken is not None and taken.engine
+    return taken if has_lost_engine else service
+
+
+def needs_engine(exchange, service):
+    """Return whether a request is a prompt for a service of model engines.
+
+    :param exchange: an :class:`Exchange`.
+    :param service: what :func:`get_service` returned.
+    """
+    has_engine = service is not None and service.engine is not None
+    return has_engine and exchange.request.prompt is not None
+
+
+def select_server(state, exchange, excluded, now):
     """Select the backend server of an attempt.
 
     :param state: an :class:`EdgeState`.
-    :param request: a :class:`CallerRequest`.
-    :param route: its :class:`wasabistage.fleet.Route`.
-    :param account: a :class:`wasabistage.fleet.ClientAccount`, or ``None``.
-    :param service: name of the service.
+    :param exchange: an :class:`Exchange`.
     :param excluded: ids of the servers that already failed the request.
     :param now: monotonic time, in seconds.
     :return: a :class:`Choice`, an :class:`AllResting`, an :class:`AllCold`, an
         :class:`AllEvacuated`, or a sentinel such as ``NO_SERVER``.
     """
+    request, route, account = exchange.request, exchange.route, exchange.account
+    service = exchange.service
     weights = {
         item.server: item.weight / state.pace.decide(PaceQuery(server=item.server), now)
         for item in state.health.decide(HealthQuery(service=service), now)
@@ -224,16 +252,12 @@
     records = responsive or records
     if not records:
         return NO_SERVER.with_reason(describe_no_server(home_regions))
-    service_config = state.routes.configuration.services.get(service)
+    service_config = get_service(state, exchange)
     limit = get_cold_limit(state, service_config)
     records = select_allowed(state, records, limit, weights, now)
     if not records:
         return records
-    if (
-        request.prompt is not None
-        and service_config is not None
-        and service_config.engine is not None
-    ):
+    if needs_engine(exchange, service_config):
         return select_engine(
             state, request, route, account, records, weights, service_config, now
         )
--- a/wasabistage/edge/_cold_servers.py
+++ b/wasabistage/edge/_cold_servers.py
@@ -144,7 +144,7 @@
     return AllCold(seconds=seconds, rate=rate)
 
 
-def record_taken(state, attempt):
+def record_taken(state, attempt, service):
     """Count an attempt at a server of a service whose cold servers are limited.
 
     Requests to warm servers are counted as well: a server may become cold within the
@@ -152,12 +152,12 @@
 
     :param state: an :class:`EdgeState`.
     :param attempt: an :class:`Attempt`.
+    :param service: its :class:`wasabistage.fleet.Service`, or ``None``.
     """
-    record = attempt.choice.record
-    services = state.routes.configuration.services
-    attempt.cold_limit = get_cold_limit(state, services.get(record.service))
+    attempt.cold_limit = get_cold_limit(state, service)
     if attempt.cold_limit is not None:
-        event = RequestTaken(server=record.server, request=attempt.attempt_id)
+        server = attempt.choice.record.server
+        event = RequestTaken(server=server, request=attempt.attempt_id)
         state.cold_allowance.observe(event, state.timer.now())
 
 
--- a/wasabistage/edge/_engine_wait.py
+++ b/wasabistage/edge/_engine_wait.py
@@ -52,15 +52,7 @@
                 admitted = self.state.crash_watch.check(request)
                 if not admitted:
                     return admitted
-                choice = select_server(
-                    self.state,
-                    request,
-                    exchange.route,
-                    exchange.account,
-                    exchange.service,
-                    excluded,
-                    now,
-                )
+                choice = select_server(self.state, exchange, excluded, now)
                 if isinstance(choice, AllResting):
                     exchange.rest_seconds = choice.seconds
                     if not self._may_wait_for_rest(exchange, choice, now):
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -91,6 +91,8 @@
     :param route: its :class:`wasabistage.fleet.Route`.
     :param account: its :class:`wasabistage.fleet.ClientAccount`, or ``None``.
     :param service: name of the service that the request is sent to.
+    :param taken_under: the :class:`wasabistage.fleet.Configuration` in force when it
+        was taken.
     :param channel: the :class:`wasabistage.http1.CallerChannel`.
     :param nursery: nursery for the tasks of this request.
     :param deadline_at: time by which it must be answered, monotonic seconds.
@@ -114,6 +116,7 @@
     route: object
     account: object
     service: str
+    taken_under: object
     channel: object
     nursery: object
     deadline_at: float
--- a/wasabistage/edge/_explain.py
+++ b/wasabistage/edge/_explain.py
@@ -17,8 +17,10 @@
     build_gate_query,
     get_request_rank,
     get_rest_seconds,
+    get_service,
     get_version_time_left,
     may_hold_request,
+    needs_engine,
     select_server,
 )
 from wasabistage.edge._exchange import Exchange
@@ -338,22 +340,15 @@
             route=route,
             account=account,
             service=service,
+            taken_under=self.state.routes.configuration,
             channel=None,
             nursery=None,
             deadline_at=now + route.timeout,
         )
 
     def _explain_choice(self, exchange, now):
-        shadow, service = ShadowState(self.state), exchange.service
-        choice = select_server(
-            shadow,
-            exchange.request,
-            exchange.route,
-            exchange.account,
-            service,
-            set(),
-            now,
-        )
+        shadow = ShadowState(self.state)
+        choice = select_server(shadow, exchange, set(), now)
         found = {"outcome": "refused", "choice": None, "candidates": []}
         if choice:
             found["outcome"] = "sent"
@@ -481,8 +476,7 @@
         if state.silence.decide(SilenceQuery(server=server), now):
             return "silent", "it has sent no bytes for too long"
         prompt = exchange.request.prompt
-        service = state.routes.configuration.services.get(record.service)
-        if prompt is None or service is None or service.engine is None:
+        if not needs_engine(exchange, get_service(state, exchange)):
             return "other", "no rule known to this command excludes it"
         return self._find_engine_rule(prompt, record, now)
 
--- a/wasabistage/edge/_forward.py
+++ b/wasabistage/edge/_forward.py
@@ -9,7 +9,9 @@
 from wasabistage.edge._choice import (
     get_cache_scope,
     get_request_rank,
+    get_service,
     is_evacuated,
+    needs_engine,
 )
 from wasabistage.edge._cold_servers import (
     is_beyond_allowance,
@@ -185,7 +187,7 @@
         exchange.attempts.append(attempt)
         server = choice.record.server
         state.health.observe(CallStarted(server=server), now)
-        record_taken(state, attempt)
+        record_taken(state, attempt, get_service(state, exchange))
         self._record_start(exchange, attempt, now)
         error = None
         try:
@@ -352,6 +354,9 @@
             if plan.candidate.cache_key != part_cache_key(model, version, scope):
                 attempt.is_deferred = True
                 raise NotSentError("the accounts that share cached parts have changed")
+        elif needs_engine(exchange, get_service(state, exchange)):
+            attempt.is_deferred = True
+            raise NotSentError("the service has been declared as one of engines")
         if is_evacuated(state, attempt.choice.record, state.timer.now()):
             attempt.is_deferred = True
             raise NotSentError("the server is evacuated")
@@ -387,7 +392,10 @@
             "server": attempt.choice.record.server,
             "time_left": exchange.get_time_left(now),
             "account": account.name if account is not None else "",
-            "forwards_key": state.routes.configuration.accounts is None,
+            "forwards_key": (
+                exchange.taken_under.accounts is None
+                and state.routes.configuration.accounts is None
+            ),
             "last_event": exchange.splitter.last_id,
         }
         if plan is None:
--- a/wasabistage/platform/tests/test_dedicated_accounts.py
+++ b/wasabistage/platform/tests/test_dedicated_accounts.py
@@ -5,6 +5,7 @@
 
 from standins.users_platform import Behaviour
 from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
+from wasabistage.routing import WAIT
 
 KEYS = {"small": "k1", "other": "k2", "third": "k3"}
 SALT, TENANT = b"wasabistage-cache-salt", b"wasabistage-tenant"
@@ -159,5 +160,95 @@
         return take_after_change
 
 
+class ChangedServiceTest(EdgeCase):
+    """Pattern: the service of prompts that wait leaves the configuration in force."""
+
+    async def ask_around(self, path=b"/hint/", **changes):
+        """Change the configuration while a prompt waits; return the run of the prompt.
+
+        :param changes: values of the new configuration.
+        """
+        state = self.edge.state
+        decide, waited = state.gate.decide, trio.Event()
+
+        def wait(query, now):
+            waited.set()
+            return WAIT
+
+        state.gate.decide = wait
+        replies = []
+
+        async def ask():
+            replies.append(await self.call(path, *PROMPT, method=b"POST"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await waited.wait()
+            version = state.routes.configuration.version + 1
+            self.platform.publish(version, **changes)
+            await self.until(lambda: state.routes.configuration.version == version)
+            state.gate.decide = decide
+        self.assertEqual([reply.status for reply in replies], [200])
+        (run,) = [run for engine in self.platform.engines for run in engine.runs]
+        return run
+
+    def check_prompt(self, run):
+        self.assertIn(b"small", run.fields[SALT])
+        self.assertEqual(run.fields[b"wasabistage-expect-version"], b"1")
+        self.assertNotIn(b"authorization", run.fields)
+
+    # Guards against prompts that lose their cache key and their weight version, and so
+    # share parts with other accounts, as their service is no longer declared
+    # (review/13).
+    def test_prompt_keeps_cache_key_and_version_without_its_service(self):
+        tenants = [{"name": "small", "keys": ["k1"], "dedicated": True}]
+        plain, both = {"name": "app"}, [{"name": "app"}, {"name": "llm"}]
+        for name, changes in {
+            "the service is dropped": {"services": [plain]},
+            "the route, too": {"services": [plain], "routes": []},
+            "the engine is dropped": {"services": both},
+            "no accounts": {"services": [plain], "tenants": None},
+        }.items():
+            with self.subTest(name):
+
+                async def test(changes=changes):
+                    self.platform.publish(2, tenants=tenants)
+                    routes = self.edge.state.routes
+                    await self.until(lambda: routes.configuration.version == 2)
+                    run = await self.ask_around(**{"tenants": tenants, **changes})
+                    self.check_prompt(run)
+
+                self.play(test)
+
+    # Guards against the same as a service is declared as one of engines between the
+    # choice of a server and the sending.
+    def test_service_that_becomes_one_of_engines_is_seen_before_sending(self):
+        async def test():
+            both = [{"name": "app"}, {"name": "llm"}]
+            self.platform.publish(2, services=both)
+            routes, pools = self.edge.state.routes, self.edge.callers.forwarder
+            await self.until(lambda: routes.configuration.version == 2)
+
+            def delay_first(take):
+                async def take_after_change(*arguments):
+                    if routes.configuration.version == 2:
+                        self.platform.publish(3)
+                        await self.until(lambda: routes.configuration.version == 3)
+                    return await take(*arguments)
+
+                return take_after_change
+
+            for engine in self.platform.engines:
+                pool = pools._get_pool(engine.address)
+                pool.take = delay_first(pool.take)
+            reply = await self.call(b"/hint/", *PROMPT, method=b"POST")
+            self.assertEqual(reply.status, 200)
+            runs = [run for engine in self.platform.engines for run in engine.runs]
+            self.assertEqual(len(runs), 1)
+            self.assertIn(SALT, runs[0].fields)
+
+        self.play(test)
+
+
 if __name__ == "__main__":
     unittest.main()
