A begun stream leaves a silent server only for a repeat that the gate admits

Cause: the stream's head had been passed on, but no event. It was taken from its silent server for a granted repeat, which the gate refused by the age of the request: it told begun answers by their last event.

Change: a stream whose head was passed on counts as begun, and its caller as waiting since the request. A begun answer is moved only if the gate lets its repeat pass at that moment; one at a check, since several would be promised the same room.

--- a/wasabistage/edge/_attempt_retries.py
+++ b/wasabistage/edge/_attempt_retries.py
@@ -1,6 +1,10 @@
 """Decides whether a request is sent to another server, and when its budget is used."""
 
-from wasabistage.edge._choice import has_responsive_server
+from wasabistage.edge._choice import (
+    build_gate_query,
+    has_responsive_server,
+    select_server,
+)
 from wasabistage.retries import (
     Failure,
     FirstAttemptSent,
@@ -8,6 +12,7 @@
     RetryQuery,
     RetrySent,
 )
+from wasabistage.routing import WaitEnded
 
 
 class AttemptRetries:
@@ -62,9 +67,9 @@
     def prepare_move(self, wait):
         """Decide the retry of a request that is taken away from its silent server.
 
-        An answer that has begun is left there unless another server may continue it:
-        the silent one may go on, and the caller would get a broken answer. Whether any
-        other request is retried is decided after its attempt has ended.
+        An answer that has begun is left there unless another server may continue it at
+        once: the silent one may go on, and the caller would get a broken answer.
+        Whether any other request is retried is decided after its attempt has ended.
 
         :param wait: the :class:`ServerWait` of its attempt.
         :return: whether the attempt is to be cancelled.
@@ -74,6 +79,8 @@
             return True
         if not has_responsive_server(self.state, exchange):
             return False
+        if not self._is_admitted(exchange):
+            return False
         query = self._build_query(exchange, attempt, Failure.LOST)
         decision = self._query_policy(exchange, query)
         if not decision:
@@ -82,6 +89,17 @@
         exchange.granted_retry = decision
         return True
 
+    def _is_admitted(self, exchange):
+        """Return whether the gate lets a repeat pass at once."""
+        state, now = self.state, self.state.timer.now()
+        choice = select_server(state, exchange, exchange.tried_servers, now)
+        if not choice or choice.plan is None:
+            return bool(choice)
+        query = build_gate_query(state, exchange, choice)
+        verdict = state.gate.decide(query, now)
+        state.gate.observe(WaitEnded(request=query.request), now)
+        return bool(verdict)
+
     def _observe(self, event):
         self.state.retries.observe(event, self.state.timer.now())
 
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -536,7 +536,11 @@
     """
     request, route, plan = exchange.request, exchange.route, choice.plan
     prompt = request.prompt
-    if exchange.last_event_at is None:
+    last_event_at = exchange.last_event_at
+    if last_event_at is None and exchange.has_begun:
+        # The caller waits for the first event since the request.
+        last_event_at = request.begun_at
+    if last_event_at is None:
         patience = get_patience(route, exchange.deadline_at - request.begun_at)
     else:
         patience = get_gap_patience(route)
@@ -555,7 +559,7 @@
         arrived_at=request.begun_at,
         objective=route.objective,
         patience=patience,
-        last_event_at=exchange.last_event_at,
+        last_event_at=last_event_at,
     )
 
 
--- a/wasabistage/edge/_exchange.py
+++ b/wasabistage/edge/_exchange.py
@@ -141,6 +141,11 @@
         """Return the seconds until the deadline."""
         return self.deadline_at - now
 
+    @property
+    def has_begun(self):
+        """Whether the caller has got the head of an answer."""
+        return self.channel is not None and self.channel.started
+
     @property
     def tried_servers(self):
         """Ids of the servers that the request was sent to, without replaced ones."""
--- a/wasabistage/edge/_process.py
+++ b/wasabistage/edge/_process.py
@@ -304,13 +304,16 @@
     async def _cancel_silent_attempts(self, tick):
         now, forwarder = trio.current_time(), self.callers.forwarder
         forwarder.slow_writes.tick()
+        has_moved_begun = False
         for server in self.state.silence.tick(self.state.timer.now()):
-            waits = self.state.repeatable_waits.get(server, ())
-            moved = [
-                wait
-                for wait in waits
-                if wait.is_too_long(now) and forwarder.retries.prepare_move(wait)
-            ]
+            moved = []
+            for wait in self.state.repeatable_waits.get(server, ()):
+                # Several would take the same room.
+                if wait.exchange.has_begun and has_moved_begun:
+                    continue
+                if wait.is_too_long(now) and forwarder.retries.prepare_move(wait):
+                    moved.append(wait)
+                    has_moved_begun |= wait.exchange.has_begun
             if moved:
                 self.state.log.write("server_silent", server=server, moved=len(moved))
             for wait in moved:
--- a/wasabistage/platform/tests/test_begun_answer.py
+++ b/wasabistage/platform/tests/test_begun_answer.py
@@ -8,6 +8,7 @@
 from standins.users_platform import Behaviour
 from wasabistage.http1 import CallerChannel, Channel
 from wasabistage.platform.tests.edge_case import PROMPT, EdgeCase
+from wasabistage.routing import WAIT
 
 SILENT_SECONDS = 0.5  # time after which a server counts as silent in these tests
 SLOW_SECONDS = 1.5  # several checks for silence longer
@@ -142,6 +143,41 @@
 
         self.play(test)
 
+    # Guards against an answer that is taken from a silent server before its first event
+    # for a repeat which the gate then refuses by the age of the request (review/14).
+    def test_stream_without_event_is_resumed_late(self):
+        async def test():
+            engine = self.platform.engines[0]
+            engine.behaviour = Behaviour(endless=(STREAM_HEAD, b""), pause=0.1)
+            gate = self.edge.state.gate
+            with mock.patch.object(gate, "late_limit", 0.2):
+                self.edge.state.silence.stream_limit = 3 * SILENT_SECONDS
+                reply = await self.ask_at(engine, b"/chat/x", PROMPT, b"POST")
+            counts = [reply.body.count(b"id: %d\n" % number) for number in range(1, 4)]
+            self.assertEqual((reply.status, counts), (200, [1, 1, 1]))
+
+        self.play(test)
+
+    # Guards against the same while the gate has no room for a repeat.
+    def test_stream_stays_where_it_has_begun_while_the_gate_has_no_room(self):
+        async def test():
+            gate = self.edge.state.gate
+            decide, engines = gate.decide, self.platform.engines
+            for engine in engines:
+                engine.behaviour = Behaviour(pause=1.5 * SILENT_SECONDS)
+
+            def wait_if_begun(query, now):
+                return WAIT if query.last_event_at is not None else decide(query, now)
+
+            with mock.patch.object(gate, "decide", wait_if_begun):
+                reply = await self.ask(b"/chat/x", PROMPT, b"POST")
+            counts = [reply.body.count(b"id: %d\n" % number) for number in range(1, 4)]
+            self.assertEqual((reply.status, counts), (200, [1, 1, 1]))
+            self.assertEqual(sum(len(engine.runs) for engine in engines), 1)
+            self.assertEqual(gate.waiting_, {})
+
+        self.play(test)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wasabistage/routing/_engine_gate.py
+++ b/wasabistage/routing/_engine_gate.py
@@ -39,8 +39,8 @@
     :param objective: latency objective for the first token since arrival, in seconds.
     :param patience: time since arrival, or since the last event, after which the caller
         gives up, in seconds.
-    :param last_event_at: monotonic time at which the caller got the last event of an
-        answer that another engine has begun, in seconds; ``None`` before the first.
+    :param last_event_at: monotonic time since which the caller waits for the next event
+        of an answer that another engine has begun, in seconds; ``None`` if none has.
     """
 
     request: str
