--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -12,6 +12,7 @@
     TrimmedError,
     get_era,
     get_offset,
+    make_place,
 )
 
 #: Age of a topic from which an entry that can't read it asks another one.
@@ -314,14 +315,16 @@
     def _keep_removals(self, page):
         """Keep the keys removed that an older copy of the store lists again.
 
-        One that is written again has a record behind the page.
+        One that is written again has a record behind the page. A removal right before
+        the begin of the era was told by an entry that has read an empty copy: what is
+        listed on the page was written again.
 
         :param page: the first newest records of an era, a
             :class:`wasabistage.fleet.RecordPage`.
         """
-        era = get_era(page.end)
+        first = make_place(get_era(page.end), 0)
         for key, offset in self.removed_offsets.items():
-            if get_era(offset) < era:
+            if offset < first - 1:
                 self.removed_offsets[key] = page.end - 1
 
     async def _request_from_peer(self):
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -230,6 +230,26 @@
         self.read_newest((record,), end=50)
         self.assertEqual(self.find_usable(), ["s1"])
 
+    # Guards against servers that are unused after a copy without any record, since their
+    # removal at the begin of the era counts as one from before it (soak seed 12049).
+    def test_removal_by_an_empty_copy_bars_no_server_that_is_listed_again(self):
+        first = make_place(1, 0)
+        reader = next(iter(Fleet(1, 1).entries.values()))
+        watch = reader.watches[str(Topic.SERVERS)]
+        listed = StoredRecord(offset=1, key="s1", value=b"10.5.5.5:80 0")
+        watch.apply_shared(listed)
+        told = []
+        reader.state.facts.publish_record = lambda topic, record: told.append(record)
+        watch._apply_newest(RecordPage(records=(), end=first), reader.state.timer.now())
+        watch.apply_snapshot(self.make_snapshot(end=first, read_end=first), 200.0)
+        removals = [record for record in told if record.value is None]
+        self.assertEqual([record.key for record in removals], ["s1"])
+        self.assertTrue(self.watch.apply_shared(removals[0]))
+        self.assertEqual(self.find_usable(), [])
+        record = StoredRecord(offset=first + 2, key="s1", value=b"10.5.5.5:80 0")
+        self.read_newest((record,), end=first + 3)
+        self.assertEqual(self.find_usable(), ["s1"])
+
     # Guards against a server that has gone and is used on, since the configuration
     # can't be read although the list of servers can (issue 29, DRAIN).
     def test_outage_of_another_topic_keeps_no_server_that_has_gone(self):
