Cache: the pause of saves belongs to the epoch of a store, not to the start of an entry

Cause: an entry didn't know whether others have known the epoch of a store for long, and waited for itself.

Ruled out: asking for the age with the listing, which a starting reader has from the store alone.

Change: reports have a row for each cache store: epoch, and the time since the first entry knew it. Nothing is saved until that is SAVE_PAUSE_SECONDS, and nothing without a complete map of the epoch.

--- a/wasabistage/cache/_part_map.py
+++ b/wasabistage/cache/_part_map.py
@@ -7,9 +7,9 @@
 SAVE_TIMEOUT_SECONDS = 3.0
 
 MAX_OLD_EPOCHS = 8  # of one source that are remembered
-#: Time for which nothing is saved to a store whose parts have just become known, as
-#: after its restart or that of this entry, and no part that has just left it. Entries
-#: that have not heard of it would fetch a part that is still being saved again.
+#: Time after the restart of a store in which nothing is saved to it, and after a part
+#: has left it in which that part is not. Entries that have not heard of it would fetch
+#: a part that is still being saved again.
 SAVE_PAUSE_SECONDS = 2.0
 
 
@@ -19,8 +19,10 @@
 
     :param epoch: number that changes when the source restarts, or ``None`` before its
         first event.
-    :param complete_since: monotonic time since which all parts of this epoch are known,
-        but for those of lost events; ``None`` if some may be missing.
+    :param epoch_known_at: monotonic time at which the first entry knew the epoch, as
+        far as this one has heard, in seconds.
+    :param is_complete: whether all parts of this epoch are known, but for those of lost
+        events.
     :param old_epochs: some earlier epochs, oldest first.
     :param position: position from which its next events are to be read.
     :param tokens_by_part: dict of (cache key, part) to the number of tokens held.
@@ -33,7 +35,8 @@
     """
 
     epoch: int | None = None
-    complete_since: float | None = None
+    epoch_known_at: float = float("-inf")
+    is_complete: bool = False
     old_epochs: list = field(default_factory=list)
     position: int = 0
     tokens_by_part: dict = field(default_factory=dict)
@@ -62,10 +65,11 @@
             if not holders:
                 del self.holders[part_key]
 
-    def set_epoch(self, epoch):
+    def set_epoch(self, epoch, now):
         """Begin an epoch, in which no part is known yet.
 
         :param epoch: the epoch.
+        :param now: monotonic time, in seconds.
         """
         if self.epoch is not None:
             self.old_epochs = [*self.old_epochs, self.epoch][-MAX_OLD_EPOCHS:]
@@ -74,7 +78,8 @@
         self.clear()
         self.removed_at = {}
         self.epoch = epoch
-        self.complete_since = None
+        self.epoch_known_at = now
+        self.is_complete = False
 
     def record_removals(self, part_keys, now):
         """Record that parts have left the source.
@@ -162,18 +167,14 @@
         source = self.source(address)
         has_restarted = source.epoch is not None and source.epoch != events.epoch
         if source.epoch != events.epoch:
-            source.set_epoch(events.epoch)
+            source.set_epoch(events.epoch, now)
         elif is_listing:
             held = {(event.cache_key, event.part) for event in events.events}
             source.record_removals(source.tokens_by_part.keys() - held, now)
             source.clear()
-        is_known_before = since == 0 or (
-            source.complete_since is not None and since <= source.position
-        )
-        if not is_listing and (events.has_gap or not is_known_before):
-            source.complete_since = None
-        elif source.complete_since is None:
-            source.complete_since = now
+        is_known_before = source.is_complete and since <= source.position
+        is_whole = not events.has_gap and (since == 0 or is_known_before)
+        source.is_complete = is_listing or is_whole
         source.position = events.position
         removed = []
         for event in events.events:
@@ -208,7 +209,7 @@
         :param address: address of the source.
         """
         source = self.sources.get(address)
-        return source is not None and source.complete_since is not None
+        return source is not None and source.is_complete
 
     def may_save(self, address, cache_key, part, now, *, is_fleet_new=False):
         """Return whether a part may be saved to a store.
@@ -221,13 +222,37 @@
             map of the store from before.
         """
         source = self.source(address)
-        known_at = source.complete_since
+        removed_at = source.removed_at.get((cache_key, part), float("-inf"))
         if is_fleet_new and not source.old_epochs:
-            known_at = float("-inf")
-        elif known_at is None:
-            return False
-        removed_at = source.removed_at.get((cache_key, part), known_at)
-        return now - max(removed_at, known_at) >= SAVE_PAUSE_SECONDS
+            return now - removed_at >= SAVE_PAUSE_SECONDS
+        pause_begin = max(removed_at, source.epoch_known_at)
+        return source.is_complete and now - pause_begin >= SAVE_PAUSE_SECONDS
+
+    def observe_epoch_age(self, address, epoch, age, now):
+        """Observe for how long another entry has known the epoch of a source.
+
+        :param address: address of the source.
+        :param epoch: the epoch.
+        :param age: time since the first entry that it has heard knew it, in seconds.
+        :param now: monotonic time, in seconds.
+        """
+        source = self.sources.get(address)
+        if source is not None and source.epoch == epoch and age >= 0:
+            source.epoch_known_at = min(source.epoch_known_at, now - age)
+
+    def get_epoch_ages(self, addresses, now):
+        """Return for how long the epochs of sources have been known.
+
+        :param addresses: iterable of addresses.
+        :param now: monotonic time, in seconds.
+        :return: list of rows of address, epoch, age in seconds.
+        """
+        known = ((address, self.sources.get(address)) for address in addresses)
+        return [
+            (address, source.epoch, now - source.epoch_known_at)
+            for address, source in known
+            if source is not None and source.epoch is not None
+        ]
 
     def is_old_epoch(self, address, epoch):
         """Return whether a source has restarted since an epoch.
--- a/wasabistage/edge/_caches.py
+++ b/wasabistage/edge/_caches.py
@@ -60,7 +60,7 @@
         now = state.timer.now()
         self.incomplete_since = {
             address: known.get(address, now)
-            for address in self._get_stores() - read_addresses
+            for address in state.get_store_addresses() - read_addresses
             if not state.parts.is_complete(address)
         }
         overdue = [
@@ -81,13 +81,6 @@
                 "cache_listing_failed", address=address, reason=str(error)
             )
 
-    def _get_stores(self):
-        """Return the addresses of the cache stores."""
-        configuration = self.state.routes.configuration
-        if configuration is None:
-            return set()
-        return {store.address for store in configuration.stores.values()}
-
     def _get_source_domains(self):
         """Return the failure domain of each cache source, by its address."""
         configuration = self.state.routes.configuration
@@ -128,7 +121,7 @@
         state = self.state
         source = state.parts.source(address)
         epoch, since = source.epoch, source.position
-        if address in self._get_stores() and source.complete_since is None:
+        if address in state.get_store_addresses() and not source.is_complete:
             await self._read_listing(address)
             return
         is_first = epoch is None
--- a/wasabistage/edge/_facts.py
+++ b/wasabistage/edge/_facts.py
@@ -302,7 +302,7 @@
             source.epoch,
             source.position,
             source.position,
-            source.complete_since is not None,
+            source.is_complete,
             self.state.get_server_clock(),
             [(key, names, counts) for key, (names, counts) in groups.items()],
         )
@@ -319,7 +319,7 @@
                 watch.apply_snapshot(snapshot, requested_at)
         for listing in fleet_state.sources:
             source = self.state.parts.source(listing.address)
-            is_needed = listing.is_listing and source.complete_since is None
+            is_needed = listing.is_listing and not source.is_complete
             is_known = source.epoch == listing.epoch and not is_needed
             if not is_known or listing.position >= source.position:
                 self.apply_cache_fact(listing)
--- a/wasabistage/edge/_peer_messages.py
+++ b/wasabistage/edge/_peer_messages.py
@@ -94,6 +94,8 @@
     :param capacity: the sender's capacity to serve callers; 0 if it is unknown.
     :param configuration_version: version of the configuration that the sender has in
         force; 0 if it has none.
+    :param epochs: rows of address, epoch and the time in seconds since the first entry
+        knew the epoch, for cache stores.
     """
 
     name: str
@@ -123,6 +125,7 @@
     suspects: list[EvidenceRow] = []
     capacity: float = 0.0
     configuration_version: int = 0
+    epochs: list[tuple[str, int, float]] = []
 
 
 class ReportDatagram(msgspec.Struct, array_like=True):
--- a/wasabistage/edge/_peers.py
+++ b/wasabistage/edge/_peers.py
@@ -1,5 +1,7 @@
 """Reports that entries send each other by UDP datagrams."""
 
+from itertools import islice
+
 import msgspec
 import trio
 
@@ -40,6 +42,7 @@
 MAX_FACTS_BYTES = 24000  # of the facts in a datagram
 MAX_DATAGRAM_BYTES = 60000  # below the largest UDP payload
 MAX_VERSIONS = 64  # rows in a report
+MAX_EPOCH_ROWS = 64  # cache stores in a report, some 4 KB
 MAX_UNREADABLE_IPS = 256  # of which one unreadable report was logged
 MAX_LOAD_ROWS = 500  # some 25 KB; with the facts a datagram is not above its bound
 INTRODUCTION_INTERVAL_SECONDS = 0.5  # between two to the same entry
@@ -281,6 +284,7 @@
                 is_relay=fields.get("is_relay", False)
             ),
             "configuration_version": self.state.get_configuration_version(),
+            "epochs": self._get_epoch_ages(),
         }
         return PeerReport(
             name=own.name,
@@ -296,6 +300,11 @@
             **{**common, **fields},
         )
 
+    def _get_epoch_ages(self):
+        state = self.state
+        addresses = islice(state.get_store_addresses(), MAX_EPOCH_ROWS)
+        return state.parts.get_epoch_ages(addresses, state.timer.now())
+
     async def _send(self, report, targets):
         """Send a report.
 
@@ -384,6 +393,8 @@
         if report.has_loads:
             state.loads.observe(report, echo, now, is_followed)
         self._handle_rollout(report, known, now)
+        for address, epoch, age in report.epochs:
+            state.parts.observe_epoch_age(address, epoch, age, now)
         state.crash_watch.merge(report.suspects, now)
         if report.follows == own and (known is None or known.report.follows != own):
             # A new follower gets its first report at once.
--- a/wasabistage/edge/_state.py
+++ b/wasabistage/edge/_state.py
@@ -184,6 +184,12 @@
         configuration = self.routes.configuration
         return 0 if configuration is None else configuration.version
 
+    def get_store_addresses(self):
+        """Return the set of the addresses of the cache stores."""
+        configuration = self.routes.configuration
+        stores = {} if configuration is None else configuration.stores
+        return {store.address for store in stores.values()}
+
     def _record_era_change(self, change):
         """Log a new era of the record store, or a number that is none.
 
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -230,8 +230,9 @@
         self.read_newest((record,), end=50)
         self.assertEqual(self.find_usable(), ["s1"])
 
-    # Guards against servers that are unused after a copy without any record, since their
-    # removal at the begin of the era counts as one from before it (soak seed 12049).
+    # Guards against servers that are unused after a copy without any record, since
+    # their removal at the begin of the era counts as one from before it (soak seed
+    # 12049).
     def test_removal_by_an_empty_copy_bars_no_server_that_is_listed_again(self):
         first = make_place(1, 0)
         reader = next(iter(Fleet(1, 1).entries.values()))
