Prompts aren't sent to old weights at a time at which they would be withdrawn

Cause: under a bound of 1.5 s prompts were sent until 0.9 of it, 1.35 s, and withdrawn from 1.3 s on. The gate had refused such a repeat by the age of the request.

Evidence: test_prompt_that_has_not_begun_in_time_is_withdrawn failed in 4 of 4 runs, with the lines prompt_withdrawn twice for one request.

Ruled out: load; it failed alone as well.

Change: the time left ends at the withdrawal at the latest. Bounds of 2 s and more are as before.

--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -6,6 +6,7 @@
 from wasabistage.cache import cache_scope, part_cache_key
 from wasabistage.edge._cold_servers import get_cold_limit, select_allowed
 from wasabistage.edge._regions import get_home_regions, is_allowed
+from wasabistage.edge._version_watch import WITHDRAWAL_SECONDS
 from wasabistage.fleet import RouteKind, ServerRecord
 from wasabistage.routing import (
     NO_SERVER,
@@ -470,7 +471,10 @@
     """
     if not age:
         return math.inf
-    return OLD_VERSION_FRACTION * state.settings.bounds.version_ms / 1000.0 - age
+    bound = state.settings.bounds.version_ms / 1000.0
+    # What has not begun then is withdrawn.
+    limit = min(OLD_VERSION_FRACTION * bound, bound - WITHDRAWAL_SECONDS)
+    return limit - age
 
 
 def get_domain_penalty(state, record):
