--- a/wasabistage/cache/_part_map.py
+++ b/wasabistage/cache/_part_map.py
@@ -82,7 +82,7 @@
         self.is_complete = False
 
     def record_removals(self, part_keys, now):
-        """Record that parts have left the source.
+        """Record that parts have left the source, and forget those that left long ago.
 
         :param part_keys: iterable of tuples of cache key and part.
         :param now: monotonic time, in seconds.
--- a/wasabistage/edge/_attempt_retries.py
+++ b/wasabistage/edge/_attempt_retries.py
@@ -79,7 +79,7 @@
             return True
         if not has_responsive_server(self.state, exchange):
             return False
-        if not self._is_admitted(exchange):
+        if not self._may_pass_gate(exchange):
             return False
         query = self._build_query(exchange, attempt, Failure.LOST)
         decision = self._query_policy(exchange, query)
@@ -89,8 +89,8 @@
         exchange.granted_retry = decision
         return True
 
-    def _is_admitted(self, exchange):
-        """Return whether the gate lets a repeat pass at once."""
+    def _may_pass_gate(self, exchange):
+        """Return whether the gate would let a repeat pass now."""
         state, now = self.state, self.state.timer.now()
         choice = select_server(state, exchange, exchange.tried_servers, now)
         if not choice or choice.plan is None:
--- a/wasabistage/edge/_caches.py
+++ b/wasabistage/edge/_caches.py
@@ -22,9 +22,9 @@
         self.state = state
         #: Cancel scopes of the tasks that follow a source, by its address.
         self.scopes = {}
-        #: Time since which the parts of a store are not all known, by its address;
-        #: monotonic seconds.
-        self.incomplete_since = {}
+        #: Time at which this entry lists a store whose parts it doesn't all know, by
+        #: its address; monotonic seconds.
+        self.listing_due_at = {}
 
     async def run(self):
         """Follow the sources that this entry reads until cancelled."""
@@ -47,29 +47,26 @@
                     scope = trio.CancelScope()
                     self.scopes[address] = scope
                     nursery.start_soon(self._follow_source, address, scope)
-                for address in self._find_overdue(wanted_addresses):
+                for address in self._take_overdue(wanted_addresses):
                     nursery.start_soon(self._read_overdue, address)
                 await trio.sleep(SOURCES_INTERVAL_SECONDS)
 
-    def _find_overdue(self, read_addresses):
+    def _take_overdue(self, read_addresses):
         """Return the stores whose listing the readers have not told in time.
 
+        Each is due again after the same time, unless its parts are known by then.
+
         :param read_addresses: addresses of the sources that this entry reads itself.
         """
-        state, known = self.state, self.incomplete_since
-        now = state.timer.now()
-        self.incomplete_since = {
-            address: known.get(address, now)
+        state, now = self.state, self.state.timer.now()
+        next_at = now + LISTING_WAIT_SECONDS
+        due_at = {
+            address: self.listing_due_at.get(address, next_at)
             for address in state.get_store_addresses() - read_addresses
             if not state.parts.is_complete(address)
         }
-        overdue = [
-            address
-            for address, since in self.incomplete_since.items()
-            if now - since >= LISTING_WAIT_SECONDS
-        ]
-        for address in overdue:
-            self.incomplete_since[address] = now
+        overdue = [address for address, at in due_at.items() if at <= now]
+        self.listing_due_at = {**due_at, **dict.fromkeys(overdue, next_at)}
         return overdue
 
     async def _read_overdue(self, address):
--- a/wasabistage/edge/_choice.py
+++ b/wasabistage/edge/_choice.py
@@ -191,8 +191,8 @@
     taken = exchange.taken_under.services.get(exchange.service)
     if service is None:
         return taken
-    has_lost_engine = service.engine is None and taken is not None and taken.engine
-    return taken if has_lost_engine else service
+    had_engine = taken is not None and taken.engine is not None
+    return taken if had_engine and service.engine is None else service
 
 
 def needs_engine(exchange, service):
@@ -259,9 +259,7 @@
     if not records:
         return records
     if needs_engine(exchange, service_config):
-        return select_engine(
-            state, request, route, account, records, weights, service_config, now
-        )
+        return select_engine(state, exchange, records, weights, service_config, now)
     query = RouteQuery(
         account="",
         model="",
@@ -314,16 +312,14 @@
     return f"{reason} in the allowed regions {names}"
 
 
-def select_engine(
-    state, request, route, account, records, weights, service_config, now
-):
+def select_engine(state, exchange, records, weights, service_config, now):
     """Select the model engine of a prompt; see :func:`select_server`.
 
     :param records: list of the :class:`wasabistage.fleet.ServerRecord` to select from.
     :param weights: dict of server to its weight.
     :param service_config: the :class:`wasabistage.fleet.Service`.
     """
-    prompt = request.prompt
+    prompt, route, account = exchange.request.prompt, exchange.route, exchange.account
     scope = get_cache_scope(state, account)
     loading_soon = state.swap.next_servers(
         [record.server for record in records], prompt.model
--- a/wasabistage/edge/_record_watch.py
+++ b/wasabistage/edge/_record_watch.py
@@ -232,7 +232,7 @@
         """
         if self.position is not None and snapshot.end < self.position:
             if get_era(snapshot.end) < get_era(self.position):
-                self.apply_older_era(snapshot)
+                self.apply_older_snapshot(snapshot)
             return
         has_risen = self._note_era(snapshot.end)
         now, self.known_before = self.state.timer.now(), self.read_at
@@ -262,8 +262,8 @@
         """
         return
 
-    def apply_older_era(self, snapshot):
-        """Apply what holds of a snapshot from before the store lost its newest records.
+    def apply_older_snapshot(self, snapshot):
+        """Apply what still holds of a snapshot of an older era.
 
         :param snapshot: a :class:`TopicSnapshot`.
         """
--- a/wasabistage/edge/_watches.py
+++ b/wasabistage/edge/_watches.py
@@ -54,8 +54,8 @@
             version=self.state.get_configuration_version(),
         )
 
-    def apply_older_era(self, snapshot):
-        """See :meth:`RecordWatch.apply_older_era`.
+    def apply_older_snapshot(self, snapshot):
+        """See :meth:`RecordWatch.apply_older_snapshot`.
 
         Versions order configurations and weights. Orders to evacuate stay in force
         until the operator withdraws them.
@@ -68,12 +68,13 @@
 
     def find_newer_peer(self):
         """Return the name of an entry with a newer configuration, or ``None``."""
+        state, now = self.state, self.state.timer.now()
         versions = {
             name: peer.report.configuration_version
-            for name, peer in self.state.peers.items()
+            for name, peer in state.peers.items()
         }
-        own = self.state.get_configuration_version()
-        return self.claims.find_newer(own, versions, self.state.timer.now())
+        self.claims.observe(versions, now)
+        return self.claims.find_newer(state.get_configuration_version(), now)
 
     def apply_record(self, record, now):
         """See :meth:`RecordWatch.apply_record`."""
--- a/wasabistage/edge/tests/test_fleet.py
+++ b/wasabistage/edge/tests/test_fleet.py
@@ -533,12 +533,14 @@
                 fleet.play(START_SECONDS)
                 self.publish(fleet, "l:1", 7, 0, 1, [("a", 100), ("b", 50)])
                 fleet.play(SAVE_PAUSE_SECONDS + 1.0)
-                reader = self.get_reader(fleet)
+                state = self.get_reader(fleet).state
                 freed = [("k", "a")]
-                for epoch in (6, 7):
-                    parts = reader.state.parts
-                    parts.remove_parts("l:1", epoch, freed, fleet.now)
-                    reader.state.facts.publish_freed("l:1", epoch, freed)
+                state.facts.publish_freed("l:1", 6, freed)
+                fleet.play(1.0)
+                for entry in fleet.entries.values():
+                    self.assertEqual(entry.state.parts.tokens("l:1", *freed[0]), 100)
+                state.parts.remove_parts("l:1", 7, freed, fleet.now)
+                state.facts.publish_freed("l:1", 7, freed)
                 self.publish(fleet, "l:1", 7, 1, 2, [("c", 10)])
                 fleet.play(SAVE_PAUSE_SECONDS - 0.3)
                 self.assertEqual(self.find_saving(fleet), set())
--- a/wasabistage/edge/tests/test_record_watch.py
+++ b/wasabistage/edge/tests/test_record_watch.py
@@ -357,7 +357,7 @@
     def test_order_to_evacuate_is_taken_with_the_configuration(self):
         self.fleet.write(Topic.CONFIGURATION, "evacuate/domain-1", b"x")
         self.fleet.play(1.0)
-        self.watch.apply_older_era(
+        self.watch.apply_older_snapshot(
             TopicSnapshot(
                 age=0.0,
                 end=9,
--- a/wasabistage/fleet/_version_claims.py
+++ b/wasabistage/fleet/_version_claims.py
@@ -13,37 +13,39 @@
     """
 
     def __init__(self):
-        #: Maps the name of an entry to its version and the time since which it is known
-        #: to be newer, monotonic seconds.
-        self.claimed_since = {}
+        #: Maps the name of an entry to its version and the time since which it reports
+        #: that one, monotonic seconds.
+        self.reported_since = {}
         #: Maps the name of an entry to the version that it did not give.
         self.refuted_versions = {}
 
-    def find_newer(self, own_version, versions, now):
-        """Return the entry that has the newest version, if that is newer.
+    def observe(self, versions, now):
+        """Observe what the entries report that are heard now.
 
-        :param own_version: version in force here.
         :param versions: dict of the name of an entry to the version in force there.
         :param now: monotonic time, in seconds.
-        :return: its name, or ``None``.
         """
-        known, self.claimed_since = self.claimed_since, {}
-        self.refuted_versions = {
-            name: version
-            for name, version in self.refuted_versions.items()
-            if name in versions
-        }
-        newest = None
+        known, self.reported_since = self.reported_since, {}
         for name, version in versions.items():
-            if version <= max(own_version, self.refuted_versions.get(name, 0)):
-                continue
             before = known.get(name)
             is_known = before is not None and before[0] == version
-            since = before[1] if is_known else now
-            self.claimed_since[name] = (version, since)
-            is_open = now - since < CLAIM_TIMEOUT_SECONDS
-            if is_open and (newest is None or version > versions[newest]):
-                newest = name
+            self.reported_since[name] = before if is_known else (version, now)
+        for name in set(self.refuted_versions) - set(versions):
+            del self.refuted_versions[name]
+
+    def find_newer(self, own_version, now):
+        """Return the entry that has the newest version, if that is newer.
+
+        :param own_version: version in force here.
+        :param now: monotonic time, in seconds.
+        :return: its name, or ``None``.
+        """
+        newest, newest_version = None, own_version
+        for name, (version, since) in self.reported_since.items():
+            is_refuted = version <= self.refuted_versions.get(name, 0)
+            is_over = now - since >= CLAIM_TIMEOUT_SECONDS
+            if version > newest_version and not (is_refuted or is_over):
+                newest, newest_version = name, version
         return newest
 
     def refute(self, name, version):
--- a/wasabistage/platform/tests/test_begun_answer.py
+++ b/wasabistage/platform/tests/test_begun_answer.py
@@ -134,33 +134,57 @@
 
         self.play(test)
 
+    def check_whole_stream(self, reply):
+        counts = [reply.body.count(b"id: %d\n" % number) for number in range(1, 4)]
+        self.assertEqual((reply.status, counts), (200, [1, 1, 1]))
+
+    async def check_resumed(self, first):
+        """Check that a stream is continued whose engine sends only the first bytes."""
+        engine = self.platform.engines[0]
+        engine.behaviour = Behaviour(endless=(first, b""), pause=0.1)
+        reply = await self.ask_at(engine, b"/chat/x", PROMPT, b"POST")
+        self.check_whole_stream(reply)
+
     def test_stream_that_stops_is_resumed(self):
         async def test():
-            engine, chunk = self.platform.engines[0], b"%x\r\n%s\r\n"
-            first = STREAM_HEAD + chunk % (len(EVENT), EVENT)
-            engine.behaviour = Behaviour(endless=(first, b""), pause=0.1)
-            reply = await self.ask_at(engine, b"/chat/x", PROMPT, b"POST")
-            counts = [reply.body.count(b"id: %d\n" % number) for number in range(1, 4)]
-            self.assertEqual((reply.status, counts), (200, [1, 1, 1]))
+            chunk = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
+            await self.check_resumed(STREAM_HEAD + chunk)
 
         self.play(test)
 
     # Guards against an answer that is taken from a silent server before its first event
     # for a repeat which the gate then refuses by the age of the request (review/14).
     def test_stream_without_event_is_resumed_late(self):
+        async def test():
+            # Later than the gate lets a request begin that has no answer yet.
+            self.edge.state.silence.first_limit = 3 * SILENT_SECONDS
+            await self.check_resumed(STREAM_HEAD)
+
+        self.play(test)
+
+    # Guards against several streams that leave a silent server for the same room.
+    def test_streams_leave_a_silent_server_one_at_a_time(self):
         async def test():
             engine = self.platform.engines[0]
             engine.behaviour = Behaviour(endless=(STREAM_HEAD, b""), pause=0.1)
-            gate = self.edge.state.gate
-            with mock.patch.object(gate, "late_limit", 0.2):
-                self.edge.state.silence.stream_limit = 3 * SILENT_SECONDS
-                reply = await self.ask_at(engine, b"/chat/x", PROMPT, b"POST")
-            counts = [reply.body.count(b"id: %d\n" % number) for number in range(1, 4)]
-            self.assertEqual((reply.status, counts), (200, [1, 1, 1]))
+            replies = []
+
+            async def ask():
+                replies.append(await self.ask(b"/chat/x", PROMPT, b"POST"))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(8):
+                    nursery.start_soon(ask)
+            for reply in replies:
+                self.check_whole_stream(reply)
+            moved = [line["moved"] for line in self.events("server_silent")]
+            self.assertGreater(len(moved), 1)
+            self.assertEqual(set(moved), {1})
 
         self.play(test)
 
-    # Guards against the same while the gate has no room for a repeat.
+    # Guards against a begun answer that is taken from its server, and then waits for
+    # room at another one until its caller gives up.
     def test_stream_stays_where_it_has_begun_while_the_gate_has_no_room(self):
         async def test():
             gate = self.edge.state.gate
@@ -173,8 +197,7 @@
 
             with mock.patch.object(gate, "decide", wait_if_begun):
                 reply = await self.ask(b"/chat/x", PROMPT, b"POST")
-            counts = [reply.body.count(b"id: %d\n" % number) for number in range(1, 4)]
-            self.assertEqual((reply.status, counts), (200, [1, 1, 1]))
+            self.check_whole_stream(reply)
             self.assertEqual(sum(len(engine.runs) for engine in engines), 1)
             self.assertEqual(gate.waiting_, {})
 
--- a/wasabistage/platform/tests/test_dedicated_accounts.py
+++ b/wasabistage/platform/tests/test_dedicated_accounts.py
@@ -11,6 +11,16 @@
 SALT, TENANT = b"wasabistage-cache-salt", b"wasabistage-tenant"
 
 
+def call_first(change, take):
+    """Return a function that takes a connection after a change was made."""
+
+    async def take_after_change(*arguments):
+        await change()
+        return await take(*arguments)
+
+    return take_after_change
+
+
 class DedicatedAccountsTest(EdgeCase):
     """Pattern: accounts become dedicated, and are released, while others go on."""
 
@@ -141,9 +151,14 @@
         async def test():
             await self.declare()
             forwarder = self.edge.callers.forwarder
+
+            async def change():
+                if not self.edge.state.routes.configuration.dedicated_accounts:
+                    await self.declare("small")
+
             for engine in self.platform.engines:
                 pool = forwarder._get_pool(engine.address)
-                pool.take = self.delay_first(pool.take)
+                pool.take = call_first(change, pool.take)
             (cache_key,) = await self.ask("small")
             self.assertEqual(self.find_makers(cache_key), {"small"})
             (shared,) = await self.ask("other")
@@ -151,14 +166,6 @@
 
         self.play(test)
 
-    def delay_first(self, take):
-        async def take_after_change(*arguments):
-            if not self.edge.state.routes.configuration.dedicated_accounts:
-                await self.declare("small")
-            return await take(*arguments)
-
-        return take_after_change
-
 
 class ChangedServiceTest(EdgeCase):
     """Pattern: the service of prompts that wait leaves the configuration in force."""
@@ -226,21 +233,17 @@
         async def test():
             both = [{"name": "app"}, {"name": "llm"}]
             self.platform.publish(2, services=both)
-            routes, pools = self.edge.state.routes, self.edge.callers.forwarder
+            routes, forwarder = self.edge.state.routes, self.edge.callers.forwarder
             await self.until(lambda: routes.configuration.version == 2)
 
-            def delay_first(take):
-                async def take_after_change(*arguments):
-                    if routes.configuration.version == 2:
-                        self.platform.publish(3)
-                        await self.until(lambda: routes.configuration.version == 3)
-                    return await take(*arguments)
-
-                return take_after_change
+            async def change():
+                if routes.configuration.version == 2:
+                    self.platform.publish(3)
+                    await self.until(lambda: routes.configuration.version == 3)
 
             for engine in self.platform.engines:
-                pool = pools._get_pool(engine.address)
-                pool.take = delay_first(pool.take)
+                pool = forwarder._get_pool(engine.address)
+                pool.take = call_first(change, pool.take)
             reply = await self.call(b"/hint/", *PROMPT, method=b"POST")
             self.assertEqual(reply.status, 200)
             runs = [run for engine in self.platform.engines for run in engine.runs]
